Add the call router on real sockets, with JSON lines in and SIP out

The router now runs it on sockets, one thread, one Asio context: src/core knows no wire (call table, dispatcher over the module, server list by name, timer wheel, counters, ports), src/net holds the JSON lines front, the SIP links, the command channel and the siblings.

--- /dev/null
+++ b/src/core/call_table.cpp
@@ -0,0 +1,312 @@
+#include "core/call_table.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace honeyspoke::core {
+
+// An attempt is given up this much before its caller stops waiting, so that the answer still reaches it.
+constexpr Duration kAnswerMargin = 2 * TimerWheel::kTick;
+
+CallTable::CallTable(Dispatcher& dispatcher, ServerList& servers, TimerWheel& wheel, Counters& counters,
+                     Clock clock)
+    : dispatcher_(dispatcher),
+      servers_(servers),
+      wheel_(wheel),
+      counters_(counters),
+      clock_(std::move(clock)),
+      tell_([](const auto&) {}),
+      note_([](const auto&) {}) {}
+
+void CallTable::connect(Tell tell, Note note) {
+  tell_ = std::move(tell);
+  note_ = std::move(note);
+}
+
+// ---- from the callers' side -----------------------------------------------------------------------------
+
+CallId CallTable::take(ClientPort& client, NewSetUp set_up) {
+  while (calls_.contains(CallId{next_id_})) ++next_id_;
+  const CallId id{next_id_++};
+  set_up.facts.expires -= kAnswerMargin;
+  auto& call = calls_[id];
+  call.client = &client;
+  call.set_up = std::move(set_up);
+  call.deadline = wheel_.at(call.set_up.facts.expires, [this, id] { time_out(id); });
+  ++counters_.taken;
+  return id;
+}
+
+void CallTable::decide(CallId id) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end()) enact(dispatcher_.pick(clock_(), id, found->second.set_up.facts));
+}
+
+void CallTable::give_up(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second.state == State::kStanding) return;
+  ++counters_.given_up;
+  const bool out = found->second.state == State::kOut;
+  const auto attempt = attempt_of(id, found->second);
+  const Duration taken = clock_() - found->second.sent;
+  forget(id);
+  if (out) {
+    if (auto* to = port(attempt.server)) to->cancel(attempt);
+    ++counters_.cancels;
+  }
+  enact(dispatcher_.report_given_up(clock_(), id));
+  if (out) {
+    ++counters_.ended[static_cast<std::size_t>(Outcome::kCancelled)];
+    enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
+                                 {Outcome::kCancelled, taken, true, false, {}}));
+  }
+}
+
+void CallTable::close_by_client(CallId id, Cause cause) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  if (found->second.state != State::kStanding) {
+    give_up(id);
+    return;
+  }
+  const auto attempt = attempt_of(id, found->second);
+  const Duration taken = clock_() - found->second.sent;
+  ++counters_.released;
+  forget(id);
+  if (auto* to = port(attempt.server)) to->release(attempt, cause);
+  enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
+                               {Outcome::kOk, taken, true, false, {}}));
+}
+
+// ---- from the servers' side -----------------------------------------------------------------------------
+
+bool CallTable::stood(const AttemptRef& attempt, std::string_view description) {
+  auto* call = find(attempt);
+  if (call == nullptr || call->state != State::kOut) {
+    ++counters_.late_answers;
+    return false;
+  }
+  wheel_.cancel(std::exchange(call->deadline, 0));
+  call->state = State::kStanding;
+  ++standing_;
+  const Duration taken = clock_() - call->sent;
+  if (!call->client->answer(attempt.call, description)) {
+    // The caller is owed a final answer, and this one does not fit its side.
+    ++counters_.failed;
+    call->client->fail(attempt.call, Cause::kInvalidContents);
+    forget(attempt.call);
+    enact(dispatcher_.report_end(clock_(), attempt.call, attempt.server, attempt.attempt,
+                                 {Outcome::kError, taken, true, false, {}}));
+    return false;
+  }
+  ++counters_.stood;
+  enact(dispatcher_.report_stood(clock_(), attempt.call, attempt.server, attempt.attempt, taken));
+  return true;
+}
+
+void CallTable::ended(const AttemptRef& attempt, const AttemptEnd& end) {
+  if (find(attempt) != nullptr) end_attempt(attempt.call, end);
+}
+
+void CallTable::end_attempt(CallId id, const AttemptEnd& end) {
+  auto& call = calls_.at(id);
+  const auto attempt = attempt_of(id, call);
+  EndFacts facts{end.outcome, clock_() - call.sent, call.state == State::kStanding, end.number_busy,
+                 end.load};
+  if (facts.call_ended) {
+    call.state = State::kReleasing;
+    --standing_;
+    ++counters_.released;
+    if (end.outcome != Outcome::kOk) ++counters_.cut;
+    call.client->release(id, end.cause);
+    forget(id);
+  } else {
+    ++counters_.ended[static_cast<std::size_t>(end.outcome)];
+    call.state = State::kHeld;
+  }
+  enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt, facts));
+}
+
+void CallTable::cut_before(ServerId server, Instant moment, const char* why) {
+  std::vector<CallId> cut;
+  for (const auto& [id, call] : calls_) {
+    if (call.state == State::kStanding && call.server == server && call.sent < moment) cut.push_back(id);
+  }
+  if (!cut.empty()) note_("cut " + std::to_string(cut.size()) + " standing calls: " + why);
+  for (const CallId id : cut) {
+    if (calls_.contains(id)) end_attempt(id, {Outcome::kReset, Cause::kTemporaryFailure, false, {}});
+  }
+}
+
+void CallTable::probed(ServerId server, Outcome outcome, Duration taken, const Report& load) {
+  ++counters_.load_reports;
+  enact(dispatcher_.report_probe(clock_(), server, outcome, taken, load));
+}
+
+void CallTable::load_told(ServerId server, const Report& load) {
+  ++counters_.load_reports;
+  enact(dispatcher_.report_load(clock_(), server, load));
+}
+
+void CallTable::list_changed(bool whole_list, const std::vector<ServerFacts>& servers) {
+  enact(dispatcher_.report_servers(clock_(), whole_list, servers));
+}
+
+void CallTable::peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes) {
+  enact(dispatcher_.report_peer(clock_(), from, std::move(bytes)));
+}
+
+void CallTable::release_all() {
+  std::vector<CallId> standing;
+  for (const auto& [id, call] : calls_) {
+    if (call.state == State::kStanding) standing.push_back(id);
+  }
+  for (const CallId id : standing) {
+    auto& call = calls_.at(id);
+    const auto attempt = attempt_of(id, call);
+    call.client->release(id, Cause::kTemporaryFailure);
+    if (auto* to = port(attempt.server)) to->release(attempt, Cause::kTemporaryFailure);
+    ++counters_.released;
+    ++counters_.cut;
+    forget(id);
+  }
+}
+
+// ---- what the module decides ----------------------------------------------------------------------------
+
+// Carrying one decision out may lead to the next: they are queued, never nested, since a call may end in
+// between.
+void CallTable::enact(Decisions decisions) {
+  to_do_.insert(to_do_.end(), std::make_move_iterator(decisions.begin()),
+                std::make_move_iterator(decisions.end()));
+  if (enacting_) return;
+  enacting_ = true;
+  while (!to_do_.empty()) {
+    Decision decision = std::move(to_do_.front());
+    to_do_.pop_front();
+    carry_out(decision);
+  }
+  enacting_ = false;
+  arm();
+}
+
+void CallTable::carry_out(Decision& decision) {
+  const auto found = calls_.find(decision.call);
+  const bool held = found != calls_.end() && found->second.state == State::kHeld;
+  switch (decision.kind) {
+    case Decision::Kind::kSend:
+      if (held) send(decision);
+      break;
+    case Decision::Kind::kRefuse:
+      // Given up on is answered at once: the advice tells the caller when to come back.
+      if (!held) break;
+      ++counters_.refused;
+      found->second.client->refuse(decision.call, decision.time);
+      forget(decision.call);
+      break;
+    case Decision::Kind::kFail:
+      if (!held) break;
+      ++counters_.failed;
+      found->second.client->fail(decision.call, Cause::kTemporaryFailure);
+      forget(decision.call);
+      break;
+    case Decision::Kind::kCancel: {
+      if (found == calls_.end() || found->second.state != State::kOut) break;
+      const auto attempt = attempt_of(decision.call, found->second);
+      if (attempt.attempt != decision.attempt) break;
+      ++counters_.cancels;
+      if (auto* to = port(attempt.server)) to->cancel(attempt);
+      end_attempt(decision.call, {Outcome::kCancelled, Cause::kNormal, false, {}});
+      break;
+    }
+    case Decision::Kind::kProbe:
+      ++counters_.probes;
+      if (auto* to = port(decision.server)) to->probe(decision.server);
+      break;
+    case Decision::Kind::kTell:
+      tell_(decision.bytes);
+      break;
+    case Decision::Kind::kNote:
+      note_(decision.text);
+      break;
+  }
+}
+
+void CallTable::send(const Decision& decision) {
+  auto& call = calls_.at(decision.call);
+  call.state = State::kOut;
+  call.server = decision.server;
+  call.sent = clock_();
+  ++call.attempts;
+  ++counters_.sent;
+  const auto attempt = attempt_of(decision.call, call);
+  auto* to = port(decision.server);
+  if (to == nullptr) {
+    end_attempt(decision.call, {Outcome::kMoot, Cause::kOutOfOrder, false, {}});
+    return;
+  }
+  Duration wait = call.set_up.facts.expires - call.sent;
+  if (decision.time > Duration::zero() && decision.time < wait) wait = decision.time;
+  wheel_.cancel(call.deadline);
+  call.deadline = wheel_.at(call.sent + wait, [this, id = decision.call] { time_out(id); });
+  to->set_up(
+      {attempt, call.set_up.id, call.set_up.call_class, call.set_up.number, call.set_up.description, wait});
+}
+
+void CallTable::time_out(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  auto& call = found->second;
+  call.deadline = 0;
+  const bool last = clock_() >= call.set_up.facts.expires;
+  if (!last) call.deadline = wheel_.at(call.set_up.facts.expires, [this, id] { time_out(id); });
+  if (call.state == State::kOut) {
+    const auto attempt = attempt_of(id, call);
+    if (auto* to = port(attempt.server)) to->cancel(attempt);
+    end_attempt(id, {Outcome::kTimeout, Cause::kTimerExpiry, false, {}});
+  } else {
+    enact(dispatcher_.tick(clock_()));
+  }
+  // Guards the rule of one final answer in time: whatever is still undecided now is refused.
+  const auto still = calls_.find(id);
+  if (last && still != calls_.end() && still->second.state == State::kHeld) {
+    ++counters_.refused;
+    still->second.client->refuse(id, Duration::zero());
+    forget(id);
+    enact(dispatcher_.report_given_up(clock_(), id));
+  }
+}
+
+void CallTable::arm() {
+  const auto next = dispatcher_.next_tick();
+  if (!next || (tick_ != 0 && tick_at_ && *tick_at_ <= *next)) return;
+  wheel_.cancel(tick_);
+  tick_at_ = next;
+  tick_ = wheel_.at(*next, [this] {
+    tick_ = 0;
+    enact(dispatcher_.tick(clock_()));
+  });
+}
+
+ServerPort* CallTable::port(ServerId server) {
+  auto* entry = servers_.find(server);
+  return entry != nullptr ? entry->port : nullptr;
+}
+
+CallTable::Call* CallTable::find(const AttemptRef& attempt) {
+  const auto found = calls_.find(attempt.call);
+  if (found == calls_.end()) return nullptr;
+  auto& call = found->second;
+  const bool alive = call.state == State::kOut || call.state == State::kStanding;
+  return alive && call.server == attempt.server && call.attempts == attempt.attempt + 1 ? &call : nullptr;
+}
+
+void CallTable::forget(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  wheel_.cancel(found->second.deadline);
+  if (found->second.state == State::kStanding) --standing_;
+  calls_.erase(found);
+}
+
+}  // namespace honeyspoke::core
--- /dev/null
+++ b/src/core/call_table.hpp
@@ -0,0 +1,120 @@
+// Every call's life, from its set-up to its release: held, attempt out, standing, releasing, ended. Fronts
+// and server links report here; what the module decides is carried out from here.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/counters.hpp"
+#include "core/dispatcher.hpp"
+#include "core/ports.hpp"
+#include "core/server_list.hpp"
+#include "core/timer_wheel.hpp"
+
+namespace honeyspoke::core {
+
+/// A caller's set-up, read and checked.
+struct NewSetUp {
+  std::string id;  ///< 16 hex digits
+  std::string call_class;
+  std::string number;
+  std::string description;
+  CallFacts facts;  ///< `expires` is when the caller stops waiting
+};
+
+/// How an attempt ended before or after it stood, as a server's side saw it.
+struct AttemptEnd {
+  Outcome outcome = Outcome::kOk;
+  Cause cause = Cause::kNormal;
+  bool number_busy = false;
+  Report load;
+};
+
+class CallTable {
+ public:
+  using Clock = std::function<Instant()>;
+  using Tell = std::function<void(const std::vector<std::uint8_t>&)>;
+  using Note = std::function<void(const std::string&)>;
+
+  CallTable(Dispatcher& dispatcher, ServerList& servers, TimerWheel& wheel, Counters& counters, Clock clock);
+
+  /// Where the module's messages to its siblings and its log lines go.
+  void connect(Tell tell, Note note);
+
+  // From the callers' side.
+  /// Enters the call; the front then notes its id and lets it be decided.
+  CallId take(ClientPort& client, NewSetUp set_up);
+  void decide(CallId call);
+  void give_up(CallId call);  ///< of no effect after the answer
+  /// Before the answer the set-up is given up, after it the call is released.
+  void close_by_client(CallId call, Cause cause);
+
+  // From the servers' side.
+  /// False: the attempt is over, so the answer is to be acknowledged and released.
+  bool stood(const AttemptRef& attempt, std::string_view description);
+  void ended(const AttemptRef& attempt, const AttemptEnd& end);
+  /// All that stands at a server whose process is known to have died.
+  void cut_all(ServerId server, const char* why) { cut_before(server, Instant::max(), why); }
+  /// Of these, what was sent before that moment.
+  void cut_before(ServerId server, Instant moment, const char* why);
+  void probed(ServerId server, Outcome outcome, Duration taken, const Report& load);
+  void load_told(ServerId server, const Report& load);
+
+  // From the channel and the siblings.
+  void list_changed(bool whole_list, const std::vector<ServerFacts>& servers);
+  void peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes);
+
+  [[nodiscard]] std::size_t unanswered() const { return calls_.size() - standing_; }
+  [[nodiscard]] std::size_t standing() const { return standing_; }
+  /// Releases all that stands towards both sides: the program ends.
+  void release_all();
+
+ private:
+  enum class State { kHeld, kOut, kStanding, kReleasing };
+  struct Call {
+    NewSetUp set_up;
+    ClientPort* client = nullptr;
+    State state = State::kHeld;
+    std::uint32_t attempts = 0;
+    ServerId server{};
+    Instant sent{};
+    TimerWheel::Handle deadline = 0;
+  };
+
+  void enact(Decisions decisions);
+  void carry_out(Decision& decision);
+  void send(const Decision& decision);
+  void end_attempt(CallId id, const AttemptEnd& end);
+  void time_out(CallId id);
+  void arm();
+  ServerPort* port(ServerId server);
+  [[nodiscard]] AttemptRef attempt_of(CallId id, const Call& call) const {
+    return {id, call.attempts - 1, call.server};
+  }
+  /// The call whose attempt is out or stands as named; null once that is over.
+  Call* find(const AttemptRef& attempt);
+  void forget(CallId id);
+
+  Dispatcher& dispatcher_;
+  ServerList& servers_;
+  TimerWheel& wheel_;
+  Counters& counters_;
+  Clock clock_;
+  Tell tell_;
+  Note note_;
+  std::unordered_map<CallId, Call> calls_;
+  std::size_t standing_ = 0;
+  std::uint32_t next_id_ = 0;
+  std::deque<Decision> to_do_;
+  bool enacting_ = false;
+  TimerWheel::Handle tick_ = 0;
+  std::optional<Instant> tick_at_;
+};
+
+}  // namespace honeyspoke::core
--- /dev/null
+++ b/src/core/counters.hpp
@@ -0,0 +1,37 @@
+// What the program took in, sent and answered. Printed on SIGUSR1 and at exit.
+#pragma once
+
+#include <cstdint>
+#include <ostream>
+
+namespace honeyspoke::core {
+
+struct Counters {
+  // taken in
+  std::uint64_t taken = 0;          ///< set-ups from callers
+  std::uint64_t given_up = 0;       ///< of these, given up by their callers
+  std::uint64_t malformed = 0;      ///< set-ups with a readable id and a bad field
+  std::uint64_t unreadable = 0;     ///< lines or heads that ended their connection
+  std::uint64_t unknown_ids = 0;    ///< messages about no call that is known
+  std::uint64_t feed_events = 0;    ///< changes of the server list applied
+  std::uint64_t feed_restarts = 0;  ///< connections to the command channel after the first
+  std::uint64_t load_reports = 0;
+  // sent
+  std::uint64_t sent = 0;  ///< attempts
+  std::uint64_t cancels = 0;
+  std::uint64_t probes = 0;
+  std::uint64_t taken_back = 0;    ///< set-ups withdrawn before they were written
+  std::uint64_t late_answers = 0;  ///< answers to attempts already ended: acknowledged and released
+  // answered
+  std::uint64_t stood = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t released = 0;
+  std::uint64_t cut = 0;  ///< of the released, ended by no side's wish
+  // how attempts ended before they stood, by Outcome
+  std::uint64_t ended[8] = {};
+
+  void print(std::ostream& out) const;
+};
+
+}  // namespace honeyspoke::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,64 @@
+// Wires the router's parts together and runs them until a signal ends it.
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include "net/config.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/router.hpp"
+
+namespace {
+
+using namespace honeyspoke;
+
+std::string variable(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+void print_counters(const net::Router& router) {
+  router.counters().print(std::clog);
+  std::clog << "; now: unanswered=" << router.table().unanswered()
+            << " standing=" << router.table().standing() << std::endl;
+}
+
+void watch_signals(asio::signal_set& signals, net::Loop& loop, net::Router& router) {
+  signals.async_wait([&](const asio::error_code& error, int signal) {
+    if (error) return;
+    if (signal == SIGUSR1) {
+      print_counters(router);
+    } else {
+      router.stop_when_answered([&loop] { loop.io.stop(); });
+    }
+    watch_signals(signals, loop, router);
+  });
+}
+
+int run() {
+  net::log::set_level(variable("RELAY_LOG"));
+  const auto config = net::read_config(net::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
+                                       variable("RELAY_LISTEN"));
+  net::Loop loop;
+  net::Router router(loop, config);
+  asio::signal_set signals(loop.io, SIGTERM, SIGINT, SIGUSR1);
+  watch_signals(signals, loop, router);
+  net::log::info(config.name, " serves callers at ", router.callers_at());
+  loop.io.run();
+  print_counters(router);
+  return 0;
+}
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return run();
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << std::endl;
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,46 @@
+// What a router is told at its start: the platform's file and environment.
+#pragma once
+
+#include <asio.hpp>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "honeyspoke/admission.hpp"
+#include "net/feed_parse.hpp"
+#include "net/jsonl_front.hpp"
+
+namespace honeyspoke::net {
+
+/// The text names the field at fault.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  asio::ip::tcp::endpoint listen;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  asio::ip::tcp::endpoint channel;
+  std::optional<asio::ip::udp::endpoint> peer_listen;
+  std::vector<asio::ip::udp::endpoint> peers;
+  std::optional<asio::ip::udp::endpoint> peers_all;
+  std::uint64_t cursor = 0;
+  std::vector<ListNews> known;
+  Settings settings;
+  Names names;
+  Duration connect_limit{};
+};
+
+/// `listen` and `name` from the environment take the place of the file's where they are not empty.
+Config read_config(std::string json, std::string_view name, std::string_view listen);
+
+/// The whole file. Throws ConfigError.
+std::string read_file(const std::string& path);
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/feed.cpp
@@ -0,0 +1,122 @@
+#include "net/feed.hpp"
+
+#include <sstream>
+#include <utility>
+
+#include "net/log.hpp"
+
+namespace honeyspoke::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kConnectLimit = std::chrono::seconds{1};
+// A comment comes each second: after this long without a byte the connection is dead, though it looks open.
+constexpr Duration kSilence = milliseconds{2500};
+constexpr Duration kPause = milliseconds{100};
+
+}  // namespace
+
+Feed::Feed(Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
+           OnNews on_news)
+    : loop_(loop),
+      counters_(counters),
+      channel_(std::move(channel)),
+      last_(last),
+      on_news_(std::move(on_news)) {
+  connect();
+}
+
+void Feed::connect() {
+  if (std::exchange(connected_before_, true)) ++counters_.feed_restarts;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  reader_ = {};
+  ended_ = false;
+  stream_ = std::make_shared<Stream>(loop_, *this);
+  stream_->connect(channel_, kConnectLimit);
+}
+
+void Feed::again(const char* why) {
+  log::info("command channel ", why, ", resuming after ", last_);
+  loop_.wheel.cancel(std::exchange(silence_, 0));
+  if (stream_) stream_->close();
+  loop_.after(kPause, [this] { connect(); });
+}
+
+void Feed::watch() {
+  loop_.wheel.cancel(silence_);
+  silence_ = loop_.after(kSilence, [this] {
+    silence_ = 0;
+    again("silent");
+  });
+}
+
+void Feed::on_open(Stream& stream) {
+  std::ostringstream head;
+  head << "GET /cmd/next HTTP/1.1\r\nHost: " << channel_ << "\r\nAccept: text/event-stream\r\n"
+       << "Last-Event-ID: " << last_ << "\r\n\r\n";
+  stream.send(head.str());
+  watch();
+}
+
+std::size_t Feed::on_bytes(Stream& stream, std::span<char> bytes) {
+  watch();
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_headers_complete = on_head;
+    made.on_body = on_body;
+    made.on_message_complete = on_end;
+    return made;
+  }();
+  const std::size_t taken = http_parser_execute(&parser_, &settings, bytes.data(), bytes.size());
+  if (stream.is_closed()) return bytes.size();
+  if (ended_ || HTTP_PARSER_ERRNO(&parser_) != HPE_OK || taken != bytes.size()) {
+    if (!ended_) {
+      ++counters_.unreadable;
+      log::warn("command channel: ", http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
+    }
+    again(ended_ ? "ended" : "unreadable");
+  }
+  return bytes.size();
+}
+
+void Feed::on_closed(Stream& /*stream*/, Closed why) {
+  again(name(why));
+}
+
+int Feed::on_head(http_parser* parser) {
+  if (parser->status_code == 200) return 0;
+  log::warn("command channel answers ", parser->status_code);
+  return -1;
+}
+
+int Feed::on_body(http_parser* parser, const char* at, std::size_t size) {
+  auto* self = static_cast<Feed*>(parser->data);
+  const bool readable =
+      self->reader_.feed({at, size}, [self](const SseEvent& event) { self->on_event(event); });
+  return readable ? 0 : -1;
+}
+
+int Feed::on_end(http_parser* parser) {
+  static_cast<Feed*>(parser->data)->ended_ = true;
+  return 0;
+}
+
+void Feed::on_event(const SseEvent& event) {
+  auto news = read_list_news(event.data);
+  if (!news) {
+    ++counters_.unreadable;
+    log::warn("command channel: event ", event.id, " cannot be read");
+    return;
+  }
+  // The id is the event's number; the data repeats it.
+  if (const auto id = number_of(event.id); id && *id >= 0) news->cursor = static_cast<std::uint64_t>(*id);
+  if (news->cursor <= last_) return;
+  last_ = news->cursor;
+  ++counters_.feed_events;
+  on_news_(*news);
+}
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/feed.hpp
@@ -0,0 +1,51 @@
+// Follows the command channel: resumes after the last event it has, takes silence for death, and is never
+// told the same event twice.
+#pragma once
+
+#include <http_parser.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/counters.hpp"
+#include "net/feed_parse.hpp"
+#include "net/stream.hpp"
+
+namespace honeyspoke::net {
+
+class Feed : public Stream::Owner {
+ public:
+  using OnNews = std::function<void(const ListNews&)>;
+
+  Feed(Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
+       OnNews on_news);
+
+  [[nodiscard]] std::uint64_t last() const { return last_; }
+
+ private:
+  void connect();
+  void again(const char* why);
+  void watch();
+  void on_open(Stream& stream) override;
+  std::size_t on_bytes(Stream& stream, std::span<char> bytes) override;
+  void on_closed(Stream& stream, Closed why) override;
+  void on_event(const SseEvent& event);
+  static int on_body(http_parser* parser, const char* at, std::size_t size);
+  static int on_head(http_parser* parser);
+  static int on_end(http_parser* parser);
+
+  Loop& loop_;
+  core::Counters& counters_;
+  asio::ip::tcp::endpoint channel_;
+  std::uint64_t last_;
+  OnNews on_news_;
+  std::shared_ptr<Stream> stream_;
+  http_parser parser_{};
+  SseReader reader_;
+  bool ended_ = false;
+  bool connected_before_ = false;
+  core::TimerWheel::Handle silence_ = 0;
+};
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/json_text.hpp
@@ -0,0 +1,76 @@
+// RapidJSON in situ, as it is used here: numbers stay text, deep nesting cannot exhaust the stack.
+#pragma once
+
+#define RAPIDJSON_HAS_STDSTRING 1
+#include <rapidjson/document.h>
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace honeyspoke::net {
+
+inline constexpr unsigned kJsonFlags = rapidjson::kParseInsituFlag | rapidjson::kParseIterativeFlag |
+                                       rapidjson::kParseValidateEncodingFlag |
+                                       rapidjson::kParseNumbersAsStringsFlag;
+
+inline std::string_view text_of(const rapidjson::Value& value) {
+  return value.IsString() ? std::string_view(value.GetString(), value.GetStringLength()) : std::string_view();
+}
+
+inline const rapidjson::Value* member(const rapidjson::Value& object, const char* name) {
+  if (!object.IsObject()) return nullptr;
+  const auto found = object.FindMember(name);
+  return found == object.MemberEnd() ? nullptr : &found->value;
+}
+
+inline std::string_view text_in(const rapidjson::Value& object, const char* name) {
+  const auto* value = member(object, name);
+  return value != nullptr ? text_of(*value) : std::string_view();
+}
+
+inline std::optional<double> number_of(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+/// Appends `text` as a JSON string with its quotes.
+inline void append_quoted(std::string& to, std::string_view text) {
+  static constexpr char kHex[] = "0123456789abcdef";
+  to += '"';
+  for (const char c : text) {
+    switch (c) {
+      case '"':
+        to += "\\\"";
+        break;
+      case '\\':
+        to += "\\\\";
+        break;
+      case '\n':
+        to += "\\n";
+        break;
+      case '\r':
+        to += "\\r";
+        break;
+      case '\t':
+        to += "\\t";
+        break;
+      default:
+        if (static_cast<unsigned char>(c) < 0x20) {
+          to += "\\u00";
+          to += kHex[static_cast<unsigned char>(c) >> 4U];
+          to += kHex[static_cast<unsigned char>(c) & 15U];
+        } else {
+          to += c;
+        }
+    }
+  }
+  to += '"';
+}
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,45 @@
+// The one thread's loop: Asio's context, the clocks and the wheel's ticking.
+#pragma once
+
+#include <asio.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "core/timer_wheel.hpp"
+
+namespace honeyspoke::net {
+
+class Loop {
+ public:
+  Loop() : wheel(now()), ticker_(io) { tick(); }
+
+  /// Monotonic: for timers and the module.
+  static Instant now() {
+    return Instant{std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
+  }
+  /// The clock that the outside speaks of.
+  static std::int64_t unix_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
+  core::TimerWheel::Handle after(Duration wait, std::function<void()> what) {
+    return wheel.at(now() + wait, std::move(what));
+  }
+
+  asio::io_context io{1};
+  core::TimerWheel wheel;
+
+ private:
+  void tick() {
+    ticker_.expires_after(core::TimerWheel::kTick);
+    ticker_.async_wait([this](const asio::error_code& error) {
+      if (error) return;
+      wheel.advance(now());
+      tick();
+    });
+  }
+  asio::steady_timer ticker_;
+};
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/peers.cpp
@@ -0,0 +1,46 @@
+#include "net/peers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/log.hpp"
+
+namespace honeyspoke::net {
+
+namespace {
+constexpr std::size_t kMostBytes = 256;
+}
+
+Peers::Peers(Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
+             asio::ip::udp::endpoint everyone, OnMessage on_message)
+    : socket_(loop.io, listen),
+      peers_(std::move(peers)),
+      everyone_(std::move(everyone)),
+      on_message_(std::move(on_message)) {
+  socket_.non_blocking(true);
+  read();
+}
+
+void Peers::tell_all(const std::vector<std::uint8_t>& bytes) {
+  if (bytes.size() > kMostBytes) {
+    log::error("message to the siblings dropped: ", bytes.size(), " bytes");
+    return;
+  }
+  asio::error_code error;  // such a message may be lost anyway
+  socket_.send_to(asio::buffer(bytes), everyone_, 0, error);
+}
+
+void Peers::read() {
+  socket_.async_receive_from(asio::buffer(in_), from_,
+                             [this](const asio::error_code& error, std::size_t got) {
+                               if (error == asio::error::operation_aborted) return;
+                               const auto at = std::find(peers_.begin(), peers_.end(), from_);
+                               if (!error && at != peers_.end() && got <= kMostBytes) {
+                                 on_message_(static_cast<std::uint32_t>(at - peers_.begin()),
+                                             {in_.begin(), in_.begin() + static_cast<std::ptrdiff_t>(got)});
+                               }
+                               read();
+                             });
+}
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/sip_links.hpp
@@ -0,0 +1,90 @@
+// The links to the session servers that speak SIP: some are kept warm to each, and every attempt knows the
+// one it left by.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/call_table.hpp"
+#include "core/counters.hpp"
+#include "net/sip.hpp"
+#include "net/stream.hpp"
+
+namespace honeyspoke::net {
+
+class SipLinks : public core::ServerPort {
+ public:
+  SipLinks(Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
+           std::string own_name, Duration connect_limit);
+  ~SipLinks() override;
+
+  /// The list was changed: open links to what is new, close those to what has gone, take back what may not
+  /// leave any more.
+  void server_changed(const core::ListedServer& server);
+
+  void set_up(const core::SetUp& set_up) override;
+  void cancel(const core::AttemptRef& attempt) override;
+  void release(const core::AttemptRef& attempt, core::Cause cause) override;
+  void probe(ServerId server) override;
+
+ private:
+  struct Link;
+  struct Server;
+  /// One attempt that is out, or a call that stands.
+  struct Attempt {
+    core::AttemptRef ref;
+    std::string number;
+    std::shared_ptr<Stream> link;  ///< which it left by; null once it stands or that is lost
+    bool standing = false;
+  };
+  struct Probe {
+    ServerId server{};
+    std::shared_ptr<Stream> link;
+    Instant sent{};
+    core::TimerWheel::Handle limit = 0;
+  };
+  using Key = std::pair<ServerId, std::string>;  ///< a Call-ID means a call only at its server
+  struct KeyHash {
+    std::size_t operator()(const Key& key) const {
+      return std::hash<std::string>{}(key.second) * 31 + static_cast<std::size_t>(key.first);
+    }
+  };
+  using Attempts = std::unordered_map<Key, Attempt, KeyHash>;
+
+  Server& of(ServerId id);
+  void keep_warm(Server& server);
+  void connect(Server& server);
+  std::shared_ptr<Stream> pick_link(Server& server);
+  void link_open(Server& server, Stream& stream);
+  void link_closed(Server& server, Stream& stream, Closed why);
+  std::size_t link_bytes(Server& server, Stream& stream, std::span<char> bytes);
+  void on_message(Server& server, Stream& stream, const SipRead& read);
+  void on_invite_answer(Server& server, Stream& stream, const SipRead& read);
+  void on_bye(Server& server, Stream& stream, const SipHead& head);
+  void end_on(Server& server, const Stream& stream, Outcome outcome);
+  void end_probe(const std::string& id, Outcome outcome, const Report& load);
+  Attempts::iterator find(const core::AttemptRef& attempt);
+  void drop(Attempts::iterator at);
+  static Stream::Tag tag(const core::AttemptRef& attempt) {
+    return (static_cast<Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
+  }
+
+  Loop& loop_;
+  core::CallTable& table_;
+  core::ServerList& servers_;
+  core::Counters& counters_;
+  std::string own_name_;
+  Duration connect_limit_;
+  std::map<ServerId, std::unique_ptr<Server>> by_id_;
+  Attempts attempts_;
+  std::unordered_map<CallId, Key> by_call_;
+  std::unordered_map<std::string, Probe> probes_;
+  std::uint64_t next_probe_ = 1;
+};
+
+}  // namespace honeyspoke::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,84 @@
+// One TCP connection: bytes in, whole messages out. What is queued stays ours until the kernel takes it, so
+// that a set-up can be taken back from a connecting or blocked socket.
+#pragma once
+
+#include <asio.hpp>
+#include <deque>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/loop.hpp"
+
+namespace honeyspoke::net {
+
+inline constexpr std::size_t kMostMessage = 16 * 1024;   ///< bytes of one message
+inline constexpr std::size_t kMostQueued = 1024 * 1024;  ///< bytes that may wait on one connection
+
+enum class Closed { kEnded, kReset, kRefused, kNeverUp, kOverrun };
+const char* name(Closed why);
+
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void on_open(Stream& /*stream*/) {}
+    /// Returns how many bytes it took; the rest comes again with what follows. A message that does not fit
+    /// is the owner's to refuse.
+    virtual std::size_t on_bytes(Stream& stream, std::span<char> bytes) = 0;
+    /// The connection is gone by the other side's doing. Not called after close().
+    virtual void on_closed(Stream& stream, Closed why) = 0;
+  };
+  /// Marks what is queued, to find it again.
+  using Tag = std::uint64_t;
+
+  Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(&owner), socket_(loop.io) {}
+
+  /// For an accepted connection.
+  void adopt(asio::ip::tcp::socket socket);
+  void connect(const asio::ip::tcp::endpoint& to, Duration limit);
+  void send(std::string head, std::string body = {}, Tag tag = 0);
+  /// True: the tagged message was queued with no byte written, and is queued no more.
+  bool take_back(Tag tag);
+  void close();
+
+  [[nodiscard]] bool is_open() const { return open_; }
+  [[nodiscard]] bool is_closed() const { return owner_ == nullptr; }
+  [[nodiscard]] const asio::ip::tcp::endpoint& remote() const { return remote_; }
+  [[nodiscard]] Instant used_at() const { return used_at_; }
+
+ private:
+  struct Message {
+    std::string head;
+    std::string body;
+    Tag tag = 0;
+    [[nodiscard]] std::size_t size() const { return head.size() + body.size(); }
+  };
+  void begin();
+  void read();
+  void flush();
+  void fail(Closed why);
+  static Closed reason(const asio::error_code& error);
+
+  Loop& loop_;
+  Owner* owner_;
+  asio::ip::tcp::socket socket_;
+  asio::ip::tcp::endpoint remote_;
+  bool open_ = false;
+  bool waiting_to_write_ = false;
+  std::vector<char> in_;
+  std::size_t filled_ = 0;
+  std::deque<Message> out_;
+  std::size_t queued_ = 0;
+  std::size_t begun_ = 0;  ///< bytes of the first message that are written
+  core::TimerWheel::Handle limit_ = 0;
+  Instant used_at_{};
+};
+
+/// host:port, numbers only: there is no DNS.
+std::optional<asio::ip::tcp::endpoint> read_endpoint(std::string_view text);
+
+}  // namespace honeyspoke::net
