--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -2,10 +2,10 @@
 #include <variant>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
 int main() {
-  using namespace honeyspoke;
+  using namespace amberknot;
   using namespace std::chrono_literals;
 
   Settings settings;
--- a/include/honeyspoke/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace honeyspoke {
+namespace amberknot {
 
 using Duration = std::chrono::microseconds;
 
@@ -232,4 +232,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace honeyspoke
+}  // namespace amberknot
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -3,7 +3,7 @@
 #include <iterator>
 #include <utility>
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 // An attempt is given up this much before its caller stops waiting, so that the answer still reaches it.
 constexpr Duration kAnswerMargin = 2 * TimerWheel::kTick;
@@ -309,4 +309,4 @@
   calls_.erase(found);
 }
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -17,7 +17,7 @@
 #include "core/server_list.hpp"
 #include "core/timer_wheel.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 /// A caller's set-up, read and checked.
 struct NewSetUp {
@@ -117,4 +117,4 @@
   std::optional<Instant> tick_at_;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -1,6 +1,6 @@
 #include "core/counters.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 void Counters::print(std::ostream& out) const {
   out << "counters: taken in: taken=" << taken << " given_up=" << given_up << " malformed=" << malformed
@@ -14,4 +14,4 @@
   for (std::size_t i = 0; i < 8; ++i) out << ' ' << kNames[i] << '=' << ended[i];
 }
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <ostream>
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 struct Counters {
   // taken in
@@ -34,4 +34,4 @@
   void print(std::ostream& out) const;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 #include <variant>
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 namespace {
 
 /// A call with no first choice names a pool that no server is in.
@@ -143,4 +143,4 @@
   return due_.top().when;
 }
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 struct Decision {
   enum class Kind { kSend, kRefuse, kFail, kCancel, kProbe, kTell, kNote };
@@ -84,4 +84,4 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 /// Q.850 causes that travel with releases.
 enum class Cause : int {
@@ -60,4 +60,4 @@
   virtual void probe(ServerId server) = 0;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/server_list.cpp
+++ b/src/core/server_list.cpp
@@ -1,6 +1,6 @@
 #include "core/server_list.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 ListedServer& ServerList::of(std::string_view name) {
   if (const auto found = by_name_.find(name); found != by_name_.end()) return *find(found->second);
@@ -21,4 +21,4 @@
   return at < servers_.size() ? &servers_[at] : nullptr;
 }
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -8,10 +8,10 @@
 #include <string>
 #include <string_view>
 
+#include "amberknot/admission.hpp"
 #include "core/ports.hpp"
-#include "honeyspoke/admission.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 struct ListedServer {
   ServerId id{};
@@ -46,4 +46,4 @@
   std::map<std::string, ServerId, std::less<>> by_name_;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/timer_wheel.cpp
+++ b/src/core/timer_wheel.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 TimerWheel::Handle TimerWheel::at(Instant when, std::function<void()> what) {
   // Rounded up: what is due inside a tick fires at that tick's end.
@@ -44,4 +44,4 @@
   }
 }
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/core/timer_wheel.hpp
+++ b/src/core/timer_wheel.hpp
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::core {
+namespace amberknot::core {
 
 class TimerWheel {
  public:
@@ -39,4 +39,4 @@
   Handle next_ = 1;
 };
 
-}  // namespace honeyspoke::core
+}  // namespace amberknot::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-using namespace honeyspoke;
+using namespace amberknot;
 
 std::string variable(const char* name) {
   const char* value = std::getenv(name);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -7,7 +7,7 @@
 #include "net/json_text.hpp"
 #include "settings.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 /// The nested settings as the path=value lines of the simulator's first message, which one reader serves.
@@ -132,4 +132,4 @@
   return text.str();
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -9,11 +9,11 @@
 #include <string_view>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 #include "net/feed_parse.hpp"
 #include "net/jsonl_front.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 /// The text names the field at fault.
 class ConfigError : public std::runtime_error {
@@ -43,4 +43,4 @@
 /// The whole file. Throws ConfigError.
 std::string read_file(const std::string& path);
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -5,7 +5,7 @@
 
 #include "net/log.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 using std::chrono::milliseconds;
@@ -119,4 +119,4 @@
   on_news_(*news);
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -12,7 +12,7 @@
 #include "net/feed_parse.hpp"
 #include "net/stream.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 class Feed : public Stream::Owner {
  public:
@@ -48,4 +48,4 @@
   core::TimerWheel::Handle silence_ = 0;
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/feed_parse.cpp
+++ b/src/net/feed_parse.cpp
@@ -1,6 +1,6 @@
 #include "net/feed_parse.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 namespace {
 constexpr std::size_t kMostLine = 1024 * 1024;  // a whole list of a large fleet fits
@@ -88,4 +88,4 @@
   return news;
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/feed_parse.hpp
+++ b/src/net/feed_parse.hpp
@@ -11,7 +11,7 @@
 #include "core/server_list.hpp"
 #include "net/json_text.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 struct SseEvent {
   std::string id;
@@ -43,4 +43,4 @@
 std::optional<ListNews> read_list_news(std::string json);
 std::optional<ListNews> read_list_news(const rapidjson::Value& event);
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/jsonl.cpp
+++ b/src/net/jsonl.cpp
@@ -4,7 +4,7 @@
 
 #include "net/json_text.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 struct JsonLineReader::Parser {
   rapidjson::Document document;
@@ -124,4 +124,4 @@
   return line_of("probed", sid) + "},\"code\":" + (passed ? "1" : "0") + "}\n";
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/jsonl.hpp
+++ b/src/net/jsonl.hpp
@@ -10,7 +10,7 @@
 
 #include "core/ports.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 struct JsonLine {
   enum class Type { kOpen, kClose, kProbe, kOther };
@@ -53,4 +53,4 @@
 std::string closed_line(std::string_view sid);
 std::string probed_line(std::string_view sid, bool passed);
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/jsonl_front.cpp
+++ b/src/net/jsonl_front.cpp
@@ -6,7 +6,7 @@
 #include "net/json_text.hpp"
 #include "net/log.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 constexpr std::size_t kMostUndelivered = 4096;
@@ -243,4 +243,4 @@
   });
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/jsonl_front.hpp
+++ b/src/net/jsonl_front.hpp
@@ -15,7 +15,7 @@
 #include "net/jsonl.hpp"
 #include "net/stream.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 /// Names of the settings, as they stand in set-ups.
 struct Names {
@@ -69,4 +69,4 @@
       undelivered_;  ///< releases for callers without a connection
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <string_view>
 
-namespace honeyspoke::net::log {
+namespace amberknot::net::log {
 
 enum class Level { kError, kWarn, kInfo, kDebug };
 
@@ -46,4 +46,4 @@
   line(Level::kDebug, parts...);
 }
 
-}  // namespace honeyspoke::net::log
+}  // namespace amberknot::net::log
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -7,7 +7,7 @@
 
 #include "core/timer_wheel.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 class Loop {
  public:
@@ -42,4 +42,4 @@
   asio::steady_timer ticker_;
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -5,7 +5,7 @@
 
 #include "net/log.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 namespace {
 constexpr std::size_t kMostBytes = 256;
@@ -43,4 +43,4 @@
                              });
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -10,7 +10,7 @@
 
 #include "net/loop.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 class Peers {
  public:
@@ -30,4 +30,4 @@
   asio::ip::udp::endpoint from_;
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 using std::chrono::milliseconds;
@@ -113,4 +113,4 @@
   loop_.after(kLookWhetherDone, [this] { look_whether_done(); });
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -15,7 +15,7 @@
 #include "net/peers.hpp"
 #include "net/sip_links.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 class Router {
  public:
@@ -47,4 +47,4 @@
   Instant stop_by_{};
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/sip.cpp
+++ b/src/net/sip.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 constexpr std::size_t kMostHeaders = 64;
@@ -186,4 +186,4 @@
   return head;
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/sip.hpp
+++ b/src/net/sip.hpp
@@ -9,7 +9,7 @@
 
 #include "core/ports.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 struct SipHead {
   int status = 0;           ///< zero for a request
@@ -50,4 +50,4 @@
 /// 200 to a request of the other side.
 std::string ok_head(const SipHead& request);
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/sip_links.cpp
+++ b/src/net/sip_links.cpp
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 namespace {
 
 using std::chrono::milliseconds;
@@ -383,4 +383,4 @@
   table_.ended(ref, end);
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/sip_links.hpp
+++ b/src/net/sip_links.hpp
@@ -15,7 +15,7 @@
 #include "net/sip.hpp"
 #include "net/stream.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 class SipLinks : public core::ServerPort {
  public:
@@ -87,4 +87,4 @@
   std::uint64_t next_probe_ = 1;
 };
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <utility>
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 const char* name(Closed why) {
   static constexpr const char* kNames[] = {"ended", "reset", "refused", "never up", "overrun"};
@@ -176,4 +176,4 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -12,7 +12,7 @@
 
 #include "net/loop.hpp"
 
-namespace honeyspoke::net {
+namespace amberknot::net {
 
 inline constexpr std::size_t kMostMessage = 16 * 1024;   ///< bytes of one message
 inline constexpr std::size_t kMostQueued = 1024 * 1024;  ///< bytes that may wait on one connection
@@ -81,4 +81,4 @@
 /// host:port, numbers only: there is no DNS.
 std::optional<asio::ip::tcp::endpoint> read_endpoint(std::string_view text);
 
-}  // namespace honeyspoke::net
+}  // namespace amberknot::net
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,4 +1,4 @@
-// Every admission decision of honeyspoke. Interface: include/honeyspoke/admission.hpp.
+// Every admission decision of amberknot. Interface: include/amberknot/admission.hpp.
 // One sender holds a count of tokens per core server (Widell and Nyberg, NTS-15, 2000, "Tokens"); what
 // departs from that is marked "Departure" here and listed with its condition in docs/design.md.
 #include <algorithm>
@@ -13,9 +13,9 @@
 #include <utility>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke {
+namespace amberknot {
 namespace {
 
 using std::chrono::milliseconds;
@@ -869,4 +869,4 @@
   impl_->handle(now, event, actions);
 }
 
-}  // namespace honeyspoke
+}  // namespace amberknot
--- a/src/simhost/codec.cpp
+++ b/src/simhost/codec.cpp
@@ -6,7 +6,7 @@
 #include <limits>
 #include <type_traits>
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 namespace {
 
 template <typename T>
@@ -283,4 +283,4 @@
   return reply;
 }
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/src/simhost/codec.hpp
+++ b/src/simhost/codec.hpp
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 
 /// A frame that is truncated, over-long or inconsistent.
 class WireError : public std::runtime_error {
@@ -89,4 +89,4 @@
   bool node_named_ = false;
 };
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -9,7 +9,7 @@
 
 #include "settings.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 
 struct Host::Instance {
   explicit Instance(ParsedSettings parsed)
@@ -135,4 +135,4 @@
   return round.reply.finish();
 }
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/src/simhost/host.hpp
+++ b/src/simhost/host.hpp
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "amberknot/admission.hpp"
 #include "codec.hpp"
-#include "honeyspoke/admission.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 
 class Host {
  public:
@@ -31,4 +31,4 @@
   std::map<std::uint16_t, std::vector<ListEntry>> lists_;
 };
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using namespace honeyspoke::simhost;
+using namespace amberknot::simhost;
 
 std::size_t read_some(std::uint8_t* into, std::size_t size) {
   std::cin.read(reinterpret_cast<char*>(into), static_cast<std::streamsize>(size));
@@ -54,7 +54,7 @@
   try {
     return run();
   } catch (const std::exception& error) {
-    std::cerr << "honeyspoke_simhost: " << error.what() << '\n';
+    std::cerr << "amberknot_simhost: " << error.what() << '\n';
     return 2;
   }
 }
--- a/src/simhost/settings.cpp
+++ b/src/simhost/settings.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 namespace {
 
 constexpr std::uint32_t kMostItems = 10'000;  // longest list of objects that is believed
@@ -173,4 +173,4 @@
   return parsed;
 }
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/src/simhost/settings.hpp
+++ b/src/simhost/settings.hpp
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 
 /// A setting that is needed is missing or cannot be read; the text names its key.
 class SettingsError : public std::runtime_error {
@@ -25,4 +25,4 @@
 
 ParsedSettings parse_settings(std::string_view text, std::uint64_t seed);
 
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -3,7 +3,7 @@
 
 #include "scenario.hpp"
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 namespace {
 
 // A server that answered one set-up in 50 ms, so that its calm delay is known.
@@ -600,4 +600,4 @@
 }
 
 }  // namespace
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -7,7 +7,7 @@
 
 #include "wire_bytes.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 namespace {
 
 using namespace std::chrono_literals;
@@ -224,4 +224,4 @@
 }
 
 }  // namespace
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,7 +8,7 @@
 
 #include "scenario.hpp"
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 namespace {
 
 // Set-ups out at one server, on average, when all senders together are asked for 60 calls a second and each
@@ -172,4 +172,4 @@
 INSTANTIATE_TEST_SUITE_P(Senders, ColdBudget, ::testing::Values(5U, 60U, 300U, 500U));
 
 }  // namespace
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -6,7 +6,7 @@
 #include "settings_text.hpp"
 #include "wire_bytes.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 namespace {
 
 using testing::Bytes;
@@ -157,4 +157,4 @@
 }
 
 }  // namespace
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/tests/rule_guards_test.cpp
+++ b/tests/rule_guards_test.cpp
@@ -3,7 +3,7 @@
 
 #include "scenario.hpp"
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 namespace {
 
 TEST(RuleOne, HeldCallIsAnsweredBeforeItsOwnTryExpires) {
@@ -266,4 +266,4 @@
 }
 
 }  // namespace
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -6,9 +6,9 @@
 #include <variant>
 #include <vector>
 
-#include "honeyspoke/admission.hpp"
+#include "amberknot/admission.hpp"
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 
 using namespace std::chrono_literals;
 
@@ -117,4 +117,4 @@
   return of<Refuse>(actions).size() + of<Fail>(actions).size();
 }
 
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -4,7 +4,7 @@
 
 #include "settings_text.hpp"
 
-namespace honeyspoke::simhost {
+namespace amberknot::simhost {
 namespace {
 
 using namespace std::chrono_literals;
@@ -91,4 +91,4 @@
 }
 
 }  // namespace
-}  // namespace honeyspoke::simhost
+}  // namespace amberknot::simhost
--- a/tests/settings_text.hpp
+++ b/tests/settings_text.hpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 
 inline std::map<std::string, std::string> settings_keys() {
   return {{"classes.count", "1"},
@@ -47,4 +47,4 @@
   return text;
 }
 
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
--- a/tests/wire_bytes.hpp
+++ b/tests/wire_bytes.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace honeyspoke::testing {
+namespace amberknot::testing {
 
 using Bytes = std::vector<std::uint8_t>;
 
@@ -91,4 +91,4 @@
   }
 };
 
-}  // namespace honeyspoke::testing
+}  // namespace amberknot::testing
