--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -82,10 +82,7 @@
 
 bool CallTable::stood(const AttemptRef& attempt, std::string_view description) {
   auto* call = find(attempt);
-  if (call == nullptr || call->state != State::kOut) {
-    ++counters_.late_answers;
-    return false;
-  }
+  if (call == nullptr || call->state != State::kOut) return false;
   wheel_.cancel(std::exchange(call->deadline, 0));
   call->state = State::kStanding;
   ++standing_;
@@ -134,7 +131,10 @@
   }
   if (!cut.empty()) note_("cut " + std::to_string(cut.size()) + " standing calls: " + why);
   for (const CallId id : cut) {
-    if (calls_.contains(id)) end_attempt(id, {Outcome::kReset, Cause::kTemporaryFailure, false, {}});
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    if (auto* to = port(server)) to->forget(attempt_of(id, found->second));
+    end_attempt(id, {Outcome::kReset, Cause::kTemporaryFailure, false, {}});
   }
 }
 
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -57,6 +57,8 @@
   virtual void set_up(const SetUp& set_up) = 0;
   virtual void cancel(const AttemptRef& attempt) = 0;
   virtual void release(const AttemptRef& attempt, Cause cause) = 0;
+  /// The attempt is over and the server knows, or is no more: nothing is sent.
+  virtual void forget(const AttemptRef& attempt) = 0;
   virtual void probe(ServerId server) = 0;
 };
 
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -20,6 +20,7 @@
   CellNo cell{};
   ListState state = ListState::kReady;
   std::int64_t started_unix_ms = 0;  ///< zero: long ago
+  std::optional<Instant> started;    ///< the same on the monotonic clock, read once for each start
   ServerPort* port = nullptr;        ///< whose links lead there
 };
 
--- /dev/null
+++ b/src/diameter/links.hpp
@@ -0,0 +1,70 @@
+// The links to the session servers that speak Diameter: one peer connection each, Credit-Control sessions
+// on it. A server is used only while its peer is up and answers its watchdog.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/call_table.hpp"
+#include "core/counters.hpp"
+#include "diameter/peer.hpp"
+
+namespace amberknot::diameter {
+
+class Links : public core::ServerPort {
+ public:
+  /// Told when a server begins or ceases to take new calls, or has started anew.
+  using OnChange = std::function<void(ServerId server, bool started_anew)>;
+
+  Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
+        Identity& identity, Duration connect_limit, OnChange on_change);
+  ~Links() override;
+
+  void server_changed(const core::ListedServer& server);
+  [[nodiscard]] bool serves(ServerId server) const;
+  /// The router ends: every peer is told.
+  void leave();
+
+  void set_up(const core::SetUp& set_up) override;
+  void cancel(const core::AttemptRef& attempt) override;
+  void release(const core::AttemptRef& attempt, core::Cause cause) override;
+  void forget(const core::AttemptRef& attempt) override;
+  void probe(ServerId server) override;
+
+ private:
+  struct Server;
+  struct Attempt {
+    core::AttemptRef ref;
+    std::string session;
+    std::uint32_t hop_by_hop = 0;
+    bool standing = false;
+  };
+
+  Server& of(ServerId id);
+  void connect(Server& server);
+  Attempt* find(Server& server, const core::AttemptRef& attempt);
+  void drop(Server& server, CallId call);
+  void terminate(Server& server, const std::string& session);
+  void take_back(Server& server);
+  void end_out(Server& server, Outcome outcome);
+  void on_answer(Server& server, const Message& message);
+  void on_abort(Server& server, const Message& message);
+  static net::Stream::Tag tag(const core::AttemptRef& attempt) {
+    return (static_cast<net::Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
+  }
+
+  net::Loop& loop_;
+  core::CallTable& table_;
+  core::ServerList& servers_;
+  core::Counters& counters_;
+  Identity& identity_;
+  Duration connect_limit_;
+  OnChange on_change_;
+  std::map<ServerId, std::unique_ptr<Server>> by_id_;
+};
+
+}  // namespace amberknot::diameter
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -37,12 +37,21 @@
   });
 }
 
-int run() {
+/// `--operator FILE`, or nothing.
+net::OperatorFile read_operator(int count, char** words) {
+  if (count == 1) return {};
+  if (count != 3 || std::string(words[1]) != "--operator") {
+    throw net::ConfigError("usage: amberknot_router [--operator FILE]");
+  }
+  return net::read_operator_file(net::read_file(words[2]));
+}
+
+int run(const net::OperatorFile& setup) {
   net::log::set_level(variable("RELAY_LOG"));
   const auto config = net::read_config(net::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
                                        variable("RELAY_LISTEN"));
   net::Loop loop;
-  net::Router router(loop, config);
+  net::Router router(loop, config, setup);
   asio::signal_set signals(loop.io, SIGTERM, SIGINT, SIGUSR1);
   watch_signals(signals, loop, router);
   net::log::info(config.name, " serves callers at ", router.callers_at());
@@ -53,10 +62,10 @@
 
 }  // namespace
 
-int main() {
+int main(int count, char** words) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    return run();
+    return run(read_operator(count, words));
   } catch (const std::exception& error) {
     std::cerr << error.what() << std::endl;
     return 2;
--- /dev/null
+++ b/src/net/operator_file.cpp
@@ -0,0 +1,132 @@
+#include "net/operator_file.hpp"
+
+#include <initializer_list>
+
+#include "net/config.hpp"
+#include "net/json_text.hpp"
+
+namespace amberknot::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+[[noreturn]] void wrong(const std::string& field, const char* what) {
+  throw ConfigError("operator file: " + field + ": " + what);
+}
+
+/// One object of the file, whose members are asked for by name; a name that nobody asks for is a slip.
+class Section {
+ public:
+  Section(const rapidjson::Value& value, std::string path, std::initializer_list<std::string_view> fields)
+      : value_(value), path_(std::move(path)) {
+    if (!value.IsObject()) wrong(path_, "is not an object");
+    for (const auto& item : value.GetObject()) {
+      if (std::find(fields.begin(), fields.end(), text_of(item.name)) == fields.end()) {
+        wrong(path_ + "." + std::string(text_of(item.name)), "is not known");
+      }
+    }
+  }
+
+  [[nodiscard]] const rapidjson::Value* find(const char* name) const { return member(value_, name); }
+  [[nodiscard]] std::string field(const char* name) const { return path_ + "." + name; }
+
+  [[nodiscard]] std::string text(const char* name,
+                                 std::optional<std::string> otherwise = std::nullopt) const {
+    const auto* value = find(name);
+    if (value == nullptr && otherwise) return *otherwise;
+    if (value == nullptr) wrong(field(name), "is missing");
+    const auto read = text_of(*value);
+    if (read.empty()) wrong(field(name), "is not a text");
+    return std::string(read);
+  }
+
+  [[nodiscard]] milliseconds time(const char* name, milliseconds otherwise, milliseconds least) const {
+    const auto* value = find(name);
+    if (value == nullptr) return otherwise;
+    const auto read = number_of(text_of(*value));
+    constexpr double kMost = 86'400'000;
+    if (!read || *read < static_cast<double>(least.count()) || *read > kMost)
+      wrong(field(name), "is out of range");
+    return milliseconds{static_cast<std::int64_t>(*read)};
+  }
+
+  [[nodiscard]] std::set<std::string> texts(const char* name) const {
+    std::set<std::string> read;
+    const auto* value = find(name);
+    if (value == nullptr) return read;
+    if (!value->IsArray()) wrong(field(name), "is not a list");
+    for (const auto& item : value->GetArray()) {
+      if (text_of(item).empty()) wrong(field(name), "holds something that is not a text");
+      read.emplace(text_of(item));
+    }
+    return read;
+  }
+
+ private:
+  const rapidjson::Value& value_;
+  std::string path_;
+};
+
+DiameterSetup read_diameter(const rapidjson::Value& value) {
+  const Section section(
+      value, "diameter",
+      {"origin_host", "origin_realm", "listen", "clients", "servers", "watchdog_ms", "tenants"});
+  DiameterSetup setup;
+  setup.origin_host = section.text("origin_host");
+  setup.origin_realm = section.text("origin_realm");
+  if (section.find("listen") != nullptr) {
+    setup.listen = read_endpoint(section.text("listen"));
+    if (!setup.listen) wrong(section.field("listen"), "is not an address with a port");
+  }
+  setup.clients = section.texts("clients");
+  setup.servers = section.texts("servers");
+  // RFC 3539: no less than six seconds.
+  setup.watchdog = section.time("watchdog_ms", setup.watchdog, milliseconds{6000});
+  if (const auto* tenants = section.find("tenants")) {
+    if (!tenants->IsObject()) wrong(section.field("tenants"), "is not an object");
+    for (const auto& item : tenants->GetObject()) {
+      const auto name = std::string(text_of(item.name));
+      if (text_of(item.value).empty()) wrong(section.field("tenants") + "." + name, "is not a text");
+      setup.tenants.emplace(name, text_of(item.value));
+    }
+  }
+  return setup;
+}
+
+directory::LdapSource read_ldap(const rapidjson::Value& value) {
+  const Section section(value, "ldap",
+                        {"url", "base", "filter", "bind_dn", "password_file", "key_attribute",
+                         "tenant_attribute", "timeout_ms", "refresh_ms"});
+  directory::LdapSource source;
+  source.url = section.text("url");
+  if (source.url.rfind("ldap://", 0) != 0 && source.url.rfind("ldaps://", 0) != 0) {
+    wrong(section.field("url"), "is not an ldap:// or ldaps:// address");
+  }
+  source.base = section.text("base");
+  source.filter = section.text("filter", source.filter);
+  source.bind_dn = section.text("bind_dn", "");
+  source.password_file = section.text("password_file", "");
+  source.key_attribute = section.text("key_attribute");
+  source.tenant_attribute = section.text("tenant_attribute");
+  source.timeout = section.time("timeout_ms", source.timeout, milliseconds{100});
+  source.refresh = section.time("refresh_ms", source.refresh, milliseconds{1000});
+  return source;
+}
+
+}  // namespace
+
+OperatorFile read_operator_file(std::string json) {
+  rapidjson::Document document;
+  document.ParseInsitu<kJsonFlags>(json.data());
+  if (document.HasParseError()) throw ConfigError("operator file: not JSON");
+  const Section file(document, "file", {"diameter", "ldap"});
+  OperatorFile read;
+  if (const auto* diameter = file.find("diameter")) read.diameter = read_diameter(*diameter);
+  if (const auto* ldap = file.find("ldap")) read.ldap = read_ldap(*ldap);
+  if (read.ldap && !(read.diameter && read.diameter->listen)) {
+    throw ConfigError("operator file: ldap: serves Diameter clients only, and diameter.listen is missing");
+  }
+  return read;
+}
+
+}  // namespace amberknot::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -17,13 +17,14 @@
 
 }  // namespace
 
-Router::Router(Loop& loop, const Config& config)
+Router::Router(Loop& loop, const Config& config, const OperatorFile& setup)
     : loop_(loop),
       names_(config.names),
       dispatcher_(config.settings, Loop::now()),
       table_(dispatcher_, servers_, loop.wheel, counters_, &Loop::now),
       links_(loop, table_, servers_, counters_, config.name, config.connect_limit),
-      front_(loop, table_, counters_, names_, config.listen, config.sockets / 2) {
+      front_(loop, table_, counters_, names_, config.listen, config.sockets / 2),
+      diameter_(setup.diameter) {
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
     peers_ = std::make_unique<Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
                                      [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
@@ -35,11 +36,88 @@
         if (peers_) peers_->tell_all(bytes);
       },
       [](const std::string& text) { log::info("module: ", text); });
+  if (diameter_) start_diameter(config, setup);
   for (const auto& news : config.known) apply(news);
   feed_ = std::make_unique<Feed>(loop, counters_, config.channel, config.cursor,
                                  [this](const ListNews& news) { apply(news); });
 }
 
+void Router::start_diameter(const Config& config, const OperatorFile& setup) {
+  identity_.host = diameter_->origin_host;
+  identity_.realm = diameter_->origin_realm;
+  identity_.state_id = static_cast<std::uint32_t>(Loop::unix_ms() / 1000);
+  identity_.watchdog = diameter_->watchdog;
+  // RFC 6733: the low part is free, the high 12 bits are of the time.
+  identity_.next_end_to_end =
+      (identity_.state_id << 20U) | (static_cast<std::uint32_t>(config.seed) & 0xfffffU);
+  diameter_links_ =
+      std::make_unique<diameter::Links>(loop_, table_, servers_, counters_, identity_, config.connect_limit,
+                                        [this](ServerId id, bool started_anew) {
+                                          auto& server = *servers_.find(id);
+                                          if (started_anew) server.started = Loop::now();
+                                          table_.list_changed(false, {facts_of(server)});
+                                        });
+  if (!diameter_->listen) return;
+  if (setup.ldap) {
+    std::string error;
+    // Serving without the directory is better than not at all: whom it would name is refused until it
+    // answers.
+    if (auto read = directory::read_tenants(*setup.ldap, error)) {
+      directory_ = std::move(*read);
+      log::info("directory: ", directory_.size(), " tenants' names");
+    } else {
+      log::error("directory: not read at the start: ", error);
+    }
+    refresher_ = std::make_unique<directory::Refresher>(
+        *setup.ldap, [this](std::optional<directory::TenantMap> tenants, const std::string& failed) {
+          asio::post(loop_.io, [this, tenants = std::move(tenants), failed]() mutable {
+            if (!tenants) {
+              log::warn("directory: not refreshed, the last good copy stays: ", failed);
+              return;
+            }
+            if (*tenants != directory_) log::info("directory: changed, ", tenants->size(), " tenants' names");
+            directory_ = std::move(*tenants);
+          });
+        });
+  }
+  diameter_front_ = std::make_unique<diameter::Front>(
+      loop_, table_, counters_, identity_, names_, dispatcher_.settings(), *diameter_->listen,
+      config.sockets / 8, diameter_->clients, [this](std::string_view user) { return tenant_of(user); },
+      [this](std::string_view host) -> std::optional<CellNo> {
+        for (const auto& server : servers_.all()) {
+          if (server.name == host) return server.cell;
+        }
+        return std::nullopt;
+      });
+  log::info("diameter: ", identity_.host, " serves clients at ", diameter_front_->local());
+}
+
+std::string Router::tenant_of(std::string_view user) const {
+  if (const auto found = directory_.find(user); found != directory_.end()) return found->second;
+  if (const auto found = diameter_->tenants.find(user); found != diameter_->tenants.end())
+    return found->second;
+  return std::string(user);  // the tenant's own name
+}
+
+core::ServerFacts Router::facts_of(const core::ListedServer& server) const {
+  core::ServerFacts facts{server.id, server.cell, server.state, server.started};
+  // A Diameter peer that is not up, or whose watchdog is silent, gets nothing new; what is out there may
+  // finish. To the module that is a server that drains.
+  const bool diameter = diameter_links_ && server.port == diameter_links_.get();
+  if (diameter && facts.state == ListState::kReady && !diameter_links_->serves(server.id)) {
+    facts.state = ListState::kDraining;
+  }
+  return facts;
+}
+
+void Router::tell_links(const core::ListedServer& server) {
+  if (server.port == &links_) {
+    links_.server_changed(server);
+  } else {
+    diameter_links_->server_changed(server);
+  }
+}
+
 void Router::apply(const ListNews& news) {
   if (!news.has_servers) return;
   std::set<std::string> listed;
@@ -56,38 +134,40 @@
   std::vector<core::ServerFacts> facts;
   for (const auto& change : changes) {
     auto& server = servers_.of(change.name);
-    const bool restarted = change.started_unix_ms > server.started_unix_ms && server.port != nullptr;
+    const bool known = server.port != nullptr;
+    const bool started = change.started_unix_ms > server.started_unix_ms;
     const bool gone = change.state == ListState::kGone && server.state != ListState::kGone;
     server.address = change.address;
     server.cell = CellNo{change.cell};
     server.state = change.state;
-    server.started_unix_ms = change.started_unix_ms;
-    server.port = &links_;
-    core::ServerFacts one{server.id, server.cell, server.state, std::nullopt};
-    if (change.started_unix_ms > 0) {
-      one.started =
+    if (!known) {
+      const bool diameter = diameter_links_ && diameter_->speaks_diameter(server.name);
+      server.port = diameter ? static_cast<core::ServerPort*>(diameter_links_.get()) : &links_;
+    }
+    if (started) {
+      // Read once for each start: the module takes a later moment for another start.
+      server.started_unix_ms = change.started_unix_ms;
+      server.started =
           Loop::now() - milliseconds{std::max<std::int64_t>(0, Loop::unix_ms() - change.started_unix_ms)};
     }
-    facts.push_back(one);
     log::info("server ", server.name, " at ", server.address,
               change.state == ListState::kReady      ? " ready"
               : change.state == ListState::kDraining ? " draining"
                                                      : " gone",
-              restarted ? ", started anew" : "");
+              started && known ? ", started anew" : "");
     // A process that is no more took its calls along; some may still want their release.
     if (gone) table_.cut_all(server.id, "server gone");
-    if (restarted) table_.cut_before(server.id, *one.started, "server started anew");
+    if (started && known) table_.cut_before(server.id, *server.started, "server started anew");
+    // Links to what is new come first, so that the module's sends find them.
+    if (server.state == ListState::kReady) tell_links(server);
+    facts.push_back(facts_of(server));
   }
-  // The module hears of a server once there are links to send by, but of one that drains or has gone before
-  // its links take set-ups back: those are placed anew at once and must not go there again.
-  const auto tell_links = [&](bool ready) {
-    for (const auto& change : changes) {
-      if ((change.state == ListState::kReady) == ready) links_.server_changed(servers_.of(change.name));
-    }
-  };
-  tell_links(true);
   table_.list_changed(news.whole_list, facts);
-  tell_links(false);
+  // The module hears of a drain before the links take set-ups back: those are placed anew at once, and must
+  // not go there again.
+  for (const auto& change : changes) {
+    if (change.state != ListState::kReady) tell_links(servers_.of(change.name));
+  }
 }
 
 void Router::stop_when_answered(std::function<void()> done) {
@@ -107,6 +187,8 @@
   // What stands may come to its own end for as long as no one is kept waiting by it.
   if (answered && (table_.standing() == 0 || now >= stop_by_)) {
     table_.release_all();
+    if (diameter_front_) diameter_front_->leave();
+    if (diameter_links_) diameter_links_->leave();
     done_();
     return;
   }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -1,4 +1,4 @@
-// The whole router in one object: the core, its callers' front, its server links and the command channel.
+// The whole router in one object: the core, its callers' fronts, its server links and the command channel.
 #pragma once
 
 #include <functional>
@@ -8,10 +8,14 @@
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
 #include "core/server_list.hpp"
+#include "diameter/front.hpp"
+#include "diameter/links.hpp"
+#include "directory/tenants.hpp"
 #include "net/config.hpp"
 #include "net/feed.hpp"
 #include "net/jsonl_front.hpp"
 #include "net/loop.hpp"
+#include "net/operator_file.hpp"
 #include "net/peers.hpp"
 #include "net/sip_links.hpp"
 
@@ -19,17 +23,26 @@
 
 class Router {
  public:
-  Router(Loop& loop, const Config& config);
+  Router(Loop& loop, const Config& config, const OperatorFile& setup = {});
 
   /// Goes on serving until all that was taken is answered, then releases what stands and calls `done`.
   void stop_when_answered(std::function<void()> done);
+  /// News of the servers, as from the command channel.
+  void apply(const ListNews& news);
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
   [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return front_.local(); }
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const {
+    return diameter_front_ ? std::optional(diameter_front_->local()) : std::nullopt;
+  }
+  [[nodiscard]] diameter::Identity& identity() { return identity_; }
 
  private:
-  void apply(const ListNews& news);
+  void start_diameter(const Config& config, const OperatorFile& setup);
+  [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
+  void tell_links(const core::ListedServer& server);
+  [[nodiscard]] std::string tenant_of(std::string_view user) const;
   void look_whether_done();
 
   Loop& loop_;
@@ -40,6 +53,12 @@
   core::CallTable table_;
   SipLinks links_;
   JsonlFront front_;
+  std::optional<DiameterSetup> diameter_;
+  diameter::Identity identity_;
+  std::unique_ptr<diameter::Links> diameter_links_;
+  std::unique_ptr<diameter::Front> diameter_front_;
+  directory::TenantMap directory_;
+  std::unique_ptr<directory::Refresher> refresher_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<Feed> feed_;
   std::function<void()> done_;
--- a/src/net/sip_links.hpp
+++ b/src/net/sip_links.hpp
@@ -30,6 +30,7 @@
   void set_up(const core::SetUp& set_up) override;
   void cancel(const core::AttemptRef& attempt) override;
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
+  void forget(const core::AttemptRef& attempt) override { drop(find(attempt)); }
   void probe(ServerId server) override;
 
  private:
--- /dev/null
+++ b/tests/net_bench.hpp
@@ -0,0 +1,178 @@
+// The shared helper of the tests with real sockets: a router on loopback, and the other sides of its wires.
+// Everything runs in one loop; a test says what it waits for, never how long.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/router.hpp"
+
+namespace amberknot::tests {
+
+using net::Loop;
+using std::chrono::milliseconds;
+
+/// One end of a connection under the test's hand: keeps what came, sends what it is told.
+struct End : net::Stream::Owner {
+  explicit End(Loop& loop) : stream(std::make_shared<net::Stream>(loop, *this)) {}
+  ~End() override { stream->close(); }
+  std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
+    in.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_closed(net::Stream& /*stream*/, net::Closed /*why*/) override { closed = true; }
+  [[nodiscard]] bool has(std::string_view text) const { return in.find(text) != std::string::npos; }
+  [[nodiscard]] std::size_t count(std::string_view text) const {
+    std::size_t found = 0;
+    for (auto at = in.find(text); at != std::string::npos; at = in.find(text, at + 1)) ++found;
+    return found;
+  }
+  std::shared_ptr<net::Stream> stream;
+  std::string in;
+  bool closed = false;
+};
+
+/// A stand-in's listening side; every connection it takes is kept.
+struct Listener {
+  explicit Listener(Loop& loop, std::uint16_t port = 0)
+      : loop(loop),
+        acceptor(loop.io, {asio::ip::make_address("127.0.0.1"), port}),
+        address("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())) {
+    accept();
+  }
+  void accept() {
+    acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      ends.push_back(std::make_unique<End>(loop));
+      ends.back()->stream->adopt(std::move(socket));
+      accept();
+    });
+  }
+  /// The process dies: no more listening, every connection is reset.
+  void die() {
+    acceptor.close();
+    ends.clear();
+  }
+  /// The end that holds the text; null: none does.
+  End* with(std::string_view text) {
+    for (auto& end : ends) {
+      if (end->has(text)) return end.get();
+    }
+    return nullptr;
+  }
+  [[nodiscard]] std::size_t count(std::string_view text) const {
+    std::size_t found = 0;
+    for (const auto& end : ends) found += end->count(text);
+    return found;
+  }
+  Loop& loop;
+  asio::ip::tcp::acceptor acceptor;
+  std::string address;  ///< also once it has died
+  std::vector<std::unique_ptr<End>> ends;
+};
+
+inline net::Config bench_config() {
+  net::Config config;
+  config.name = "n0";
+  config.listen = {asio::ip::make_address("127.0.0.1"), 0};
+  config.connect_limit = milliseconds{500};
+  config.names = {{"voice", "data"}, {"acme"}};
+  auto& settings = config.settings;
+  settings.seed = 1;
+  settings.siblings = 1;
+  settings.round = milliseconds{1};
+  settings.resend = milliseconds{400};
+  settings.classes.resize(2);
+  for (auto& cls : settings.classes) {
+    cls.aim = milliseconds{1200};
+    cls.deadline = milliseconds{3000};
+    cls.worth = 1;
+    cls.repeatable = true;
+  }
+  settings.tenants.resize(1);
+  settings.limits.most_tries = 4;
+  settings.limits.cancel = true;
+  settings.limits.probes = true;
+  settings.limits.retry_advice = true;
+  settings.limits.max_retry_advice = milliseconds{2000};
+  settings.invariants = {milliseconds{20},  milliseconds{500}, 3.0, milliseconds{3000}, 0.3,
+                         milliseconds{100}, milliseconds{500}};
+  return config;
+}
+
+/// A router with one session server and the command channel, all stand-ins.
+struct Bench {
+  explicit Bench(const net::OperatorFile& setup = {}, const net::Config& base = bench_config())
+      : server(loop), channel(loop), config(base) {
+    config.channel = channel.acceptor.local_endpoint();
+    router = std::make_unique<net::Router>(loop, config, setup);
+    caller = connect(router->callers_at());
+  }
+
+  /// Runs the loop until the condition holds; fails the test when it does not within five seconds.
+  void until(const std::function<bool()>& holds) {
+    const Instant limit = Loop::now() + std::chrono::seconds{5};
+    while (!holds() && Loop::now() < limit) loop.io.run_one_for(milliseconds{10});
+    REQUIRE(holds());
+  }
+  /// Lets what is under way arrive: two exchanges over loopback sockets, each behind all that was sent.
+  void settle() {
+    for (int i = 0; i < 2; ++i) {
+      const auto had = caller->count("\"probed\"");
+      say("{\"msg\":\"probe\",\"sid\":\"00000000000000ff\",\"attrs\":{},\"code\":0}\n");
+      until([&] { return caller->count("\"probed\"") > had; });
+    }
+  }
+  std::unique_ptr<End> connect(const asio::ip::tcp::endpoint& to) {
+    auto end = std::make_unique<End>(loop);
+    end->stream->connect(to, milliseconds{500});
+    return end;
+  }
+  void list(ListState state = ListState::kReady, std::int64_t started = 0, const std::string& name = "s1") {
+    net::ListNews news;
+    news.has_servers = true;
+    news.changes.push_back({name, server.address, 0, state, started});
+    router->apply(news);
+  }
+  void say(const std::string& text) { caller->stream->send(text); }
+  void open(const std::string& sid, int left = 2000, const std::string& text = "desc") {
+    say("{\"msg\":\"open\",\"sid\":\"" + sid + "\",\"attrs\":{\"class\":\"voice\",\"left\":\"" +
+        std::to_string(left) +
+        "\",\"tenant\":\"acme\",\"key\":\"77aa\",\"extras\":\"dest:0;width:1;via:-1\"},\"text\":\"" + text +
+        "\"}\n");
+  }
+  /// The server's end on which that call's INVITE came.
+  End& invited(const std::string& sid) {
+    const auto text = "Call-ID: " + sid + "\r\nCSeq: 1 INVITE";
+    until([&] { return server.with(text) != nullptr; });
+    return *server.with(text);
+  }
+  static std::string sip(const std::string& first, const std::string& sid, const std::string& cseq,
+                         const std::string& more = "", const std::string& body = "") {
+    return first + "\r\nCall-ID: " + sid + "\r\nCSeq: " + cseq + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  void answer(End& end, const std::string& sid, const std::string& body = "sdp") {
+    end.stream->send(sip("SIP/2.0 200 OK", sid, "1 INVITE", "", body));
+  }
+  /// Opens a call and lets it stand.
+  End& standing(const std::string& sid) {
+    open(sid);
+    auto& end = invited(sid);
+    answer(end, sid);
+    until([&] { return caller->has("\"ready\",\"sid\":\"" + sid); });
+    return end;
+  }
+
+  Loop loop;
+  Listener server, channel;
+  net::Config config;
+  std::unique_ptr<net::Router> router;
+  std::unique_ptr<End> caller;
+};
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/net_parse_test.cpp
@@ -0,0 +1,256 @@
+// Tables of cases for the parsers of the thin wires.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "core/timer_wheel.hpp"
+#include "net/config.hpp"
+#include "net/feed_parse.hpp"
+#include "net/jsonl.hpp"
+#include "net/operator_file.hpp"
+#include "net/sip.hpp"
+
+using namespace amberknot;
+using namespace amberknot::net;
+
+TEST_CASE("a JSON line is read, or refused as a whole") {
+  using Type = JsonLine::Type;
+  struct Case {
+    const char* line;
+    bool readable;
+    Type type;
+  };
+  const Case cases[] = {
+      {R"({"msg":"open","sid":"9b1f03aa5c7e2d41","attrs":{"left":"15"},"text":"a\r\nb"})", true, Type::kOpen},
+      {R"({"msg":"open","sid":"9b1f03aa5c7e2d41","attrs":{"left":15}})", true, Type::kOpen},
+      {R"({"msg":"close","sid":"9B1F03AA5C7E2D41","attrs":{},"code":16})", true, Type::kClose},
+      {R"({"msg":"probe","sid":"x","attrs":{},"code":0})", true, Type::kProbe},
+      {R"({"msg":"closed","sid":"9b1f03aa5c7e2d41"})", true, Type::kOther},
+      {R"({"msg":"open","sid":"9b1f03aa5c7e2d4"})", false, Type::kOther},
+      {R"({"msg":"open","sid":"9b1f03aa5c7e2d4\r"})", false, Type::kOther},
+      {R"({"msg":"open","sid":12})", false, Type::kOther},
+      {R"({"msg":"open"})", false, Type::kOther},
+      {R"({"sid":"9b1f03aa5c7e2d41"})", false, Type::kOther},
+      {R"(["open"])", false, Type::kOther},
+      {R"({"msg":"open")", false, Type::kOther},
+      {"{\"msg\":\"closed\",\"text\":\"\xff\"}", false, Type::kOther},
+      {"", false, Type::kOther},
+  };
+  JsonLineReader reader;
+  for (const auto& one : cases) {
+    CAPTURE(one.line);
+    std::string line = one.line;
+    line += '\n';
+    const auto read = reader.read({line.data(), line.size() - 1}, &line.back());
+    CHECK(read.has_value() == one.readable);
+    if (read) CHECK(read->type == one.type);
+  }
+  std::string deep(16'000, '[');
+  deep += '\n';
+  CHECK_FALSE(reader.read({deep.data(), deep.size() - 1}, &deep.back()));
+}
+
+TEST_CASE("numbers are read as texts are, and texts keep their line ends") {
+  std::string line =
+      R"({"msg":"open","sid":"9b1f03aa5c7e2d41","attrs":{"left":1500,"key":"7"},"text":"a\r\nb"})"
+      "\n";
+  JsonLineReader reader;
+  const auto read = reader.read({line.data(), line.size() - 1}, &line.back());
+  REQUIRE(read);
+  CHECK(read->left == "1500");
+  CHECK(read->text == "a\r\nb");
+  CHECK(ready_line(read->sid, read->text) ==
+        "{\"msg\":\"ready\",\"sid\":\"9b1f03aa5c7e2d41\",\"attrs\":{},\"text\":\"a\\r\\nb\"}\n");
+}
+
+TEST_CASE("extras are read, and what is not a figure is refused") {
+  struct Case {
+    const char* text;
+    bool readable;
+    int dest;
+    bool again;
+  };
+  const Case cases[] = {{"dest:2;width:1;via:-1", true, 2, false},
+                        {"dest:0;again:1", true, 0, true},
+                        {"width:1", true, -1, false},
+                        {"dest:-1", false, 0, false},
+                        {"dest:x", false, 0, false},
+                        {"dest", false, 0, false},
+                        {"dest:1;width:0", false, 0, false},
+                        {"dest:1;width:nan", false, 0, false}};
+  for (const auto& one : cases) {
+    CAPTURE(one.text);
+    const auto read = read_extras(one.text);
+    REQUIRE(read.has_value() == one.readable);
+    if (!read) continue;
+    CHECK((read->dest ? static_cast<int>(*read->dest) : -1) == one.dest);
+    CHECK(read->again == one.again);
+  }
+}
+
+TEST_CASE("a SIP message is read whole, awaited, or refused") {
+  using State = SipRead::State;
+  struct Case {
+    const char* text;
+    State state;
+    int status;
+    const char* method;
+  };
+  const Case cases[] = {
+      {"SIP/2.0 200 OK\r\nCall-ID: a\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\nhi", State::kWhole, 200,
+       "INVITE"},
+      {"SIP/2.0 503 X\r\ni: a\r\ncseq: 2 INVITE\r\nl: 0\r\n\r\n", State::kWhole, 503, "INVITE"},
+      {"\r\n\r\nBYE sip:7@net SIP/2.0\r\nCall-ID: a\r\nReason: Q.850\r\n ;cause=16\r\nContent-Length: "
+       "0\r\n\r\n",
+       State::kWhole, 0, "BYE"},
+      {"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\nh", State::kMore, 200, "INVITE"},
+      {"SIP/2.0 200 OK\r\nCSeq: 1 INV", State::kMore, 0, ""},
+      {"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\n\r\n", State::kBad, 200, ""},
+      {"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\nContent-Length: -1\r\n\r\n", State::kBad, 200, ""},
+      {"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\nContent-Length: 99999\r\n\r\n", State::kBad, 200, ""},
+      {"SIP/2.0 200 OK\r\nl: 1\r\nl: 2\r\nCSeq: 1 INVITE\r\n\r\nab", State::kBad, 200, ""},
+      {"SIP/2.0 abc\r\nContent-Length: 0\r\n\r\n", State::kBad, 0, ""},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", State::kBad, 0, ""},
+      {"BYE sip:7@net SIP/2.0\r\nno colon\r\nContent-Length: 0\r\n\r\n", State::kBad, 0, "BYE"},
+  };
+  for (const auto& one : cases) {
+    CAPTURE(one.text);
+    const auto read = read_sip(one.text, kMostMessage);
+    CHECK(read.state == one.state);
+    CHECK(read.head.status == one.status);
+    if (one.state == State::kWhole) {
+      CHECK(read.head.method == one.method);
+      CHECK(read.size() == std::string(one.text).size());
+    }
+  }
+  CHECK(read_sip(std::string(kMostMessage + 1, 'a'), kMostMessage).state == State::kBad);
+}
+
+TEST_CASE("causes and load reports") {
+  CHECK(read_reason("Q.850;cause=16") == 16);
+  CHECK(read_reason("Q.850\r\n ;cause=41;text=\"x\"") == 41);
+  CHECK_FALSE(read_reason("SIP;cause=200"));
+  CHECK_FALSE(read_reason(""));
+  const auto report = read_report("idle:12;circuits:40;lat_ms:2.5;max_rate:-1;odd;x:y");
+  CHECK(report.free_lines == 12.0);
+  CHECK(report.lines == 40.0);
+  CHECK(report.wait == std::chrono::microseconds{2500});
+  CHECK_FALSE(report.accept_rate);
+  CHECK(read_report("x0:1;queue:3").waiting == 3.0);
+}
+
+TEST_CASE("server-sent events survive every cut and every line end") {
+  const std::string text = ": hi\r\n\r\nid: 4\r\ndata: {\"a\":\r\ndata: 1}\r\n\r\nid:5\ndata:x\n\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    CAPTURE(cut);
+    SseReader reader;
+    std::vector<SseEvent> events;
+    const auto keep = [&](const SseEvent& event) { events.push_back(event); };
+    CHECK(reader.feed(text.substr(0, cut), keep));
+    CHECK(reader.feed(text.substr(cut), keep));
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id == "4");
+    CHECK(events[0].data == "{\"a\":\n1}");
+    CHECK(events[1].id == "5");
+    CHECK(events[1].data == "x");
+  }
+  SseReader reader;
+  CHECK_FALSE(reader.feed(std::string(2'000'000, 'a'), [](const SseEvent&) {}));
+}
+
+TEST_CASE("news of the list: states, starts and what cannot be read") {
+  const auto news = read_list_news(
+      R"({"cursor":41,"nodes":{"snapshot":true,"endpoints":[)"
+      R"({"name":"a","address":"10.1.0.9:5070","group":2,"status":"draining","since_ms":1700000000123},)"
+      R"({"name":"b","address":"x","group":0,"status":"odd"},{"address":"x","status":"ready"}]}})");
+  REQUIRE(news);
+  CHECK(news->cursor == 41);
+  CHECK(news->whole_list);
+  REQUIRE(news->changes.size() == 1);
+  CHECK(news->changes[0].state == ListState::kDraining);
+  CHECK(news->changes[0].cell == 2);
+  CHECK(news->changes[0].started_unix_ms == 1700000000123);
+  CHECK(read_list_news(R"({"cursor":1})")->has_servers == false);
+  for (const char* bad : {"", "{", "[]", R"({"nodes":{}})", R"({"cursor":1,"nodes":{"endpoints":3}})"}) {
+    CAPTURE(bad);
+    CHECK_FALSE(read_list_news(std::string(bad)));
+  }
+}
+
+TEST_CASE("a bad operator file names its field") {
+  struct Case {
+    const char* json;
+    const char* says;
+  };
+  const Case cases[] = {
+      {"x", "not JSON"},
+      {R"({"diametre":{}})", "file.diametre"},
+      {R"({"diameter":{"origin_host":"a"}})", "diameter.origin_realm"},
+      {R"({"diameter":{"origin_host":"a","origin_realm":"b","listen":"c"}})", "diameter.listen"},
+      {R"({"diameter":{"origin_host":"a","origin_realm":"b","watchdog_ms":10}})", "diameter.watchdog_ms"},
+      {R"({"diameter":{"origin_host":"a","origin_realm":"b","servers":"*"}})", "diameter.servers"},
+      {R"({"ldap":{"url":"http://x"}})", "ldap.url"},
+      {R"({"ldap":{"url":"ldap://x","base":"b","key_attribute":"k","tenant_attribute":"t"}})",
+       "diameter.listen"},
+  };
+  for (const auto& one : cases) {
+    CAPTURE(one.json);
+    std::string said;
+    try {
+      read_operator_file(one.json);
+    } catch (const ConfigError& error) {
+      said = error.what();
+    }
+    CHECK(said.find(one.says) != std::string::npos);
+  }
+  const auto whole = read_operator_file(read_file(EXAMPLE_OPERATOR_FILE));
+  CHECK(whole.diameter->speaks_diameter("s-0512ce2f"));
+  CHECK(whole.ldap->key_attribute == "associatedDomain");
+}
+
+TEST_CASE("a bad configuration names its field") {
+  const std::string good =
+      R"({"name":"n","listen":"127.0.0.1:1","seed":"0f","channel":"127.0.0.1:2","known":{"cursor":0,"cmds":[]},)"
+      R"("settings":{)";
+  struct Case {
+    std::string json;
+    const char* says;
+  };
+  const Case cases[] = {{"{", "not a JSON object"},
+                        {R"({"listen":"here"})", "listen"},
+                        {R"({"listen":"127.0.0.1:1"})", "seed"},
+                        {R"({"listen":"127.0.0.1:1","seed":"xyz"})", "seed"},
+                        {R"({"listen":"127.0.0.1:1","seed":"0","channel":"x"})", "channel"},
+                        {R"({"listen":"127.0.0.1:1","seed":"0","channel":"127.0.0.1:2"})", "known"},
+                        {good + "}}", "siblings"}};
+  for (const auto& one : cases) {
+    CAPTURE(one.json);
+    std::string said;
+    try {
+      read_config(one.json, "", "");
+    } catch (const ConfigError& error) {
+      said = error.what();
+    }
+    CHECK(said.find(one.says) != std::string::npos);
+  }
+}
+
+TEST_CASE("the wheel fires in time, in order and never early") {
+  using core::TimerWheel;
+  const Instant start{std::chrono::seconds{5}};
+  TimerWheel wheel(start);
+  std::vector<int> fired;
+  wheel.at(start + std::chrono::milliseconds{12}, [&] { fired.push_back(12); });
+  wheel.at(start + std::chrono::seconds{30}, [&] { fired.push_back(30'000); });  // more than once round
+  const auto dropped = wheel.at(start + std::chrono::milliseconds{12}, [&] { fired.push_back(-1); });
+  wheel.at(start, [&] { wheel.at(start, [&] { fired.push_back(0); }); });  // one that sets another
+  wheel.cancel(dropped);
+  wheel.advance(start + std::chrono::milliseconds{11});
+  CHECK(fired == std::vector<int>{0});
+  wheel.advance(start + std::chrono::milliseconds{15});
+  CHECK(fired == std::vector<int>{0, 12});
+  wheel.advance(start + std::chrono::milliseconds{29'999});
+  CHECK(fired.size() == 2);
+  wheel.advance(start + std::chrono::milliseconds{30'000});
+  CHECK(fired.size() == 3);
+  CHECK(wheel.size() == 0);
+}
