Test the Diameter path on stand-in peers, and ask a silent watchdog again

A peer whose watchdog had gone silent while other messages came was never asked again, so it could not come back into use; a mandatory AVP unknown inside a group passed as known. Checked: the log showed no second DWR after the first silence (src/diameter/peer.cpp, on_watchdog_due), and the codec's read_avps judged only the outermost AVPs. Ruled out: a late watchdog timer; it fired each time. Also seen while testing: a peer that says nothing at all after the silence is closed, as RFC 3539 wants.

--- a/src/diameter/codec.cpp
+++ b/src/diameter/codec.cpp
@@ -84,8 +84,12 @@
   return avp;
 }
 
-/// Reads AVPs up to the first fault.
-Fault read_avps(std::string_view bytes, std::vector<Avp>& avps) {
+Fault judge_avp(const Avp& avp, int depth);
+
+constexpr int kMostDepth = 8;  // of groups within groups
+
+/// Reads AVPs up to the first fault. Without `judge` only their lengths count, not what they mean.
+Fault read_avps(std::string_view bytes, std::vector<Avp>& avps, bool judge, int depth = 0) {
   std::size_t at = 0;
   while (at < bytes.size()) {
     if (bytes.size() - at < kAvpHeader || avps.size() >= kMostAvps) return {Result::kInvalidAvpLength, {}};
@@ -100,20 +104,8 @@
     if (of_vendor) avp.vendor = load(bytes, at + kAvpHeader, 4);
     avp.whole = bytes.substr(at, length);
     avp.data = avp.whole.substr(head);
-    const auto* one = of_vendor ? nullptr : known(avp.code);
-    if ((avp.flags & kReservedBits) != 0) return {Result::kInvalidAvpBits, std::string(avp.whole)};
-    if (one == nullptr && (avp.flags & kMandatoryBit) != 0) {
-      return {Result::kAvpUnsupported, std::string(avp.whole)};
-    }
-    if (one != nullptr) {
-      const bool fits = one->kind == Kind::kNumber       ? avp.data.size() == 4
-                        : one->kind == Kind::kWideNumber ? avp.data.size() == 8
-                        : one->kind == Kind::kGroup      ? read_group(avp.data).has_value()
-                                                         : true;
-      // Failed-AVP itself shows what was wrong, so its inside is not judged.
-      if (!fits && avp.code != static_cast<std::uint32_t>(Code::kFailedAvp)) {
-        return {Result::kInvalidAvpLength, std::string(avp.whole)};
-      }
+    if (judge) {
+      if (auto fault = judge_avp(avp, depth); fault.any()) return fault;
     }
     avps.push_back(avp);
     at += (length + 3) / 4 * 4;
@@ -121,6 +113,22 @@
   return {};
 }
 
+/// What is wrong with an AVP whose length is right.
+Fault judge_avp(const Avp& avp, int depth) {
+  const auto* one = (avp.flags & kVendorBit) != 0 ? nullptr : known(avp.code);
+  const auto fault = [&](Result result) { return Fault{result, std::string(avp.whole)}; };
+  if ((avp.flags & kReservedBits) != 0) return fault(Result::kInvalidAvpBits);
+  if (one == nullptr) return (avp.flags & kMandatoryBit) != 0 ? fault(Result::kAvpUnsupported) : Fault{};
+  if (one->kind == Kind::kNumber && avp.data.size() != 4) return fault(Result::kInvalidAvpLength);
+  if (one->kind == Kind::kWideNumber && avp.data.size() != 8) return fault(Result::kInvalidAvpLength);
+  // Failed-AVP shows what was wrong, so its inside is not judged.
+  if (one->kind != Kind::kGroup || avp.code == static_cast<std::uint32_t>(Code::kFailedAvp)) return {};
+  if (depth >= kMostDepth) return fault(Result::kInvalidAvpLength);
+  std::vector<Avp> inside;
+  const auto within = read_avps(avp.data, inside, true, depth + 1);
+  return within.any() ? fault(within.result) : Fault{};  // shown with the group round it
+}
+
 const Avp* find_in(const std::vector<Avp>& avps, Code code) {
   const auto found = std::find_if(avps.begin(), avps.end(), [&](const Avp& avp) {
     return avp.code == static_cast<std::uint32_t>(code) && avp.vendor == 0;
@@ -161,9 +169,7 @@
 
 std::optional<std::vector<Avp>> read_group(std::string_view data) {
   std::vector<Avp> avps;
-  const auto fault = read_avps(data, avps);
-  // An unknown AVP inside does not spoil the group's form.
-  if (fault.result == Result::kInvalidAvpLength) return std::nullopt;
+  if (read_avps(data, avps, false).any()) return std::nullopt;
   return avps;
 }
 
@@ -196,7 +202,7 @@
   } else if (message.request && message.error) {
     read.fault = {Result::kInvalidHeaderBits, {}};
   } else {
-    read.fault = read_avps(bytes.substr(kHeader, length - kHeader), message.avps);
+    read.fault = read_avps(bytes.substr(kHeader, length - kHeader), message.avps, true);
   }
   return read;
 }
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -232,6 +232,10 @@
     net::log::warn("diameter: ", host_, " is silent: connection closed");
     fail(Closed::kReset);
     return;
+  } else {
+    // Other messages still come: asked anew, it may show that its watchdog is back.
+    asked_ = false;
+    send_watchdog();
   }
   set_watchdog();
 }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -47,6 +47,7 @@
   identity_.realm = diameter_->origin_realm;
   identity_.state_id = static_cast<std::uint32_t>(Loop::unix_ms() / 1000);
   identity_.watchdog = diameter_->watchdog;
+  identity_.jitter = std::min<Duration>(identity_.jitter, diameter_->watchdog / 5);
   // RFC 6733: the low part is free, the high 12 bits are of the time.
   identity_.next_end_to_end =
       (identity_.state_id << 20U) | (static_cast<std::uint32_t>(config.seed) & 0xfffffU);
--- a/tests/net_bench.hpp
+++ b/tests/net_bench.hpp
@@ -47,7 +47,7 @@
   void accept() {
     acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
       if (error) return;
-      ends.push_back(std::make_unique<End>(loop));
+      ends.push_back(make ? make() : std::make_unique<End>(loop));
       ends.back()->stream->adopt(std::move(socket));
       accept();
     });
@@ -73,6 +73,7 @@
   asio::ip::tcp::acceptor acceptor;
   std::string address;  ///< also once it has died
   std::vector<std::unique_ptr<End>> ends;
+  std::function<std::unique_ptr<End>()> make;  ///< where more than an End is wanted
 };
 
 inline net::Config bench_config() {
@@ -116,8 +117,12 @@
   /// Runs the loop until the condition holds; fails the test when it does not within five seconds.
   void until(const std::function<bool()>& holds) {
     const Instant limit = Loop::now() + std::chrono::seconds{5};
-    while (!holds() && Loop::now() < limit) loop.io.run_one_for(milliseconds{10});
-    REQUIRE(holds());
+    bool held = holds();
+    while (!held && Loop::now() < limit) {
+      loop.io.run_one_for(milliseconds{10});
+      held = holds();
+    }
+    REQUIRE(held);
   }
   /// Lets what is under way arrive: two exchanges over loopback sockets, each behind all that was sent.
   void settle() {
