--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -5,10 +5,11 @@
 void Counters::print(std::ostream& out) const {
   out << "counters: taken in: taken=" << taken << " given_up=" << given_up << " malformed=" << malformed
       << " unreadable=" << unreadable << " unknown_ids=" << unknown_ids << " feed_events=" << feed_events
-      << " feed_restarts=" << feed_restarts << " load_reports=" << load_reports << "; sent: sent=" << sent
-      << " cancels=" << cancels << " probes=" << probes << " taken_back=" << taken_back
-      << " late_answers=" << late_answers << "; answered: stood=" << stood << " refused=" << refused
-      << " failed=" << failed << " released=" << released << " cut=" << cut << "; attempts ended:";
+      << " feed_restarts=" << feed_restarts << " load_reports=" << load_reports
+      << " directory_failures=" << directory_failures << "; sent: sent=" << sent << " cancels=" << cancels
+      << " probes=" << probes << " taken_back=" << taken_back << " late_answers=" << late_answers
+      << "; answered: stood=" << stood << " refused=" << refused << " failed=" << failed
+      << " released=" << released << " cut=" << cut << "; attempts ended:";
   static constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                            "reset", "cancelled", "moot"};
   for (std::size_t i = 0; i < 8; ++i) out << ' ' << kNames[i] << '=' << ended[i];
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -16,6 +16,7 @@
   std::uint64_t feed_events = 0;    ///< changes of the server list applied
   std::uint64_t feed_restarts = 0;  ///< connections to the command channel after the first
   std::uint64_t load_reports = 0;
+  std::uint64_t directory_failures = 0;
   // sent
   std::uint64_t sent = 0;  ///< attempts
   std::uint64_t cancels = 0;
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -67,12 +67,14 @@
       directory_ = std::move(*read);
       log::info("directory: ", directory_.size(), " tenants' names");
     } else {
+      ++counters_.directory_failures;
       log::error("directory: not read at the start: ", error);
     }
     refresher_ = std::make_unique<directory::Refresher>(
         *setup.ldap, [this](std::optional<directory::TenantMap> tenants, const std::string& failed) {
           asio::post(loop_.io, [this, tenants = std::move(tenants), failed]() mutable {
             if (!tenants) {
+              ++counters_.directory_failures;
               log::warn("directory: not refreshed, the last good copy stays: ", failed);
               return;
             }
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -36,13 +36,14 @@
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const {
     return diameter_front_ ? std::optional(diameter_front_->local()) : std::nullopt;
   }
-  [[nodiscard]] diameter::Identity& identity() { return identity_; }
+  /// The tenant that a Diameter client's User-Name or realm belongs to, by the directory or the operator's
+  /// file.
+  [[nodiscard]] std::string tenant_of(std::string_view user) const;
 
  private:
   void start_diameter(const Config& config, const OperatorFile& setup);
   [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
   void tell_links(const core::ListedServer& server);
-  [[nodiscard]] std::string tenant_of(std::string_view user) const;
   void look_whether_done();
 
   Loop& loop_;
