--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -227,7 +227,7 @@
       tell_(decision.bytes);
       break;
     case Decision::Kind::kNote:
-      note_(decision.text);
+      note_("module: " + decision.text);
       break;
   }
 }
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -35,7 +35,7 @@
       [this](const std::vector<std::uint8_t>& bytes) {
         if (peers_) peers_->tell_all(bytes);
       },
-      [](const std::string& text) { log::info("module: ", text); });
+      [](const std::string& text) { log::info(text); });
   if (diameter_) start_diameter(config, setup);
   for (const auto& news : config.known) apply(news);
   feed_ = std::make_unique<Feed>(loop, counters_, config.channel, config.cursor,
