--- a/src/net/sip_links.cpp
+++ b/src/net/sip_links.cpp
@@ -338,6 +338,7 @@
       drop(find(ref));
     }
     ++counters_.late_answers;
+    log::info("late answer of ", servers_.find(server.id)->name, " released: ", call.id);
     // Nobody waits for it any more: it is released, and no second answer is passed on.
     stream.send(
         request_head("BYE", {call.id, call.number, call.sequence + 1}, own_name_, core::Cause::kNormal));
