Read the configuration again on SIGHUP and follow the channel that it names

Checked: the exit status is the one of an uncaught SIGHUP; src/main.cpp watched SIGTERM, SIGINT and SIGUSR1 only, and net/feed.cpp took its channel's address once, in the constructor. Ruled out: a crash of the reader (the file was never read). Now: signals are caught before the router serves; the new file is read and checked whole, then applied in Router::reload; Feed::move_to leaves the old channel at once and resumes after its last event; known events that are news are learnt; siblings' addresses are taken over; name, listen, peer_listen, settings and limits are refused aloud.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -6,7 +6,8 @@
   out << "counters: taken in: taken=" << taken << " given_up=" << given_up << " malformed=" << malformed
       << " unreadable=" << unreadable << " unknown_ids=" << unknown_ids << " feed_events=" << feed_events
       << " feed_restarts=" << feed_restarts << " load_reports=" << load_reports
-      << " directory_failures=" << directory_failures << "; sent: sent=" << sent << " cancels=" << cancels
+      << " directory_failures=" << directory_failures << " reloads=" << reloads
+      << " reloads_failed=" << reloads_failed << "; sent: sent=" << sent << " cancels=" << cancels
       << " probes=" << probes << " taken_back=" << taken_back << " late_answers=" << late_answers
       << "; answered: stood=" << stood << " refused=" << refused << " failed=" << failed
       << " released=" << released << " cut=" << cut << "; attempts ended:";
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -17,6 +17,8 @@
   std::uint64_t feed_restarts = 0;  ///< connections to the command channel after the first
   std::uint64_t load_reports = 0;
   std::uint64_t directory_failures = 0;
+  std::uint64_t reloads = 0;         ///< new configurations taken over
+  std::uint64_t reloads_failed = 0;  ///< new configurations that could not be read
   // sent
   std::uint64_t sent = 0;  ///< attempts
   std::uint64_t cancels = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,11 +25,27 @@
             << " standing=" << router.table().standing() << std::endl;
 }
 
+net::Config read_configuration() {
+  return net::read_config(net::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
+                          variable("RELAY_LISTEN"));
+}
+
+// The whole new configuration is read and checked before any of it is applied; a bad one changes nothing.
+void reload(net::Router& router) {
+  try {
+    router.reload(read_configuration());
+  } catch (const std::exception& error) {
+    router.reload_failed(error.what());
+  }
+}
+
 void watch_signals(asio::signal_set& signals, net::Loop& loop, net::Router& router) {
   signals.async_wait([&](const asio::error_code& error, int signal) {
     if (error) return;
     if (signal == SIGUSR1) {
       print_counters(router);
+    } else if (signal == SIGHUP) {
+      reload(router);
     } else {
       router.stop_when_answered([&loop] { loop.io.stop(); });
     }
@@ -48,11 +64,12 @@
 
 int run(const net::OperatorFile& setup) {
   net::log::set_level(variable("RELAY_LOG"));
-  const auto config = net::read_config(net::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
-                                       variable("RELAY_LISTEN"));
   net::Loop loop;
-  net::Router router(loop, config, setup);
+  // Caught before anything is served: unhandled, each of these would end the program.
   asio::signal_set signals(loop.io, SIGTERM, SIGINT, SIGUSR1);
+  signals.add(SIGHUP);
+  const auto config = read_configuration();
+  net::Router router(loop, config, setup);
   watch_signals(signals, loop, router);
   net::log::info(config.name, " serves callers at ", router.callers_at());
   loop.io.run();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -116,6 +116,7 @@
   } catch (const simhost::SettingsError& error) {
     throw ConfigError(std::string("config: settings: ") + error.what());
   }
+  config.settings_text = std::move(pairs);
   config.names = {names_in(settings, "classes"), names_in(settings, "tenants")};
   const auto* limits = member(settings, "limits");
   const auto connect = limits != nullptr ? number_of(text_in(*limits, "connect_timeout_us")) : std::nullopt;
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -33,6 +33,7 @@
   std::uint64_t cursor = 0;
   std::vector<ListNews> known;
   Settings settings;
+  std::string settings_text;  ///< as path=value lines, to tell whether they were changed
   Names names;
   Duration connect_limit{};
 };
--- a/src/net/feed.cpp
+++ b/src/net/feed.cpp
@@ -41,7 +41,22 @@
   log::info("command channel ", why, ", resuming after ", last_);
   loop_.wheel.cancel(std::exchange(silence_, 0));
   if (stream_) stream_->close();
-  loop_.after(kPause, [this] { connect(); });
+  loop_.wheel.cancel(retry_);
+  retry_ = loop_.after(kPause, [this] {
+    retry_ = 0;
+    connect();
+  });
+}
+
+void Feed::move_to(const asio::ip::tcp::endpoint& channel) {
+  if (channel == channel_) return;
+  log::info("command channel moves from ", channel_, " to ", channel, ", resuming after ", last_);
+  channel_ = channel;
+  // The old one tells nothing more though it stays open for a while: what it still sends is not waited for.
+  loop_.wheel.cancel(std::exchange(silence_, 0));
+  loop_.wheel.cancel(std::exchange(retry_, 0));
+  if (stream_) stream_->close();
+  connect();
 }
 
 void Feed::watch() {
@@ -113,10 +128,14 @@
   }
   // The id is the event's number; the data repeats it.
   if (const auto id = number_of(event.id); id && *id >= 0) news->cursor = static_cast<std::uint64_t>(*id);
-  if (news->cursor <= last_) return;
-  last_ = news->cursor;
+  learn(*news);
+}
+
+void Feed::learn(const ListNews& news) {
+  if (news.cursor <= last_) return;
+  last_ = news.cursor;
   ++counters_.feed_events;
-  on_news_(*news);
+  on_news_(news);
 }
 
 }  // namespace amberknot::net
--- a/src/net/feed.hpp
+++ b/src/net/feed.hpp
@@ -22,6 +22,10 @@
        OnNews on_news);
 
   [[nodiscard]] std::uint64_t last() const { return last_; }
+  /// The channel has another address from now on; the numbers of its events go on.
+  void move_to(const asio::ip::tcp::endpoint& channel);
+  /// An event from wherever it came; what is no news is skipped.
+  void learn(const ListNews& news);
 
  private:
   void connect();
@@ -46,6 +50,7 @@
   bool ended_ = false;
   bool connected_before_ = false;
   core::TimerWheel::Handle silence_ = 0;
+  core::TimerWheel::Handle retry_ = 0;
 };
 
 }  // namespace amberknot::net
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -18,6 +18,10 @@
 
   Peers(Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
         asio::ip::udp::endpoint everyone, OnMessage on_message);
+  void move_to(std::vector<asio::ip::udp::endpoint> peers, const asio::ip::udp::endpoint& everyone) {
+    peers_ = std::move(peers);
+    everyone_ = everyone;
+  }
   void tell_all(const std::vector<std::uint8_t>& bytes);
 
  private:
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -19,6 +19,7 @@
 
 Router::Router(Loop& loop, const Config& config, const OperatorFile& setup)
     : loop_(loop),
+      config_(config),
       names_(config.names),
       dispatcher_(config.settings, Loop::now()),
       table_(dispatcher_, servers_, loop.wheel, counters_, &Loop::now),
@@ -38,6 +39,7 @@
       [](const std::string& text) { log::info(text); });
   if (diameter_) start_diameter(config, setup);
   for (const auto& news : config.known) apply(news);
+  config_.known.clear();  // told; a reload brings its own
   feed_ = std::make_unique<Feed>(loop, counters_, config.channel, config.cursor,
                                  [this](const ListNews& news) { apply(news); });
 }
@@ -173,6 +175,37 @@
   }
 }
 
+void Router::reload(const Config& fresh) {
+  ++counters_.reloads;
+  const auto refuse = [](const char* field) {
+    log::warn("reload: ", field, " is changed: refused, it takes a restart");
+  };
+  if (fresh.name != config_.name) refuse("name");
+  if (fresh.listen != config_.listen) refuse("listen");
+  if (fresh.peer_listen != config_.peer_listen) refuse("peer_listen");
+  if (fresh.settings_text != config_.settings_text) refuse("settings");
+  if (fresh.sockets != config_.sockets) refuse("limits.sockets");
+  if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
+    if (peers_ && fresh.peers_all) {
+      peers_->move_to(fresh.peers, *fresh.peers_all);
+      config_.peers = fresh.peers;
+      config_.peers_all = fresh.peers_all;
+      log::info("reload: ", fresh.peers.size(), " siblings");
+    } else {
+      refuse("peers");
+    }
+  }
+  for (const auto& news : fresh.known) feed_->learn(news);
+  feed_->move_to(fresh.channel);
+  config_.channel = fresh.channel;
+  log::info("reload: done");
+}
+
+void Router::reload_failed(std::string_view why) {
+  ++counters_.reloads_failed;
+  log::error("reload: not taken, the configuration in force stays: ", why);
+}
+
 void Router::stop_when_answered(std::function<void()> done) {
   if (done_) return;
   done_ = std::move(done);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -27,6 +27,11 @@
 
   /// Goes on serving until all that was taken is answered, then releases what stands and calls `done`.
   void stop_when_answered(std::function<void()> done);
+  /// Takes over a new configuration, read and checked whole. What a running program cannot change is refused
+  /// aloud and stays as it was.
+  void reload(const Config& fresh);
+  /// A new configuration could not be read: the one in force stays.
+  void reload_failed(std::string_view why);
   /// News of the servers, as from the command channel.
   void apply(const ListNews& news);
 
@@ -47,6 +52,7 @@
   void look_whether_done();
 
   Loop& loop_;
+  Config config_;  ///< in force
   Names names_;
   core::Counters counters_;
   core::ServerList servers_;
