Match answers by Call-ID and method, so that second attempts can stand

Checked with a trace of each attempt's end and of each answer not taken: the session servers answer all INVITEs with 'CSeq: 1 INVITE', also one sent with number 2; the call was known, its attempt was out. At fault: on_invite_answer in src/net/sip_links.cpp compared the number. Ruled out: servers slow in answering (they took 30 to 60 ms) and the module's calling off (it had heard nothing). The same number made a repeated answer cut a call that had stood on its second attempt; it is ignored now.

--- a/src/net/sip_links.cpp
+++ b/src/net/sip_links.cpp
@@ -319,17 +319,16 @@
   const auto& head = read.head;
   if (head.status < 200) return;
   const auto found = attempts_.find({server.id, std::string(head.call_id)});
-  const bool current = found != attempts_.end() && !found->second.standing &&
-                       (head.sequence == 0 || head.sequence == found->second.ref.attempt + 1);
+  // The Call-ID and the method tell whose answer it is, nothing else does: servers answer a second attempt
+  // too with the number 1 in CSeq.
+  const bool current = found != attempts_.end() && !found->second.standing;
   const SipCall call{head.call_id, current ? std::string_view(found->second.number) : "late",
                      std::max(head.sequence, 1U)};
   // Every final answer is acknowledged, also one that crossed our CANCEL or came after our patience.
   stream.send(request_head("ACK", call, own_name_));
   if (head.status < 300) {
-    if (!current && found != attempts_.end() && found->second.standing &&
-        head.sequence == found->second.ref.attempt + 1) {
-      return;  // the answer of the call that stands, repeated
-    }
+    // The answer of the call that stands, repeated: a release would cut that call.
+    if (!current && found != attempts_.end()) return;
     if (current) {
       const auto ref = found->second.ref;
       found->second.standing = true;
--- a/tests/net_rules_test.cpp
+++ b/tests/net_rules_test.cpp
@@ -101,6 +101,28 @@
   }
 }
 
+// Guards against taking the answer to a second attempt for a late one: servers number all answers 1.
+TEST_CASE("a second attempt stands by its Call-ID, whatever number the answer repeats") {
+  Bench bench;
+  bench.list();
+  bench.open(kA);
+  auto& first = bench.invited(kA);
+  first.stream->send(Bench::sip("SIP/2.0 480 Moot", kA, "1 INVITE"));
+  bench.until([&] { return bench.server.with("CSeq: 2 INVITE") != nullptr; });
+  auto& second = *bench.server.with("CSeq: 2 INVITE");
+  bench.answer(second, kA);
+  bench.until([&] { return bench.caller->has("\"ready\",\"sid\":\"" + kA); });
+  // The same answer once more belongs to the call that stands: no second answer, and no release.
+  bench.answer(second, kA);
+  bench.until(
+      [&] { return second.count(" ACK\r\n") + (&first == &second ? 0 : first.count(" ACK\r\n")) == 3; });
+  bench.settle();
+  CHECK(bench.server.count("BYE sip:") == 0);
+  CHECK(bench.caller->count(kA) == 1);
+  CHECK(bench.router->counters().late_answers == 0);
+  CHECK(bench.router->table().standing() == 1);
+}
+
 TEST_CASE("a set-up that still waits for a connection is taken back when its server drains") {
   Bench bench;
   bench.open(kA, 300);
