--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -227,6 +227,9 @@
   /// Takes one event at the batch's clock and appends the actions that follow from it.
   void handle(Instant now, const Event& event, std::vector<Action>& actions);
 
+  /// How many servers it remembers, those that have gone lately included.
+  [[nodiscard]] std::size_t known_servers() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -1,5 +1,6 @@
 #include "core/call_table.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -156,6 +157,12 @@
   enact(dispatcher_.report_peer(clock_(), from, std::move(bytes)));
 }
 
+bool CallTable::uses(ServerId server) const {
+  return std::any_of(calls_.begin(), calls_.end(), [server](const auto& item) {
+    return item.second.state != State::kHeld && item.second.server == server;
+  });
+}
+
 void CallTable::release_all() {
   std::vector<CallId> standing;
   for (const auto& [id, call] : calls_) {
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -72,6 +72,8 @@
 
   [[nodiscard]] std::size_t unanswered() const { return calls_.size() - standing_; }
   [[nodiscard]] std::size_t standing() const { return standing_; }
+  /// Whether a call is out or stands at that server.
+  [[nodiscard]] bool uses(ServerId server) const;
   /// Releases all that stands towards both sides: the program ends.
   void release_all();
 
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -8,9 +8,10 @@
       << " feed_restarts=" << feed_restarts << " load_reports=" << load_reports
       << " directory_failures=" << directory_failures << " reloads=" << reloads
       << " reloads_failed=" << reloads_failed << "; sent: sent=" << sent << " cancels=" << cancels
-      << " probes=" << probes << " taken_back=" << taken_back << " late_answers=" << late_answers
-      << "; answered: stood=" << stood << " refused=" << refused << " failed=" << failed
-      << " released=" << released << " cut=" << cut << "; attempts ended:";
+      << " probes=" << probes << " taken_back=" << taken_back << " moved=" << moved
+      << " stuck_links=" << stuck_links << " spoilt_answers=" << spoilt_answers
+      << " late_answers=" << late_answers << "; answered: stood=" << stood << " refused=" << refused
+      << " failed=" << failed << " released=" << released << " cut=" << cut << "; attempts ended:";
   static constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                            "reset", "cancelled", "moot"};
   for (std::size_t i = 0; i < 8; ++i) out << ' ' << kNames[i] << '=' << ended[i];
--- a/src/core/server_list.cpp
+++ b/src/core/server_list.cpp
@@ -4,21 +4,29 @@
 
 ListedServer& ServerList::of(std::string_view name) {
   if (const auto found = by_name_.find(name); found != by_name_.end()) return *find(found->second);
-  auto& server = servers_.emplace_back();
-  server.id = ServerId{static_cast<std::uint32_t>(servers_.size() - 1)};
+  const ServerId id{next_id_++};
+  auto& server = servers_[id];
+  server.id = id;
   server.name = name;
-  by_name_.emplace(server.name, server.id);
+  by_name_.emplace(server.name, id);
   return server;
 }
 
 ListedServer* ServerList::find(ServerId id) {
-  const auto at = static_cast<std::size_t>(id);
-  return at < servers_.size() ? &servers_[at] : nullptr;
+  const auto found = servers_.find(id);
+  return found != servers_.end() ? &found->second : nullptr;
 }
 
 const ListedServer* ServerList::find(ServerId id) const {
-  const auto at = static_cast<std::size_t>(id);
-  return at < servers_.size() ? &servers_[at] : nullptr;
+  const auto found = servers_.find(id);
+  return found != servers_.end() ? &found->second : nullptr;
+}
+
+void ServerList::forget(ServerId id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  by_name_.erase(found->second.name);
+  servers_.erase(found);
 }
 
 }  // namespace amberknot::core
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +21,7 @@
   std::int64_t started_unix_ms = 0;  ///< zero: long ago
   std::optional<Instant> started;    ///< the same on the monotonic clock, read once for each start
   ServerPort* port = nullptr;        ///< whose links lead there
+  std::optional<Instant> gone_at;    ///< while it is gone
 };
 
 /// One line of news.
@@ -39,11 +39,13 @@
   ListedServer& of(std::string_view name);
   [[nodiscard]] ListedServer* find(ServerId id);
   [[nodiscard]] const ListedServer* find(ServerId id) const;
-  [[nodiscard]] const std::deque<ListedServer>& all() const { return servers_; }
-  [[nodiscard]] std::deque<ListedServer>& all() { return servers_; }
+  [[nodiscard]] const std::map<ServerId, ListedServer>& all() const { return servers_; }
+  /// Nothing refers to it any more. Its name, if it comes again, gets another id.
+  void forget(ServerId id);
 
  private:
-  std::deque<ListedServer> servers_;  ///< by id
+  std::map<ServerId, ListedServer> servers_;
+  std::uint32_t next_id_ = 0;
   std::map<std::string, ServerId, std::less<>> by_name_;
 };
 
--- a/src/diameter/links.cpp
+++ b/src/diameter/links.cpp
@@ -127,9 +127,21 @@
     peer->close();
     end_out(server, Outcome::kReset);
   }
+  if (!server.wanted) {
+    server.pending.clear();  // its sessions went with it
+    loop_.wheel.cancel(std::exchange(server.retry, 0));
+  }
   if (server.wanted && !server.peer && server.retry == 0) connect(server);
 }
 
+void Links::forget_server(ServerId id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  loop_.wheel.cancel(found->second->retry);
+  if (found->second->peer) found->second->peer->close();
+  by_id_.erase(found);
+}
+
 bool Links::serves(ServerId id) const {
   const auto found = by_id_.find(id);
   return found != by_id_.end() && found->second->peer && found->second->peer->healthy();
--- a/src/diameter/links.hpp
+++ b/src/diameter/links.hpp
@@ -25,6 +25,8 @@
   ~Links() override;
 
   void server_changed(const core::ListedServer& server);
+  /// It has gone and nothing of it is left.
+  void forget_server(ServerId server);
   [[nodiscard]] bool serves(ServerId server) const;
   /// The router ends: every peer is told.
   void leave();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -85,6 +85,9 @@
     const auto sockets = number_of(text_in(*limits, "sockets"));
     if (!sockets || *sockets < 32 || *sockets > 1e7) throw ConfigError("config: limits.sockets out of range");
     config.sockets = static_cast<std::size_t>(*sockets);
+    const auto memory = number_of(text_in(*limits, "memory_mb"));
+    if (!memory || *memory < 16 || *memory > 1e6) throw ConfigError("config: limits.memory_mb out of range");
+    config.memory_mb = static_cast<std::size_t>(*memory);
   }
   config.channel = endpoint(text_of(need(document, "channel")), "channel");
   if (const auto* own = member(document, "peer_listen")) {
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -26,6 +26,7 @@
   asio::ip::tcp::endpoint listen;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
+  std::size_t memory_mb = 64;
   asio::ip::tcp::endpoint channel;
   std::optional<asio::ip::udp::endpoint> peer_listen;
   std::vector<asio::ip::udp::endpoint> peers;
--- a/src/net/jsonl.cpp
+++ b/src/net/jsonl.cpp
@@ -73,7 +73,7 @@
     const auto value = number_of(part.substr(colon + 1));
     if (!value) return std::nullopt;
     if (name == "dest") {
-      if (*value < 0 || *value > 1e9) return std::nullopt;
+      if (*value < 0 || *value > 1e9 || *value != std::floor(*value)) return std::nullopt;
       extras.dest = static_cast<std::uint32_t>(*value);
     } else if (name == "width") {
       if (*value <= 0 || *value > 1e6) return std::nullopt;
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,6 +1,8 @@
 // Log lines on standard error, with a level filter. A line that is filtered out costs one comparison.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <iostream>
 #include <string_view>
 
@@ -29,6 +31,38 @@
   (std::clog << ... << parts) << std::endl;
 }
 
+/// For lines that an outsider can cause at will: so many a second pass, and the next one tells how many did
+/// not. Written one by one they would take the time of all others.
+class Few {
+ public:
+  bool pass() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - since_ >= std::chrono::seconds{1}) {
+      if (held_back_ > 0) line(Level::kWarn, held_back_, " more lines like the next were held back");
+      since_ = now;
+      passed_ = held_back_ = 0;
+    }
+    if (passed_ < kMost) return ++passed_ > 0;
+    ++held_back_;
+    return false;
+  }
+
+ private:
+  static constexpr std::uint32_t kMost = 5;
+  std::chrono::steady_clock::time_point since_{};
+  std::uint32_t passed_ = 0;
+  std::uint64_t held_back_ = 0;
+};
+
+template <typename... Parts>
+void warn(Few& few, const Parts&... parts) {
+  if (few.pass()) line(Level::kWarn, parts...);
+}
+template <typename... Parts>
+void info(Few& few, const Parts&... parts) {
+  if (Level::kInfo <= level() && few.pass()) line(Level::kInfo, parts...);
+}
+
 template <typename... Parts>
 void error(const Parts&... parts) {
   line(Level::kError, parts...);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -1,14 +1,25 @@
-// The one thread's loop: Asio's context, the clocks and the wheel's ticking.
+// The one thread's loop: Asio's context, the clocks, the wheel's ticking and the bytes that wait to leave.
 #pragma once
 
 #include <asio.hpp>
 #include <chrono>
 #include <cstdint>
+#include <unordered_set>
 
 #include "core/timer_wheel.hpp"
 
 namespace amberknot::net {
 
+class Stream;
+
+/// What waits to be written, on all connections together.
+struct Outgoing {
+  std::size_t bytes = 0;
+  std::size_t most = 4 * 1024 * 1024;
+  std::size_t most_on_one = 256 * 1024;
+  std::unordered_set<Stream*> blocked;  ///< those whose other side does not read
+};
+
 class Loop {
  public:
   Loop() : wheel(now()), ticker_(io) { tick(); }
@@ -27,6 +38,7 @@
     return wheel.at(now() + wait, std::move(what));
   }
 
+  Outgoing outgoing;  ///< outlives every stream that a handler of `io` may hold
   asio::io_context io{1};
   core::TimerWheel wheel;
 
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -14,6 +14,9 @@
 // After SIGTERM callers go on connecting and asking for a while.
 constexpr Duration kStillComing = milliseconds{700};
 constexpr Duration kLookWhetherDone = milliseconds{20};
+// What has gone is remembered for a while, since some of its calls may still want their release.
+constexpr Duration kGoneKept = std::chrono::seconds{20};
+constexpr Duration kForgetEvery = std::chrono::seconds{5};
 
 }  // namespace
 
@@ -21,11 +24,14 @@
     : loop_(loop),
       config_(config),
       names_(config.names),
+      bounds_(Bounds::of(config.memory_mb, config.sockets)),
       dispatcher_(config.settings, Loop::now()),
       table_(dispatcher_, servers_, loop.wheel, counters_, &Loop::now),
-      links_(loop, table_, servers_, counters_, config.name, config.connect_limit),
-      front_(loop, table_, counters_, names_, config.listen, config.sockets / 2),
+      links_(loop, table_, servers_, counters_, bounds_, config.name, config.connect_limit),
+      front_(loop, table_, counters_, names_, config.listen, bounds_.callers),
       diameter_(setup.diameter) {
+  loop.outgoing.most = bounds_.queued;
+  loop.outgoing.most_on_one = bounds_.queued_on_one;
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
     peers_ = std::make_unique<Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
                                      [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
@@ -42,6 +48,7 @@
   config_.known.clear();  // told; a reload brings its own
   feed_ = std::make_unique<Feed>(loop, counters_, config.channel, config.cursor,
                                  [this](const ListNews& news) { apply(news); });
+  forget_now_and_then();
 }
 
 void Router::start_diameter(const Config& config, const OperatorFile& setup) {
@@ -87,9 +94,9 @@
   }
   diameter_front_ = std::make_unique<diameter::Front>(
       loop_, table_, counters_, identity_, names_, dispatcher_.settings(), *diameter_->listen,
-      config.sockets / 8, diameter_->clients, [this](std::string_view user) { return tenant_of(user); },
+      bounds_.diameter, diameter_->clients, [this](std::string_view user) { return tenant_of(user); },
       [this](std::string_view host) -> std::optional<CellNo> {
-        for (const auto& server : servers_.all()) {
+        for (const auto& [id, server] : servers_.all()) {
           if (server.name == host) return server.cell;
         }
         return std::nullopt;
@@ -130,7 +137,7 @@
   for (const auto& change : changes) listed.insert(change.name);
   if (news.whole_list) {
     // What a whole list does not name is gone.
-    for (const auto& server : servers_.all()) {
+    for (const auto& [id, server] : servers_.all()) {
       if (server.state == ListState::kGone || listed.contains(server.name)) continue;
       changes.push_back({server.name, server.address, static_cast<std::uint32_t>(server.cell),
                          ListState::kGone, server.started_unix_ms});
@@ -145,6 +152,11 @@
     server.address = change.address;
     server.cell = CellNo{change.cell};
     server.state = change.state;
+    if (change.state != ListState::kGone) {
+      server.gone_at.reset();
+    } else if (!server.gone_at) {
+      server.gone_at = Loop::now();
+    }
     if (!known) {
       const bool diameter = diameter_links_ && diameter_->speaks_diameter(server.name);
       server.port = diameter ? static_cast<core::ServerPort*>(diameter_links_.get()) : &links_;
@@ -175,6 +187,26 @@
   }
 }
 
+// Servers come and go under new names all day: one that has gone is forgotten once nothing refers to it.
+void Router::forget_gone(Instant now) {
+  std::vector<ServerId> over;
+  for (const auto& [id, server] : servers_.all()) {
+    if (server.gone_at && now - *server.gone_at > kGoneKept && !table_.uses(id)) over.push_back(id);
+  }
+  for (const auto id : over) {
+    links_.forget_server(id);
+    if (diameter_links_) diameter_links_->forget_server(id);
+    servers_.forget(id);
+  }
+}
+
+void Router::forget_now_and_then() {
+  loop_.after(kForgetEvery, [this] {
+    forget_gone(Loop::now());
+    forget_now_and_then();
+  });
+}
+
 void Router::reload(const Config& fresh) {
   ++counters_.reloads;
   const auto refuse = [](const char* field) {
@@ -184,7 +216,7 @@
   if (fresh.listen != config_.listen) refuse("listen");
   if (fresh.peer_listen != config_.peer_listen) refuse("peer_listen");
   if (fresh.settings_text != config_.settings_text) refuse("settings");
-  if (fresh.sockets != config_.sockets) refuse("limits.sockets");
+  if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) refuse("limits");
   if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
     if (peers_ && fresh.peers_all) {
       peers_->move_to(fresh.peers, *fresh.peers_all);
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -32,11 +32,14 @@
   void reload(const Config& fresh);
   /// A new configuration could not be read: the one in force stays.
   void reload_failed(std::string_view why);
+  /// Forgets the servers that had been gone for long by then and that nothing refers to.
+  void forget_gone(Instant now);
   /// News of the servers, as from the command channel.
   void apply(const ListNews& news);
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
+  [[nodiscard]] const core::ServerList& servers() const { return servers_; }
   [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return front_.local(); }
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const {
     return diameter_front_ ? std::optional(diameter_front_->local()) : std::nullopt;
@@ -50,10 +53,12 @@
   [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
   void tell_links(const core::ListedServer& server);
   void look_whether_done();
+  void forget_now_and_then();
 
   Loop& loop_;
   Config config_;  ///< in force
   Names names_;
+  Bounds bounds_;
   core::Counters counters_;
   core::ServerList servers_;
   core::Dispatcher dispatcher_;
--- a/src/net/sip.cpp
+++ b/src/net/sip.cpp
@@ -109,6 +109,32 @@
   return read;
 }
 
+bool is_description(std::string_view body) {
+  if (body.empty()) return false;
+  for (std::size_t i = 0; i < body.size(); ++i) {
+    const auto c = static_cast<unsigned char>(body[i]);
+    if (c < 0x80) {
+      if (c < 0x20 ? c != '\r' && c != '\n' && c != '\t' : c == 0x7f) return false;
+      continue;
+    }
+    // Beyond ASCII only whole UTF-8 sequences, in their shortest form.
+    const std::size_t more = c >= 0xc2 && c <= 0xdf   ? 1
+                             : (c & 0xf0U) == 0xe0    ? 2
+                             : c >= 0xf0 && c <= 0xf4 ? 3
+                                                      : 0;
+    if (more == 0 || i + more >= body.size()) return false;
+    const auto second = static_cast<unsigned char>(body[i + 1]);
+    const unsigned low = c == 0xe0 ? 0xa0 : c == 0xf0 ? 0x90 : 0x80;
+    const unsigned high = c == 0xed ? 0x9f : c == 0xf4 ? 0x8f : 0xbf;
+    if (second < low || second > high) return false;
+    for (std::size_t k = 2; k <= more; ++k) {
+      if ((static_cast<unsigned char>(body[i + k]) & 0xc0U) != 0x80) return false;
+    }
+    i += more;
+  }
+  return true;
+}
+
 std::optional<int> read_reason(std::string_view reason) {
   const auto at = reason.find("cause=");
   if (reason.substr(0, 5) != "Q.850" || at == std::string_view::npos) return std::nullopt;
--- a/src/net/sip.hpp
+++ b/src/net/sip.hpp
@@ -32,6 +32,9 @@
 /// The first message in the buffer, `most` bytes at the longest. Views lead into the buffer.
 SipRead read_sip(std::string_view bytes, std::size_t most);
 
+/// Whether a body can be a session's description: text in lines, nothing torn off at the end.
+bool is_description(std::string_view body);
+
 /// `Q.850;cause=16`; empty: names no cause.
 std::optional<int> read_reason(std::string_view reason);
 /// `x0:12;x1:40;queue:3`, also under the settings' names. What cannot be read is left out.
--- a/src/net/sip_links.cpp
+++ b/src/net/sip_links.cpp
@@ -12,59 +12,98 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kWarmLinks = 2;  // of the four that a server tells its state on
+constexpr std::size_t kWarmLinks = 2;
+constexpr std::size_t kMostLinks = 4;  // a server tells its state on no more
 constexpr Duration kLeastBackoff = milliseconds{100};
 constexpr Duration kMostBackoff = seconds{1};
+// A link that ends sooner has not shown that the server takes links again.
+constexpr Duration kShortLife = milliseconds{500};
 // A probe unanswered this long is told as timed out: it waits in a queue or is lost.
 constexpr Duration kProbeLimit = milliseconds{250};
-constexpr std::size_t kMostPending = 4096;  // releases kept for a server without a link
+// A release not confirmed when its link is lost is told again, up to this age.
+constexpr Duration kByeDoubt = seconds{3};
+constexpr std::size_t kMostByes = 256;
+// The start of a message whose rest does not come: the link is cut.
+constexpr Duration kHalfMessage = milliseconds{400};
+// Set-ups sent so much later have been answered, and so long ago: what is out on a silent link is lost.
+constexpr Duration kOvertakenBy = milliseconds{60};
+constexpr Duration kOvertakenFor = milliseconds{60};
+constexpr Duration kWatchEvery = milliseconds{20};
+// So many refusals in a row, and no link left, show that no process listens there any more.
+constexpr int kRefusalsOfDeath = 2;
+// A set-up that never left is moved from one lost link to the next so many times.
+constexpr int kMostResent = 3;
 
 }  // namespace
 
-/// Ties a stream to its server.
-struct SipLinks::Link : Stream::Owner {
+/// One connection to a server, and what left by it.
+struct SipLinks::Link : Stream::Owner, std::enable_shared_from_this<Link> {
   Link(SipLinks& all, Server& server) : all(all), server(server) {}
-  void on_open(Stream& stream) override { all.link_open(server, stream); }
-  std::size_t on_bytes(Stream& stream, std::span<char> bytes) override {
-    return all.link_bytes(server, stream, bytes);
+  void on_open(Stream& /*stream*/) override { all.link_open(*this); }
+  std::size_t on_bytes(Stream& /*stream*/, std::span<char> bytes) override {
+    return all.link_bytes(*this, bytes);
   }
-  void on_closed(Stream& stream, Closed why) override { all.link_closed(server, stream, why); }
+  void on_closed(Stream& /*stream*/, Closed why) override { all.link_closed(*this, why); }
+
+  struct Bye {
+    std::string id;
+    std::string text;
+    Instant sent{};
+  };
   SipLinks& all;
   Server& server;
+  std::shared_ptr<Stream> stream;
+  std::vector<core::AttemptRef> out;  ///< in the order in which they were queued
+  std::deque<Bye> byes;               ///< not yet confirmed
+  int resent = 0;                     ///< how often what waits on it has been moved, at most
+  Instant up{};
+  Instant heard{};
+  std::optional<Instant> half_since;  ///< the start of a message is there, and not its end
+
+  [[nodiscard]] bool is_usable() const { return stream->is_open() && !half_since; }
 };
 
 struct SipLinks::Server {
-  Server(SipLinks& all, ServerId id) : id(id), owner(all, *this) {}
+  explicit Server(ServerId id) : id(id) {}
   ServerId id;
   std::string address;
   bool wanted = false;
-  std::vector<std::shared_ptr<Stream>> links;  // connecting and open
+  std::vector<std::shared_ptr<Link>> links;  // connecting and open
   std::size_t turn = 0;
   Duration backoff = kLeastBackoff;
   core::TimerWheel::Handle retry = 0;
-  std::deque<std::string> pending;  // releases that no link could take
-  Link owner;
+  int refusals = 0;         // in a row
+  Instant answered_sent{};  // when the latest set-up that has been answered was sent
+  Instant answered_at{};    // and since when that is known
+  std::deque<std::pair<std::string, std::string>> pending;  // releases that no link could take
 
   [[nodiscard]] std::size_t open_links() const {
     return static_cast<std::size_t>(
-        std::count_if(links.begin(), links.end(), [](const auto& link) { return link->is_open(); }));
+        std::count_if(links.begin(), links.end(), [](const auto& link) { return link->stream->is_open(); }));
   }
 };
 
 SipLinks::SipLinks(Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-                   std::string own_name, Duration connect_limit)
+                   const Bounds& bounds, std::string own_name, Duration connect_limit)
     : loop_(loop),
       table_(table),
       servers_(servers),
       counters_(counters),
+      bounds_(bounds),
       own_name_(std::move(own_name)),
-      connect_limit_(connect_limit) {}
+      connect_limit_(connect_limit) {
+  watch_links();
+}
 
-SipLinks::~SipLinks() = default;
+SipLinks::~SipLinks() {
+  for (auto& [id, server] : by_id_) {
+    for (auto& link : server->links) link->stream->close();
+  }
+}
 
 SipLinks::Server& SipLinks::of(ServerId id) {
   auto& server = by_id_[id];
-  if (!server) server = std::make_unique<Server>(*this, id);
+  if (!server) server = std::make_unique<Server>(id);
   return *server;
 }
 
@@ -75,10 +114,9 @@
   if (listed.state != ListState::kReady) {
     // The drain rule binds at the write: what still waits on a connecting or blocked socket never leaves.
     std::vector<core::AttemptRef> back;
-    for (const auto& [key, attempt] : attempts_) {
-      if (key.first == server.id && !attempt.standing && attempt.link &&
-          attempt.link->take_back(tag(attempt.ref))) {
-        back.push_back(attempt.ref);
+    for (const auto& link : server.links) {
+      for (const auto& ref : link->out) {
+        if (link->stream->take_back(tag(ref))) back.push_back(ref);
       }
     }
     for (const auto& ref : back) {
@@ -87,17 +125,38 @@
       table_.ended(ref, {Outcome::kMoot, core::Cause::kOutOfOrder, false, {}});
     }
   }
-  if (listed.state == ListState::kGone || moved) {
+  server.wanted = listed.state != ListState::kGone;
+  if (!server.wanted || moved) {
     const auto links = std::exchange(server.links, {});
-    for (const auto& link : links) {
-      link->close();
-      end_on(server, *link, Outcome::kReset);
-    }
+    links_ -= links.size();
+    for (const auto& link : links) link->stream->close();
+    for (const auto& link : links) end_on(*link, Outcome::kReset);
+  }
+  if (!server.wanted) {
+    server.pending.clear();
+    loop_.wheel.cancel(std::exchange(server.retry, 0));
   }
-  server.wanted = listed.state != ListState::kGone;
   if (server.wanted) keep_warm(server);
 }
 
+void SipLinks::forget_server(ServerId id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  auto& server = *found->second;
+  loop_.wheel.cancel(server.retry);
+  for (const auto& link : server.links) link->stream->close();
+  links_ -= server.links.size();
+  std::vector<std::string> probes;
+  for (const auto& [key, probe] : probes_) {
+    if (probe.server == id) probes.push_back(key);
+  }
+  for (const auto& key : probes) {
+    loop_.wheel.cancel(probes_.at(key).limit);
+    probes_.erase(key);
+  }
+  by_id_.erase(found);
+}
+
 // ---- links ----------------------------------------------------------------------------------------------
 
 void SipLinks::keep_warm(Server& server) {
@@ -115,49 +174,106 @@
     log::warn("server address cannot be read: ", server.address);
     return;
   }
-  auto link = std::make_shared<Stream>(loop_, server.owner);
+  // The first link to a server is not denied: the list of servers is short.
+  if (links_ >= bounds_.links && !server.links.empty()) return;
+  auto link = std::make_shared<Link>(*this, server);
+  link->stream = std::make_shared<Stream>(loop_, *link);
   server.links.push_back(link);
-  link->connect(*to, connect_limit_);
+  ++links_;
+  link->stream->connect(*to, connect_limit_);
 }
 
-std::shared_ptr<Stream> SipLinks::pick_link(Server& server) {
-  // An open link if there is one, in turn; else one that is coming up; else a new one, backoff or not.
-  for (std::size_t i = 0; i < server.links.size(); ++i) {
-    const auto& link = server.links[(server.turn + i) % server.links.size()];
-    if (!link->is_open()) continue;
-    server.turn = (server.turn + i + 1) % server.links.size();
-    return link;
+// The open link with the fewest set-ups out, so that one spoilt answer or reset takes few others along; with
+// some out on each, one more is opened for those to come. Without an open link one that is coming up, or a
+// new one, backoff or not.
+std::shared_ptr<SipLinks::Link> SipLinks::pick_link(Server& server) {
+  std::shared_ptr<Link> best;
+  const std::size_t count = server.links.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& link = server.links[(server.turn + i) % count];
+    if (link->is_usable() && (!best || link->out.size() < best->out.size())) best = link;
+  }
+  ++server.turn;
+  if (best) {
+    if (!best->out.empty() && server.wanted && server.retry == 0 && count < kMostLinks) connect(server);
+    return best;
   }
-  if (server.links.empty()) connect(server);
-  return server.links.empty() ? nullptr : server.links.front();
+  const auto coming = std::find_if(server.links.begin(), server.links.end(), [](const auto& link) {
+    return !link->stream->is_closed() && !link->stream->is_open() && !link->half_since;
+  });
+  if (coming != server.links.end()) return *coming;
+  connect(server);
+  return server.links.size() > count ? server.links.back() : nullptr;
 }
 
-void SipLinks::link_open(Server& server, Stream& stream) {
-  server.backoff = kLeastBackoff;
+void SipLinks::link_open(Link& link) {
+  auto& server = link.server;
+  link.up = link.heard = Loop::now();
+  server.refusals = 0;
   log::debug("link up: ", servers_.find(server.id)->name);
-  for (auto& message : std::exchange(server.pending, {})) stream.send(std::move(message));
+  for (auto& [id, bye] : std::exchange(server.pending, {})) send_bye(server, std::move(id), std::move(bye));
 }
 
-void SipLinks::link_closed(Server& server, Stream& stream, Closed why) {
+void SipLinks::link_closed(Link& gone, Closed why) {
+  auto& server = gone.server;
   const auto at = std::find_if(server.links.begin(), server.links.end(),
-                               [&](const auto& link) { return link.get() == &stream; });
+                               [&](const auto& link) { return link.get() == &gone; });
   if (at == server.links.end()) return;
   const auto link = *at;  // keeps it alive
   server.links.erase(at);
-  const auto& name_of = servers_.find(server.id)->name;
-  const bool never_up = why == Closed::kRefused || why == Closed::kNeverUp;
-  if (never_up) {
-    log::debug("no link to ", name_of, ": ", name(why));
+  --links_;
+  const Instant now = Loop::now();
+  const bool was_up = link->up != Instant{};
+  if (was_up) {
+    log::info(log_link_, "link to ", servers_.find(server.id)->name, " ", name(why));
   } else {
-    log::info("link to ", name_of, " ", name(why));
+    log::debug("no link to ", servers_.find(server.id)->name, ": ", name(why));
+  }
+  server.refusals = why == Closed::kRefused ? server.refusals + 1 : 0;
+
+  // What never left goes by another link: it is no attempt's end. Only with nothing to go by is it one. A
+  // refusal, or silence for the whole time, says that there is nothing; a reset of a new link does not.
+  auto unsent = link->stream->take_unsent();
+  const bool dead = why == Closed::kRefused || why == Closed::kNeverUp;
+  const bool again = server.wanted && (server.open_links() > 0 || !dead);
+  std::vector<core::AttemptRef> stranded;
+  for (auto& message : unsent) {
+    if (message.tag == 0) continue;
+    const auto ref = std::find_if(link->out.begin(), link->out.end(),
+                                  [&](const auto& one) { return tag(one) == message.tag; });
+    if (ref == link->out.end()) continue;
+    const auto attempt = find(*ref);
+    const auto other = again && link->resent < kMostResent ? pick_link(server) : nullptr;
+    if (attempt == attempts_.end() || !other) {
+      stranded.push_back(*ref);
+      continue;
+    }
+    ++counters_.moved;
+    other->resent = std::max(other->resent, link->resent + 1);
+    other->out.push_back(*ref);
+    attempt->second.link = other;
+    attempt->second.sent = now;
+    link->out.erase(ref);
+    other->stream->send(std::move(message.head), std::move(message.body), message.tag);
+  }
+  for (const auto& ref : stranded) {
+    const auto attempt = find(ref);
+    if (attempt == attempts_.end()) continue;
+    drop(attempt);
+    table_.ended(ref, {Outcome::kConnectFailed, core::Cause::kTemporaryFailure, false, {}});
+  }
+  // A link that was lost leaves what it carried in doubt.
+  end_on(*link, was_up ? Outcome::kReset : Outcome::kConnectFailed);
+  for (auto& bye : std::exchange(link->byes, {})) {
+    if (now - bye.sent < kByeDoubt) send_bye(server, std::move(bye.id), std::move(bye.text));
+  }
+  // What stood has been cut, and nobody is left who could say so.
+  if (server.refusals >= kRefusalsOfDeath && server.open_links() == 0) {
+    table_.cut_all(server.id, "connection refused");
   }
-  // A link that never came up carried nothing; one that was lost leaves its set-ups in doubt.
-  end_on(server, *link, never_up ? Outcome::kConnectFailed : Outcome::kReset);
-  // With no link left, a refusal says that no process listens there any more: what stood has been cut, and
-  // nobody is left who could say so.
-  if (why == Closed::kRefused && server.open_links() == 0) table_.cut_all(server.id, "connection refused");
   if (!server.wanted || server.retry != 0) return;
-  if (!never_up) {
+  if (was_up && now - link->up >= kShortLife) {
+    server.backoff = kLeastBackoff;
     keep_warm(server);
     return;
   }
@@ -168,21 +284,64 @@
   server.backoff = std::min(server.backoff * 2, kMostBackoff);
 }
 
-void SipLinks::end_on(Server& server, const Stream& stream, Outcome outcome) {
-  std::vector<core::AttemptRef> over;
-  for (auto& [key, attempt] : attempts_) {
-    if (key.first == server.id && attempt.link.get() == &stream && !attempt.standing)
-      over.push_back(attempt.ref);
-  }
+void SipLinks::end_on(Link& link, Outcome outcome) {
+  const auto over = std::exchange(link.out, {});
   std::vector<std::string> probes;
   for (const auto& [id, probe] : probes_) {
-    if (probe.link.get() == &stream) probes.push_back(id);
+    if (probe.link.get() == &link) probes.push_back(id);
   }
   for (const auto& ref : over) {
-    drop(find(ref));
+    const auto attempt = find(ref);
+    if (attempt == attempts_.end()) continue;
+    drop(attempt);
     table_.ended(ref, {outcome, core::Cause::kTemporaryFailure, false, {}});
   }
-  for (const auto& id : probes) end_probe(id, Outcome::kConnectFailed, {});
+  for (const auto& id : probes) {
+    const auto found = probes_.find(id);
+    if (found == probes_.end()) continue;
+    // One lost link says nothing of the server while others are open: it is asked again by one of them.
+    auto& server = of(found->second.server);
+    const auto other = server.open_links() > 0 ? pick_link(server) : nullptr;
+    if (other) {
+      found->second.link = other;
+      other->stream->send(options_head(id, own_name_));
+    } else {
+      end_probe(id, Outcome::kConnectFailed, {});
+    }
+  }
+}
+
+// Guards against a link that is open and serves no further use: its server has answered what was sent by
+// other links later, or a message on it has begun and does not end. What is out on it is lost, and held on to
+// it would wait for its callers' whole patience.
+bool SipLinks::is_stuck(const Link& link, Instant now) const {
+  if (link.half_since) return now - *link.half_since > kHalfMessage;
+  if (!link.stream->is_open() || link.out.empty()) return false;
+  const auto first = attempts_.find(by_call_.at(link.out.front().call));
+  if (first == attempts_.end()) return false;
+  const Instant sent = std::max(first->second.sent, link.up);
+  return link.heard <= sent && sent + kOvertakenBy < link.server.answered_sent &&
+         now - link.server.answered_at > kOvertakenFor;
+}
+
+void SipLinks::watch_links() {
+  loop_.after(kWatchEvery, [this] {
+    const Instant now = Loop::now();
+    std::vector<std::shared_ptr<Link>> stuck;
+    for (const auto& [id, server] : by_id_) {
+      for (const auto& link : server->links) {
+        if (is_stuck(*link, now)) stuck.push_back(link);
+        while (!link->byes.empty() && now - link->byes.front().sent > kByeDoubt) link->byes.pop_front();
+      }
+    }
+    for (const auto& link : stuck) {
+      ++counters_.stuck_links;
+      log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
+                link->out.size(), " set-ups out");
+      link->stream->fail(Closed::kReset);
+    }
+    watch_links();
+  });
 }
 
 // ---- what the core asks ---------------------------------------------------------------------------------
@@ -198,10 +357,11 @@
   }
   Key key{server.id, std::string(set_up.id)};
   by_call_[set_up.attempt.call] = key;
-  attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, false};
-  link->send(invite_head({set_up.id, set_up.number, set_up.attempt.attempt + 1}, own_name_, set_up.call_class,
-                         set_up.wait, set_up.description.size()),
-             std::string(set_up.description), tag(set_up.attempt));
+  attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, Loop::now(), false};
+  link->out.push_back(set_up.attempt);
+  link->stream->send(invite_head({set_up.id, set_up.number, set_up.attempt.attempt + 1}, own_name_,
+                                 set_up.call_class, set_up.wait, set_up.description.size()),
+                     std::string(set_up.description), tag(set_up.attempt));
 }
 
 void SipLinks::cancel(const core::AttemptRef& attempt) {
@@ -211,27 +371,38 @@
   const std::string number = found->second.number;
   const std::string id = found->first.second;
   drop(found);
-  if (!link || link->is_closed()) return;
-  if (link->take_back(tag(attempt))) {
+  if (!link || link->stream->is_closed()) return;
+  if (link->stream->take_back(tag(attempt))) {
     ++counters_.taken_back;
     return;
   }
-  link->send(request_head("CANCEL", {id, number, attempt.attempt + 1}, own_name_));
+  link->stream->send(request_head("CANCEL", {id, number, attempt.attempt + 1}, own_name_));
 }
 
 void SipLinks::release(const core::AttemptRef& attempt, core::Cause cause) {
   const auto found = find(attempt);
   if (found == attempts_.end()) return;
-  auto bye =
-      request_head("BYE", {found->first.second, found->second.number, attempt.attempt + 2}, own_name_, cause);
+  std::string id = found->first.second;
+  auto bye = request_head("BYE", {id, found->second.number, attempt.attempt + 2}, own_name_, cause);
   auto& server = of(attempt.server);
   drop(found);
+  send_bye(server, std::move(id), std::move(bye));
+}
+
+// A release that is lost leaves a call standing for good: it is kept until it is confirmed, and told again
+// when its link is lost before that.
+void SipLinks::send_bye(Server& server, std::string id, std::string bye) {
   if (server.open_links() > 0) {
-    pick_link(server)->send(std::move(bye));
-  } else if (server.wanted && server.pending.size() < kMostPending) {
-    server.pending.push_back(std::move(bye));
-    keep_warm(server);
+    if (const auto link = pick_link(server)) {
+      if (link->byes.size() >= kMostByes) link->byes.pop_front();
+      link->byes.push_back({std::move(id), bye, Loop::now()});
+      link->stream->send(std::move(bye));
+      return;
+    }
   }
+  if (!server.wanted || server.pending.size() >= bounds_.waiting_of_one) return;
+  server.pending.emplace_back(std::move(id), std::move(bye));
+  keep_warm(server);
 }
 
 void SipLinks::probe(ServerId id) {
@@ -243,7 +414,7 @@
   probe.limit =
       loop_.after(kProbeLimit, [this, key = std::string(text)] { end_probe(key, Outcome::kTimeout, {}); });
   probes_.emplace(text, std::move(probe));
-  if (link) link->send(options_head(text, own_name_));
+  if (link) link->stream->send(options_head(text, own_name_));
 }
 
 void SipLinks::end_probe(const std::string& id, Outcome outcome, const Report& load) {
@@ -257,6 +428,9 @@
 
 void SipLinks::drop(Attempts::iterator at) {
   if (at == attempts_.end()) return;
+  if (const auto& link = at->second.link) {
+    std::erase_if(link->out, [&](const auto& ref) { return ref.call == at->second.ref.call; });
+  }
   by_call_.erase(at->second.ref.call);
   attempts_.erase(at);
 }
@@ -274,49 +448,57 @@
 
 // ---- what the servers say -------------------------------------------------------------------------------
 
-std::size_t SipLinks::link_bytes(Server& server, Stream& stream, std::span<char> bytes) {
+std::size_t SipLinks::link_bytes(Link& link, std::span<char> bytes) {
+  const auto keep = link.shared_from_this();
+  link.heard = Loop::now();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
     const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, kMostMessage);
     if (read.state == SipRead::State::kMore) break;
     if (read.state == SipRead::State::kBad) {
       ++counters_.unreadable;
-      log::warn("unreadable head from ", servers_.find(server.id)->name, ": link closed");
-      const auto keep = stream.shared_from_this();
-      stream.close();
-      link_closed(server, stream, Closed::kReset);
-      return taken;
+      log::warn(log_bad_, "unreadable head from ", servers_.find(link.server.id)->name, ": link closed");
+      link.stream->fail(Closed::kReset);
+      return bytes.size();
     }
-    on_message(server, stream, read);
-    if (stream.is_closed()) return taken;
+    on_message(link, read);
+    if (link.stream->is_closed()) return bytes.size();
     taken += read.size();
   }
+  if (taken == bytes.size()) {
+    link.half_since.reset();
+  } else if (taken > 0 || !link.half_since) {
+    link.half_since = Loop::now();
+  }
   return taken;
 }
 
-void SipLinks::on_message(Server& server, Stream& stream, const SipRead& read) {
+void SipLinks::on_message(Link& link, const SipRead& read) {
   const auto& head = read.head;
   if (head.status != 0) {
     if (head.method == "INVITE") {
-      on_invite_answer(server, stream, read);
+      on_invite_answer(link, read);
     } else if (head.method == "OPTIONS") {
       if (head.status < 200) return;
       end_probe(std::string(head.call_id), head.status < 300 ? Outcome::kOk : Outcome::kFull,
                 read_report(head.occupancy));
+    } else if (head.method == "BYE") {
+      std::erase_if(link.byes, [&](const auto& bye) { return bye.id == head.call_id; });
     }
-    return;  // 200 to BYE and CANCEL mean nothing
+    return;
   }
   if (head.method == "NOTIFY") {
-    table_.load_told(server.id, read_report(head.occupancy));
+    table_.load_told(link.server.id, read_report(head.occupancy));
   } else if (head.method == "BYE") {
-    on_bye(server, stream, head);
+    on_bye(link, head);
   } else if (head.method != "ACK") {
-    stream.send(ok_head(head));
+    link.stream->send(ok_head(head));
   }
 }
 
-void SipLinks::on_invite_answer(Server& server, Stream& stream, const SipRead& read) {
+void SipLinks::on_invite_answer(Link& link, const SipRead& read) {
   const auto& head = read.head;
+  auto& server = link.server;
   if (head.status < 200) return;
   const auto found = attempts_.find({server.id, std::string(head.call_id)});
   // The Call-ID and the method tell whose answer it is, nothing else does: servers answer a second attempt
@@ -325,22 +507,41 @@
   const SipCall call{head.call_id, current ? std::string_view(found->second.number) : "late",
                      std::max(head.sequence, 1U)};
   // Every final answer is acknowledged, also one that crossed our CANCEL or came after our patience.
-  stream.send(request_head("ACK", call, own_name_));
+  link.stream->send(request_head("ACK", call, own_name_));
+  if (current && found->second.sent > server.answered_sent) {
+    server.answered_sent = found->second.sent;
+    server.answered_at = Loop::now();
+  }
   if (head.status < 300) {
     // The answer of the call that stands, repeated: a release would cut that call.
     if (!current && found != attempts_.end()) return;
-    if (current) {
+    const bool plausible = is_description(read.body);
+    if (current && plausible) {
       const auto ref = found->second.ref;
       found->second.standing = true;
-      found->second.link.reset();
+      if (const auto by = std::exchange(found->second.link, nullptr)) {
+        std::erase_if(by->out, [&](const auto& one) { return one.call == ref.call; });
+      }
       if (table_.stood(ref, read.body)) return;
       drop(find(ref));
     }
+    const std::string id(head.call_id);
+    auto bye =
+        request_head("BYE", {call.id, call.number, call.sequence + 1}, own_name_, core::Cause::kNormal);
+    if (current && !plausible) {
+      // It has run, and what it says is spoilt: released there, and no part of it is passed on. The link
+      // carries nothing more.
+      ++counters_.spoilt_answers;
+      log::warn(log_bad_, "spoilt answer of ", servers_.find(server.id)->name, " to ", id, ": link closed");
+      const auto keep = link.shared_from_this();
+      link.stream->fail(Closed::kReset);
+      send_bye(server, id, std::move(bye));
+      return;
+    }
     ++counters_.late_answers;
-    log::info("late answer of ", servers_.find(server.id)->name, " released: ", call.id);
+    log::info(log_late_, "late answer of ", servers_.find(server.id)->name, " released: ", call.id);
     // Nobody waits for it any more: it is released, and no second answer is passed on.
-    stream.send(
-        request_head("BYE", {call.id, call.number, call.sequence + 1}, own_name_, core::Cause::kNormal));
+    link.stream->send(std::move(bye));
     return;
   }
   if (!current) return;
@@ -365,9 +566,9 @@
   table_.ended(ref, end);
 }
 
-void SipLinks::on_bye(Server& server, Stream& stream, const SipHead& head) {
-  stream.send(ok_head(head));
-  const auto found = attempts_.find({server.id, std::string(head.call_id)});
+void SipLinks::on_bye(Link& link, const SipHead& head) {
+  link.stream->send(ok_head(head));
+  const auto found = attempts_.find({link.server.id, std::string(head.call_id)});
   if (found == attempts_.end()) {
     ++counters_.unknown_ids;  // a release is told again on the next link that opens
     return;
--- a/src/net/sip_links.hpp
+++ b/src/net/sip_links.hpp
@@ -12,6 +12,7 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
+#include "net/log.hpp"
 #include "net/sip.hpp"
 #include "net/stream.hpp"
 
@@ -20,12 +21,15 @@
 class SipLinks : public core::ServerPort {
  public:
   SipLinks(Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-           std::string own_name, Duration connect_limit);
+           const Bounds& bounds, std::string own_name, Duration connect_limit);
   ~SipLinks() override;
 
   /// The list was changed: open links to what is new, close those to what has gone, take back what may not
   /// leave any more.
   void server_changed(const core::ListedServer& server);
+  /// It has gone and nothing of it is left: its name, if it comes again, is another server's.
+  void forget_server(ServerId server);
+  [[nodiscard]] std::size_t servers() const { return by_id_.size(); }
 
   void set_up(const core::SetUp& set_up) override;
   void cancel(const core::AttemptRef& attempt) override;
@@ -40,12 +44,13 @@
   struct Attempt {
     core::AttemptRef ref;
     std::string number;
-    std::shared_ptr<Stream> link;  ///< which it left by; null once it stands or that is lost
+    std::shared_ptr<Link> link;  ///< which it left by; null once it stands or that is lost
+    Instant sent{};
     bool standing = false;
   };
   struct Probe {
     ServerId server{};
-    std::shared_ptr<Stream> link;
+    std::shared_ptr<Link> link;
     Instant sent{};
     core::TimerWheel::Handle limit = 0;
   };
@@ -60,15 +65,18 @@
   Server& of(ServerId id);
   void keep_warm(Server& server);
   void connect(Server& server);
-  std::shared_ptr<Stream> pick_link(Server& server);
-  void link_open(Server& server, Stream& stream);
-  void link_closed(Server& server, Stream& stream, Closed why);
-  std::size_t link_bytes(Server& server, Stream& stream, std::span<char> bytes);
-  void on_message(Server& server, Stream& stream, const SipRead& read);
-  void on_invite_answer(Server& server, Stream& stream, const SipRead& read);
-  void on_bye(Server& server, Stream& stream, const SipHead& head);
-  void end_on(Server& server, const Stream& stream, Outcome outcome);
+  std::shared_ptr<Link> pick_link(Server& server);
+  void link_open(Link& link);
+  void link_closed(Link& link, Closed why);
+  std::size_t link_bytes(Link& link, std::span<char> bytes);
+  void on_message(Link& link, const SipRead& read);
+  void on_invite_answer(Link& link, const SipRead& read);
+  void on_bye(Link& link, const SipHead& head);
+  void send_bye(Server& server, std::string id, std::string bye);
+  void end_on(Link& link, Outcome outcome);
   void end_probe(const std::string& id, Outcome outcome, const Report& load);
+  void watch_links();
+  [[nodiscard]] bool is_stuck(const Link& link, Instant now) const;
   Attempts::iterator find(const core::AttemptRef& attempt);
   void drop(Attempts::iterator at);
   static Stream::Tag tag(const core::AttemptRef& attempt) {
@@ -79,6 +87,7 @@
   core::CallTable& table_;
   core::ServerList& servers_;
   core::Counters& counters_;
+  Bounds bounds_;
   std::string own_name_;
   Duration connect_limit_;
   std::map<ServerId, std::unique_ptr<Server>> by_id_;
@@ -86,6 +95,8 @@
   std::unordered_map<CallId, Key> by_call_;
   std::unordered_map<std::string, Probe> probes_;
   std::uint64_t next_probe_ = 1;
+  std::size_t links_ = 0;  ///< connecting and open, to all servers
+  log::Few log_late_, log_bad_, log_link_;
 };
 
 }  // namespace amberknot::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,16 @@
 #include <utility>
 
 namespace amberknot::net {
+namespace {
+
+using std::chrono::milliseconds;
+
+// After a failed write what has come is read on for so long.
+constexpr Duration kReadOn = milliseconds{20};
+// A finished connection whose other side does not close is closed after this.
+constexpr Duration kLinger = milliseconds{1000};
+
+}  // namespace
 
 const char* name(Closed why) {
   static constexpr const char* kNames[] = {"ended", "reset", "refused", "never up", "overrun"};
@@ -28,7 +38,9 @@
     if (self->is_closed()) return;
     self->loop_.wheel.cancel(std::exchange(self->limit_, 0));
     if (error) {
-      self->fail(error == asio::error::connection_refused ? Closed::kRefused : Closed::kNeverUp);
+      self->fail(error == asio::error::connection_refused ? Closed::kRefused
+                 : error == asio::error::connection_reset ? Closed::kReset
+                                                          : Closed::kNeverUp);
       return;
     }
     self->begin();
@@ -50,55 +62,111 @@
 }
 
 void Stream::read() {
-  socket_.async_read_some(
-      asio::buffer(in_.data() + filled_, in_.size() - filled_),
-      [self = shared_from_this()](const asio::error_code& error, std::size_t got) {
-        if (self->is_closed()) return;
-        if (error) {
-          self->fail(reason(error));
-          return;
-        }
-        self->used_at_ = Loop::now();
-        self->filled_ += got;
-        const std::size_t taken = self->owner_->on_bytes(*self, std::span(self->in_.data(), self->filled_));
-        if (self->is_closed()) return;
-        std::move(self->in_.begin() + static_cast<std::ptrdiff_t>(taken),
-                  self->in_.begin() + static_cast<std::ptrdiff_t>(self->filled_), self->in_.begin());
-        self->filled_ -= taken;
-        if (self->filled_ == self->in_.size()) {
-          self->fail(Closed::kOverrun);
-          return;
-        }
-        self->read();
-      });
+  reading_ = true;
+  socket_.async_read_some(asio::buffer(in_.data() + filled_, in_.size() - filled_),
+                          [self = shared_from_this()](const asio::error_code& error, std::size_t got) {
+                            self->reading_ = false;
+                            if (self->is_closed()) {
+                              self->drop_input();
+                              return;
+                            }
+                            if (error) {
+                              self->fail(reason(error));
+                              return;
+                            }
+                            self->used_at_ = Loop::now();
+                            self->filled_ += got;
+                            self->deliver();
+                          });
+}
+
+void Stream::deliver() {
+  yielded_ = false;
+  const std::size_t taken = owner_->on_bytes(*this, std::span(in_.data(), filled_));
+  if (is_closed()) {
+    drop_input();
+    return;
+  }
+  std::move(in_.begin() + static_cast<std::ptrdiff_t>(taken),
+            in_.begin() + static_cast<std::ptrdiff_t>(filled_), in_.begin());
+  filled_ -= taken;
+  if (yielded_) {
+    asio::post(loop_.io, [self = shared_from_this()] {
+      if (!self->is_closed()) self->deliver();
+    });
+  } else if (filled_ == in_.size()) {
+    fail(Closed::kOverrun);
+  } else {
+    read();
+  }
+}
+
+// For a stream that is finished: what comes is read and dropped until the other side closes too.
+void Stream::drop_input() {
+  constexpr std::size_t kMostDropped = 256 * 1024;
+  if (!lingering_ || reading_) return;
+  reading_ = true;
+  socket_.async_read_some(asio::buffer(in_),
+                          [self = shared_from_this()](const asio::error_code& error, std::size_t got) {
+                            self->reading_ = false;
+                            if (!self->lingering_) return;
+                            self->dropped_ += got;
+                            if (error || self->dropped_ > kMostDropped) {
+                              self->close();
+                            } else {
+                              self->drop_input();
+                            }
+                          });
+}
+
+void Stream::count_out(std::size_t bytes) {
+  queued_ -= bytes;
+  loop_.outgoing.bytes -= bytes;
 }
 
 void Stream::send(std::string head, std::string body, Tag tag) {
-  if (is_closed()) return;
+  if (is_closed() || write_failed_) return;
   queued_ += head.size() + body.size();
+  loop_.outgoing.bytes += head.size() + body.size();
   out_.push_back({std::move(head), std::move(body), tag});
-  if (queued_ > kMostQueued) {
-    // The other side does not read: what waits for it must not grow without bound.
-    asio::post(loop_.io, [self = shared_from_this()] { self->fail(Closed::kOverrun); });
-    return;
-  }
   flush();
+  // Another side that does not read: what waits for it must not grow without bound, nor what waits for all.
+  auto& all = loop_.outgoing;
+  Stream* worst = queued_ > all.most_on_one ? this : nullptr;
+  if (worst == nullptr && all.bytes > all.most) {
+    for (auto* one : all.blocked) {
+      if (worst == nullptr || one->queued_ > worst->queued_) worst = one;
+    }
+  }
+  if (worst == nullptr || worst->is_closed()) return;
+  asio::post(loop_.io, [self = worst->shared_from_this()] { self->fail(Closed::kOverrun); });
 }
 
 bool Stream::take_back(Tag tag) {
   for (auto at = out_.begin(); at != out_.end(); ++at) {
     if (at->tag != tag || (at == out_.begin() && begun_ > 0)) continue;
-    queued_ -= at->size();
+    count_out(at->size());
     out_.erase(at);
     return true;
   }
   return false;
 }
 
+std::vector<Stream::Message> Stream::take_unsent() {
+  std::vector<Message> unsent;
+  const std::size_t first = begun_ > 0 ? 1 : 0;
+  while (out_.size() > first) {
+    count_out(out_[first].size());
+    unsent.push_back(std::move(out_[first]));
+    out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(first));
+  }
+  return unsent;
+}
+
 // Gathered: as many heads and bodies in one write as the system takes. The write is tried at once and never
 // left to Asio, which would hold on to the buffers while the socket is blocked.
 void Stream::flush() {
-  while (open_ && !waiting_to_write_ && !out_.empty()) {
+  while (open_ && !waiting_to_write_ && !write_failed_ && !out_.empty()) {
     constexpr std::size_t kMostPieces = 32;
     std::array<asio::const_buffer, kMostPieces> pieces;
     std::size_t count = 0;
@@ -120,20 +188,21 @@
         socket_.write_some(std::span<const asio::const_buffer>(pieces.data(), count), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
       waiting_to_write_ = true;
+      loop_.outgoing.blocked.insert(this);
       socket_.async_wait(asio::ip::tcp::socket::wait_write,
                          [self = shared_from_this()](const asio::error_code& failed) {
                            self->waiting_to_write_ = false;
+                           self->loop_.outgoing.blocked.erase(self.get());
                            if (!failed) self->flush();
                          });
       return;
     }
     if (error) {
-      // Reported through the loop: a sender must not be told from inside its own call.
-      asio::post(loop_.io, [self = shared_from_this(), error] { self->fail(reason(error)); });
+      stop_writing(reason(error));
       return;
     }
     used_at_ = Loop::now();
-    queued_ -= written;
+    count_out(written);
     written += begun_;
     while (!out_.empty() && written >= out_.front().size()) {
       written -= out_.front().size();
@@ -141,24 +210,85 @@
     }
     begun_ = written;
   }
+  if (lingering_ && out_.empty()) {
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+}
+
+// What cannot be written does not undo what has come: answers that wait to be read are read first, and the
+// end of the input tells the owner. It is told through the loop, never from inside its own call.
+void Stream::stop_writing(Closed why) {
+  if (lingering_) {
+    close();
+    return;
+  }
+  if (std::exchange(write_failed_, true)) return;
+  limit_ = loop_.after(kReadOn, [self = shared_from_this(), why] {
+    self->limit_ = 0;
+    self->fail(why);
+  });
 }
 
 void Stream::fail(Closed why) {
   if (is_closed()) return;
   auto* owner = owner_;
   const auto self = shared_from_this();
-  close();
+  shut();
+  // What never left is still queued: the owner may take it back and send it another way.
   owner->on_closed(*this, why);
+  drop_queue();
 }
 
 void Stream::close() {
+  shut();
+  drop_queue();
+}
+
+void Stream::shut() {
   owner_ = nullptr;
   open_ = false;
+  lingering_ = false;
+  loop_.outgoing.blocked.erase(this);
   loop_.wheel.cancel(std::exchange(limit_, 0));
   asio::error_code ignored;
   socket_.close(ignored);
 }
 
+void Stream::drop_queue() {
+  count_out(queued_);
+  out_.clear();
+  begun_ = 0;
+}
+
+void Stream::reset() {
+  asio::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  close();
+}
+
+void Stream::finish() {
+  if (is_closed()) return;
+  if (!open_ || write_failed_) {
+    close();
+    return;
+  }
+  owner_ = nullptr;
+  lingering_ = true;
+  limit_ = loop_.after(kLinger, [self = shared_from_this()] {
+    self->limit_ = 0;
+    self->close();
+  });
+  flush();
+  // A read that is out goes on to drop; where none is, dropping begins once the owner's call is over.
+  asio::post(loop_.io, [self = shared_from_this()] { self->drop_input(); });
+}
+
+Stream::~Stream() {
+  loop_.outgoing.bytes -= queued_;
+  loop_.outgoing.blocked.erase(this);
+}
+
 Closed Stream::reason(const asio::error_code& error) {
   return error == asio::error::eof ? Closed::kEnded : Closed::kReset;
 }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -10,13 +10,11 @@
 #include <string_view>
 #include <vector>
 
+#include "net/bounds.hpp"
 #include "net/loop.hpp"
 
 namespace amberknot::net {
 
-inline constexpr std::size_t kMostMessage = 16 * 1024;   ///< bytes of one message
-inline constexpr std::size_t kMostQueued = 1024 * 1024;  ///< bytes that may wait on one connection
-
 enum class Closed { kEnded, kReset, kRefused, kNeverUp, kOverrun };
 const char* name(Closed why);
 
@@ -36,6 +34,7 @@
   using Tag = std::uint64_t;
 
   Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(&owner), socket_(loop.io) {}
+  ~Stream();
 
   /// For an accepted connection.
   void adopt(asio::ip::tcp::socket socket);
@@ -43,24 +42,42 @@
   void send(std::string head, std::string body = {}, Tag tag = 0);
   /// True: the tagged message was queued with no byte written, and is queued no more.
   bool take_back(Tag tag);
+  struct Message {
+    std::string head;
+    std::string body;
+    Tag tag = 0;
+    [[nodiscard]] std::size_t size() const { return head.size() + body.size(); }
+  };
+  /// All of which no byte was written.
+  std::vector<Message> take_unsent();
   void close();
+  /// Closes as if the other side had: the owner is told, and may take back what never left.
+  void fail(Closed why);
+  /// Closes with a reset, whatever is under way.
+  void reset();
+  /// Closes once what is queued has left, and drops what still comes for a while: a close with unread input
+  /// is a reset, which may overtake the last message.
+  void finish();
+  /// Called from on_bytes: the rest of the buffer comes again by itself, after the others had their turn.
+  void yield() { yielded_ = true; }
 
-  [[nodiscard]] bool is_open() const { return open_; }
+  [[nodiscard]] bool is_lingering() const { return lingering_; }
+  [[nodiscard]] std::size_t queued() const { return queued_; }
+  [[nodiscard]] bool is_open() const { return open_ && !write_failed_; }
   [[nodiscard]] bool is_closed() const { return owner_ == nullptr; }
   [[nodiscard]] const asio::ip::tcp::endpoint& remote() const { return remote_; }
   [[nodiscard]] Instant used_at() const { return used_at_; }
 
  private:
-  struct Message {
-    std::string head;
-    std::string body;
-    Tag tag = 0;
-    [[nodiscard]] std::size_t size() const { return head.size() + body.size(); }
-  };
   void begin();
   void read();
+  void deliver();
+  void drop_input();
   void flush();
-  void fail(Closed why);
+  void stop_writing(Closed why);
+  void count_out(std::size_t bytes);
+  void shut();
+  void drop_queue();
   static Closed reason(const asio::error_code& error);
 
   Loop& loop_;
@@ -69,6 +86,11 @@
   asio::ip::tcp::endpoint remote_;
   bool open_ = false;
   bool waiting_to_write_ = false;
+  bool write_failed_ = false;
+  bool reading_ = false;
+  bool yielded_ = false;
+  bool lingering_ = false;
+  std::size_t dropped_ = 0;
   std::vector<char> in_;
   std::size_t filled_ = 0;
   std::deque<Message> out_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -74,6 +74,8 @@
 constexpr double kBlindColdSetUps = 2.0;
 // Look at held calls and silent servers this often, in rounds.
 constexpr int kLookRounds = 4;
+// A server that has gone is remembered this long: its processor may come back under the same id.
+constexpr Duration kGoneKept = std::chrono::seconds{60};
 // One log line of a kind at most in this time.
 constexpr Duration kLogGap = std::chrono::seconds{5};
 
@@ -90,6 +92,7 @@
   ServerId id{};
   CellNo cell{};
   ListState state = ListState::kReady;
+  Instant gone_at{};
   std::optional<Instant> cold_since;
   std::optional<double> free_lines;
   std::optional<double> lines;
@@ -177,6 +180,8 @@
     look_around();
   }
 
+  [[nodiscard]] std::size_t known_servers() const { return servers_.size(); }
+
  private:
   // ---- per-server view: list, delay, suspicion, warm-up -------------------------------------------------
 
@@ -186,12 +191,16 @@
       return;
     }
     if (news.scope != ListScope::kDelta) {
-      for (auto& [id, server] : servers_) server.state = ListState::kGone;
+      for (auto& [id, server] : servers_) {
+        if (server.state != ListState::kGone) server.gone_at = now_;
+        server.state = ListState::kGone;
+      }
     }
     for (const auto& entry : news.entries) {
       auto& server = servers_[entry.server];
       server.id = entry.server;
       server.cell = entry.cell;
+      if (entry.state == ListState::kGone && server.state != ListState::kGone) server.gone_at = now_;
       server.state = entry.state;
       // A fresh start time is a cold processor, whether or not its stop was ever listed.
       if (entry.started && (!server.cold_since || *server.cold_since < *entry.started)) {
@@ -200,6 +209,15 @@
         server.heard_at = now_;
       }
     }
+    forget_gone();
+  }
+
+  // Ids of servers are always new: without this the table would grow all day.
+  void forget_gone() {
+    std::erase_if(servers_, [this](const auto& item) {
+      const auto& server = item.second;
+      return server.state == ListState::kGone && server.out.empty() && now_ - server.gone_at > kGoneKept;
+    });
   }
 
   void heard(Server& server, const Report& report) {
@@ -865,6 +883,9 @@
 void Admission::start(Instant now, std::vector<Action>& actions) {
   impl_->start(now, actions);
 }
+std::size_t Admission::known_servers() const {
+  return impl_->known_servers();
+}
 void Admission::handle(Instant now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
--- a/tests/net_bench.hpp
+++ b/tests/net_bench.hpp
@@ -18,22 +18,32 @@
 
 /// One end of a connection under the test's hand: keeps what came, sends what it is told.
 struct End : net::Stream::Owner {
-  explicit End(Loop& loop) : stream(std::make_shared<net::Stream>(loop, *this)) {}
+  explicit End(Loop& loop) : loop(loop), stream(std::make_shared<net::Stream>(loop, *this)) {}
   ~End() override { stream->close(); }
   std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
     in.append(bytes.data(), bytes.size());
     return bytes.size();
   }
-  void on_closed(net::Stream& /*stream*/, net::Closed /*why*/) override { closed = true; }
+  void on_closed(net::Stream& /*stream*/, net::Closed reason) override {
+    closed = true;
+    why = reason;
+  }
+  /// A reset, whatever is still under way.
+  void reset() {
+    stream->reset();
+    closed = true;
+  }
   [[nodiscard]] bool has(std::string_view text) const { return in.find(text) != std::string::npos; }
   [[nodiscard]] std::size_t count(std::string_view text) const {
     std::size_t found = 0;
     for (auto at = in.find(text); at != std::string::npos; at = in.find(text, at + 1)) ++found;
     return found;
   }
+  Loop& loop;
   std::shared_ptr<net::Stream> stream;
   std::string in;
   bool closed = false;
+  net::Closed why = net::Closed::kEnded;
 };
 
 /// A stand-in's listening side; every connection it takes is kept.
