--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,11 +4,12 @@
 
 void Counters::print(std::ostream& out) const {
   out << "counters: taken in: taken=" << taken << " given_up=" << given_up << " malformed=" << malformed
-      << " unreadable=" << unreadable << " unknown_ids=" << unknown_ids << " feed_events=" << feed_events
-      << " feed_restarts=" << feed_restarts << " load_reports=" << load_reports
-      << " directory_failures=" << directory_failures << " reloads=" << reloads
-      << " reloads_failed=" << reloads_failed << "; sent: sent=" << sent << " cancels=" << cancels
-      << " probes=" << probes << " taken_back=" << taken_back << " moved=" << moved
+      << " unreadable=" << unreadable << " repeated_ids=" << repeated_ids << " turned_away=" << turned_away
+      << " evicted=" << evicted << " silent=" << silent << " unknown_ids=" << unknown_ids
+      << " feed_events=" << feed_events << " feed_restarts=" << feed_restarts
+      << " load_reports=" << load_reports << " directory_failures=" << directory_failures
+      << " reloads=" << reloads << " reloads_failed=" << reloads_failed << "; sent: sent=" << sent
+      << " cancels=" << cancels << " probes=" << probes << " taken_back=" << taken_back << " moved=" << moved
       << " stuck_links=" << stuck_links << " spoilt_answers=" << spoilt_answers
       << " late_answers=" << late_answers << "; answered: stood=" << stood << " refused=" << refused
       << " failed=" << failed << " released=" << released << " cut=" << cut << "; attempts ended:";
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -12,6 +12,10 @@
   std::uint64_t given_up = 0;       ///< of these, given up by their callers
   std::uint64_t malformed = 0;      ///< set-ups with a readable id and a bad field
   std::uint64_t unreadable = 0;     ///< lines or heads that ended their connection
+  std::uint64_t repeated_ids = 0;   ///< set-ups under the id of a live call
+  std::uint64_t turned_away = 0;    ///< connections and set-ups refused for want of room
+  std::uint64_t evicted = 0;        ///< connections closed to make room for newcomers
+  std::uint64_t silent = 0;         ///< connections closed that had said nothing of use
   std::uint64_t unknown_ids = 0;    ///< messages about no call that is known
   std::uint64_t feed_events = 0;    ///< changes of the server list applied
   std::uint64_t feed_restarts = 0;  ///< connections to the command channel after the first
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -120,7 +120,14 @@
     throw ConfigError(std::string("config: settings: ") + error.what());
   }
   config.settings_text = std::move(pairs);
-  config.names = {names_in(settings, "classes"), names_in(settings, "tenants")};
+  config.names = {names_in(settings, "classes"), names_in(settings, "tenants"), {}};
+  if (const auto* family = member(settings, "family_info")) {
+    if (const auto* widths = member(*family, "channels_needed"); widths != nullptr && widths->IsArray()) {
+      for (const auto& width : widths->GetArray()) {
+        config.names.widths.push_back(number_of(text_of(width)).value_or(1.0));
+      }
+    }
+  }
   const auto* limits = member(settings, "limits");
   const auto connect = limits != nullptr ? number_of(text_in(*limits, "connect_timeout_us")) : std::nullopt;
   if (!connect || *connect <= 0) throw ConfigError("config: settings: no time in limits.connect_timeout_us");
--- a/src/net/jsonl_front.cpp
+++ b/src/net/jsonl_front.cpp
@@ -4,15 +4,27 @@
 #include <utility>
 
 #include "net/json_text.hpp"
-#include "net/log.hpp"
 
 namespace amberknot::net {
 namespace {
 
-constexpr std::size_t kMostUndelivered = 4096;
-constexpr Duration kIdle = std::chrono::seconds{30};
-constexpr Duration kReapEvery = std::chrono::seconds{5};
-constexpr double kMostLeftMs = 24.0 * 3600 * 1000;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A connection that has said nothing of use by then is closed: who is owed an answer or a close has 3 s.
+constexpr Duration kProveWithin = milliseconds{2400};
+// So long may a line be on its way.
+constexpr Duration kLineWithin = milliseconds{2400};
+constexpr Duration kIdle = seconds{30};
+// A caller that has not come back by then is not told any more.
+constexpr Duration kReleaseKept = seconds{30};
+constexpr Duration kSweepEvery = milliseconds{200};
+// Lines that one connection may have read before the others get their turn.
+constexpr int kMostLinesATurn = 16;
+// Of its class's deadline a caller may say to wait so many times.
+constexpr double kMostLeft = 2.0;
+// What a call holds beside its texts, in all tables together.
+constexpr std::size_t kCallBytes = 1024;
 
 std::optional<std::size_t> index_of(const std::vector<std::string>& names, std::string_view name) {
   const auto at = std::find(names.begin(), names.end(), name);
@@ -23,79 +35,141 @@
 }  // namespace
 
 JsonlFront::JsonlFront(Loop& loop, core::CallTable& table, core::Counters& counters, const Names& names,
-                       const asio::ip::tcp::endpoint& listen, std::size_t most_connections)
+                       const Settings& settings, const Bounds& bounds, const asio::ip::tcp::endpoint& listen)
     : loop_(loop),
       table_(table),
       counters_(counters),
       names_(names),
+      settings_(settings),
+      bounds_(bounds),
       acceptor_(loop.io, listen, true),
-      pause_(loop.io),
-      most_connections_(most_connections) {
+      pause_(loop.io) {
   accept();
-  reap();
+  sweep();
 }
 
+// ---- connections ----------------------------------------------------------------------------------------
+
 void JsonlFront::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
       // Out of descriptors, most likely: accepting again at once would spin.
       log::warn("accept failed: ", error.message());
-      pause_.expires_after(std::chrono::milliseconds{20});
+      pause_.expires_after(milliseconds{20});
       pause_.async_wait([this](const asio::error_code& stopped) {
         if (!stopped) accept();
       });
       return;
     }
-    if (streams_.size() >= most_connections_) {
-      log::warn("connection refused: ", streams_.size(), " are open already");
+    if (make_room()) {
+      take(std::move(socket));
     } else {
-      auto stream = std::make_shared<Stream>(loop_, *this);
-      streams_.emplace(stream.get(), stream);
-      stream->adopt(std::move(socket));
-      // What could not be told to this caller is told on its next connection.
-      const auto waiting = undelivered_.find(stream->remote().address());
-      if (waiting != undelivered_.end() && !stream->is_closed()) {
-        for (auto& line : waiting->second) stream->send(std::move(line));
-        undelivered_.erase(waiting);
-      }
+      ++counters_.turned_away;
+      log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
     }
     accept();
   });
 }
 
+void JsonlFront::take(asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<Stream>(loop_, *this);
+  auto& connection = connections_[stream.get()];
+  connection.stream = stream;
+  connection.accepted = Loop::now();
+  stream->adopt(std::move(socket));
+  if (stream->is_closed()) return;
+  const auto caller = stream->remote().address();
+  by_caller_[caller].push_back(stream.get());
+  // What could not be told to this caller is told on its next connection.
+  const auto waiting = undelivered_.find(caller);
+  if (waiting == undelivered_.end()) return;
+  undelivered_lines_ -= waiting->second.lines.size();
+  for (auto& line : waiting->second.lines) stream->send(std::move(line));
+  undelivered_.erase(waiting);
+}
+
+// At the bound the one that is worth least gives way to the newcomer: one that is closing anyway, then the
+// oldest that has said nothing of use, then the one that has been idle longest. One with a set-up open never.
+bool JsonlFront::make_room() {
+  std::erase_if(lingering_, [](const auto& stream) { return !stream->is_lingering(); });
+  if (connections_.size() + lingering_.size() < bounds_.callers) return true;
+  if (!lingering_.empty()) {
+    lingering_.front()->close();
+    lingering_.pop_front();
+    return true;
+  }
+  Connection* least = nullptr;
+  const auto rank = [](const Connection& one) {
+    return std::pair(one.useful, one.useful ? one.stream->used_at() : one.accepted);
+  };
+  for (auto& [key, one] : connections_) {
+    if (one.unanswered == 0 && (least == nullptr || rank(one) < rank(*least))) least = &one;
+  }
+  if (least == nullptr) return false;
+  ++counters_.evicted;
+  leave(*least, false);
+  return true;
+}
+
+void JsonlFront::leave(Connection& connection, bool with_what_is_queued) {
+  const auto stream = connection.stream;
+  if (with_what_is_queued) {
+    stream->finish();
+    lingering_.push_back(stream);
+  } else {
+    stream->close();
+  }
+  on_closed(*stream, Closed::kEnded);
+}
+
 std::size_t JsonlFront::on_bytes(Stream& stream, std::span<char> bytes) {
+  auto& from = connections_.at(&stream);
   std::size_t taken = 0;
-  while (true) {
+  for (int lines = 0; lines < kMostLinesATurn; ++lines) {
     const auto rest = bytes.subspan(taken);
     const auto end = std::find(rest.begin(), rest.end(), '\n');
     const auto size = static_cast<std::size_t>(end - rest.begin());
-    if (size > kMostMessage || (end != rest.end() && !on_line(stream, rest.first(size), &*end))) {
+    if (size > kMostMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
       ++counters_.unreadable;
-      log::warn("unreadable line from ", stream.remote(), ": connection closed");
-      stream.close();
-      on_closed(stream, Closed::kEnded);
+      log::warn(log_unreadable_, "unreadable line from ", stream.remote(), ": connection closed");
+      leave(from, true);
       return bytes.size();
     }
-    if (end == rest.end() || stream.is_closed()) return taken;
+    if (stream.is_closed()) return bytes.size();
+    if (end == rest.end()) {
+      if (rest.empty()) {
+        from.half_line_since.reset();
+      } else if (taken > 0 || !from.half_line_since) {
+        from.half_line_since = Loop::now();
+      }
+      return taken;
+    }
     taken += size + 1;
   }
+  if (taken < bytes.size()) {
+    stream.yield();
+  } else {
+    from.half_line_since.reset();
+  }
+  return taken;
 }
 
-bool JsonlFront::on_line(Stream& stream, std::span<char> line, char* end) {
+bool JsonlFront::on_line(Connection& from, std::span<char> line, char* end) {
   if (std::all_of(line.begin(), line.end(), [](char c) { return c == ' ' || c == '\r' || c == '\t'; }))
     return true;
   const auto read = reader_.read(line, end);
   if (!read) return false;
   switch (read->type) {
     case JsonLine::Type::kOpen:
-      open(stream, *read);
+      open(from, *read);
       break;
     case JsonLine::Type::kClose:
-      close(stream, *read);
+      close(from, *read);
       break;
     case JsonLine::Type::kProbe:
-      stream.send(probed_line(read->sid, true));
+      from.useful = true;
+      from.stream->send(probed_line(read->sid, true));
       break;
     case JsonLine::Type::kOther:
       break;
@@ -103,86 +177,198 @@
   return true;
 }
 
-void JsonlFront::open(Stream& stream, const JsonLine& line) {
-  std::string sid(line.sid);
-  if (by_sid_.contains(sid)) {
-    ++counters_.unknown_ids;
-    log::warn("set-up with the id of a live call ignored: ", sid);
-    return;
+void JsonlFront::on_closed(Stream& stream, Closed why) {
+  log::debug("caller ", stream.remote(), " ", name(why));
+  const auto found = connections_.find(&stream);
+  if (found == connections_.end()) return;
+  const auto gone = std::move(found->second);
+  connections_.erase(found);
+  if (const auto caller = by_caller_.find(stream.remote().address()); caller != by_caller_.end()) {
+    std::erase(caller->second, &stream);
+    if (caller->second.empty()) by_caller_.erase(caller);
   }
-  core::NewSetUp set_up;
+  // What was not answered on it never can be; what stands belongs to no connection.
+  std::vector<CallId> given_up;
+  for (const CallId id : gone.calls) {
+    auto& call = calls_.at(id);
+    call.on = nullptr;
+    if (call.answered) continue;
+    held_ -= call.held;
+    by_sid_.erase(call.sid);
+    calls_.erase(id);
+    given_up.push_back(id);
+  }
+  for (const CallId id : given_up) table_.give_up(id);
+}
+
+// Guards against connections that hold a place and say nothing, or never end a line: descriptors are few, and
+// their other side is owed a close.
+void JsonlFront::sweep() {
+  loop_.after(kSweepEvery, [this] {
+    const Instant now = Loop::now();
+    std::vector<Stream*> out;
+    for (const auto& [key, one] : connections_) {
+      const bool silent = !one.useful && now - one.accepted > kProveWithin;
+      const bool halted = one.half_line_since && now - *one.half_line_since > kLineWithin;
+      const bool idle = one.unanswered == 0 && now - one.stream->used_at() > kIdle;
+      if ((silent && one.unanswered == 0) || halted || idle) out.push_back(key);
+    }
+    for (auto* key : out) {
+      const auto found = connections_.find(key);
+      if (found == connections_.end()) continue;
+      if (!found->second.useful) {
+        ++counters_.silent;
+        log::info(log_silent_, "caller ", key->remote(), " has said nothing of use: connection closed");
+      }
+      leave(found->second, true);
+    }
+    std::erase_if(undelivered_, [&](const auto& item) {
+      if (now - item.second.since <= kReleaseKept) return false;
+      undelivered_lines_ -= item.second.lines.size();
+      return true;
+    });
+    std::erase_if(lingering_, [](const auto& stream) { return !stream->is_lingering(); });
+    sweep();
+  });
+}
+
+std::shared_ptr<Stream> JsonlFront::any_of(const asio::ip::address& caller) {
+  const auto found = by_caller_.find(caller);
+  if (found == by_caller_.end()) return nullptr;
+  // The latest is the likeliest to be read.
+  for (auto at = found->second.rbegin(); at != found->second.rend(); ++at) {
+    if ((*at)->is_open()) return (*at)->shared_from_this();
+  }
+  return nullptr;
+}
+
+// ---- what callers say -----------------------------------------------------------------------------------
+
+const char* JsonlFront::check(const JsonLine& line, core::NewSetUp& to) const {
   const auto cls = index_of(names_.classes, line.call_class);
+  if (!cls) return "class";
   const auto tenant =
       names_.tenants.empty() ? std::optional<std::size_t>(0) : index_of(names_.tenants, line.tenant);
+  if (!tenant) return "tenant";
+  const auto& rules = settings_.classes[*cls];
+  // A caller keeps trying as long as its class's deadline: no try lasts much longer.
   const auto left = number_of(line.left);
+  const double most_left = kMostLeft * static_cast<double>(rules.deadline.count()) / 1000.0;
+  if (!left || *left < 0 || *left > most_left) return "left";
+  if (!is_number_called(line.key)) return "key";
   const auto extras = read_extras(line.extras);
-  const char* wrong = !cls                                              ? "class"
-                      : !tenant                                         ? "tenant"
-                      : !left || *left < 0 || *left > kMostLeftMs       ? "left"
-                      : !is_number_called(line.key)                     ? "key"
-                      : line.extras.empty() || !extras || !extras->dest ? "extras"
-                      : !line.has_text                                  ? "text"
-                                                                        : nullptr;
-  if (wrong != nullptr) {
+  if (line.extras.empty() || !extras || !extras->dest) return "extras";
+  const CellNo dest{*extras->dest};
+  if (!rules.pools.empty() && std::find(rules.pools.begin(), rules.pools.end(), dest) == rules.pools.end()) {
+    return "extras dest";
+  }
+  if (*cls < names_.widths.size() && extras->width > names_.widths[*cls]) return "extras width";
+  if (!line.has_text) return "text";
+  to.id = line.sid;
+  to.call_class = line.call_class;
+  to.number = line.key;
+  to.description = line.text;
+  to.facts.expires = Loop::now() + Duration{static_cast<std::int64_t>(*left * 1000.0)};
+  to.facts.first_choice = dest;
+  to.facts.width = extras->width;
+  to.facts.was_cut = extras->again;
+  to.facts.call_class = *cls;
+  to.facts.tenant = *tenant;
+  return nullptr;
+}
+
+void JsonlFront::open(Connection& from, const JsonLine& line) {
+  const std::string sid(line.sid);
+  if (const auto live = by_sid_.find(sid); live != by_sid_.end()) {
+    open_again(from, sid, live->second);
+    return;
+  }
+  core::NewSetUp set_up;
+  if (const char* wrong = check(line, set_up)) {
     ++counters_.malformed;
-    log::warn("set-up ", sid, " failed: bad or missing ", wrong);
-    stream.send(close_line(sid, core::Cause::kInvalidContents));
+    log::warn(log_malformed_, "set-up ", sid, " failed: bad or missing ", wrong);
+    from.stream->send(close_line(sid, core::Cause::kInvalidContents));
+    return;
+  }
+  from.useful = true;
+  const std::size_t held = kCallBytes + 2 * (set_up.description.size() + set_up.number.size());
+  if (held_ + held > bounds_.calls || from.held + held > bounds_.calls_of_one) {
+    // There is no memory to hold it: refused at once, with the time to stay away.
+    ++counters_.turned_away;
+    log::warn(log_full_, "set-up refused: ", held_, " bytes are held for unanswered calls");
+    from.stream->send(close_line(
+        sid, core::Cause::kCongestion,
+        settings_.limits.retry_advice ? std::optional(settings_.limits.max_retry_advice) : std::nullopt));
     return;
   }
-  set_up.id = sid;
-  set_up.call_class = line.call_class;
-  set_up.number = line.key;
-  set_up.description = line.text;
-  set_up.facts.expires = Loop::now() + Duration{static_cast<std::int64_t>(*left * 1000.0)};
-  set_up.facts.first_choice = CellNo{*extras->dest};
-  set_up.facts.width = extras->width;
-  set_up.facts.was_cut = extras->again;
-  set_up.facts.call_class = *cls;
-  set_up.facts.tenant = *tenant;
   const CallId id = table_.take(*this, std::move(set_up));
   by_sid_[sid] = id;
-  calls_[id] = {std::move(sid), stream.shared_from_this(), stream.remote().address(), false};
+  calls_[id] = {sid, &from, from.stream->remote().address(), false, held};
+  from.calls.insert(id);
+  ++from.unanswered;
+  from.held += held;
+  held_ += held;
   table_.decide(id);
 }
 
-void JsonlFront::close(Stream& stream, const JsonLine& line) {
+// Two set-ups under one id. On one connection its caller could not tell their answers apart: both end with
+// the one that the id is owed. A stranger is answered where it asked, and the live call goes on.
+void JsonlFront::open_again(Connection& from, const std::string& sid, CallId live) {
+  ++counters_.repeated_ids;
+  log::warn(log_repeated_, "set-up with the id of a live call failed: ", sid);
+  const auto line = close_line(sid, core::Cause::kInvalidContents);
+  if (calls_.at(live).on == &from) {
+    finish(live, line);
+    table_.close_by_client(live, core::Cause::kInvalidContents);
+  } else {
+    from.stream->send(line);
+  }
+}
+
+void JsonlFront::close(Connection& from, const JsonLine& line) {
   const auto found = by_sid_.find(std::string(line.sid));
+  // Also where the id is not known: a release crosses ours, and its sender is owed that it was heard.
+  from.stream->send(closed_line(line.sid));
   if (found == by_sid_.end()) {
     ++counters_.unknown_ids;
     return;
   }
+  from.useful = true;
   const CallId id = found->second;
-  stream.send(closed_line(line.sid));
-  by_sid_.erase(found);
-  calls_.erase(id);
+  take_out(id);
   table_.close_by_client(id, static_cast<core::Cause>(line.code.value_or(16)));
 }
 
-void JsonlFront::on_closed(Stream& stream, Closed why) {
-  log::debug("caller ", stream.remote(), " ", name(why));
-  const auto keep = stream.shared_from_this();
-  streams_.erase(&stream);
-  std::vector<CallId> given_up;
-  for (auto& [id, call] : calls_) {
-    if (call.stream != keep) continue;
-    call.stream.reset();
-    if (!call.answered) given_up.push_back(id);
-  }
-  // What was not answered on it never can be; what stands belongs to no connection.
-  for (const CallId id : given_up) {
-    by_sid_.erase(calls_.at(id).sid);
-    calls_.erase(id);
-    table_.give_up(id);
-  }
+// ---- what the core says ---------------------------------------------------------------------------------
+
+// The call is answered or over: what it held is free.
+void JsonlFront::settled(Call& call) {
+  if (std::exchange(call.answered, true)) return;
+  held_ -= call.held;
+  if (call.on == nullptr) return;
+  --call.on->unanswered;
+  call.on->held -= call.held;
+}
+
+JsonlFront::Call JsonlFront::take_out(CallId id) {
+  const auto found = calls_.find(id);
+  auto call = std::move(found->second);
+  calls_.erase(found);
+  by_sid_.erase(call.sid);
+  const bool answered = call.answered;
+  settled(call);
+  call.answered = answered;
+  if (call.on != nullptr) call.on->calls.erase(id);
+  return call;
 }
 
 bool JsonlFront::answer(CallId id, std::string_view description) {
   const auto found = calls_.find(id);
-  if (found == calls_.end() || !found->second.stream) return false;
+  if (found == calls_.end() || found->second.on == nullptr) return false;
   auto line = ready_line(found->second.sid, description);
   if (line.size() > kMostMessage) return false;
-  found->second.answered = true;
-  found->second.stream->send(std::move(line));
+  settled(found->second);
+  found->second.on->stream->send(std::move(line));
   return true;
 }
 
@@ -204,43 +390,19 @@
 }
 
 void JsonlFront::finish(CallId id, std::string line) {
-  const auto found = calls_.find(id);
-  auto call = std::move(found->second);
-  calls_.erase(found);
-  by_sid_.erase(call.sid);
-  auto to = call.stream;
-  if (!to && call.answered) to = any_of(call.caller);
+  const auto call = take_out(id);
+  auto to = call.on != nullptr ? call.on->stream : nullptr;
+  if (call.answered && (!to || !to->is_open())) to = any_of(call.caller);
   if (to) {
     to->send(std::move(line));
-  } else if (call.answered) {
-    auto& waiting = undelivered_[call.caller];
-    if (waiting.size() < kMostUndelivered) waiting.push_back(std::move(line));
-  }
-}
-
-std::shared_ptr<Stream> JsonlFront::any_of(const asio::ip::address& caller) {
-  for (const auto& [key, stream] : streams_) {
-    if (stream->is_open() && stream->remote().address() == caller) return stream;
+    return;
   }
-  return nullptr;
-}
-
-void JsonlFront::reap() {
-  loop_.after(kReapEvery, [this] {
-    const Instant now = Loop::now();
-    std::vector<std::shared_ptr<Stream>> idle;
-    for (const auto& [key, stream] : streams_) {
-      if (now - stream->used_at() > kIdle) idle.push_back(stream);
-    }
-    for (const auto& [id, call] : calls_) {
-      if (!call.answered) std::erase(idle, call.stream);
-    }
-    for (const auto& stream : idle) {
-      stream->close();
-      on_closed(*stream, Closed::kEnded);
-    }
-    reap();
-  });
+  if (!call.answered || undelivered_lines_ >= bounds_.waiting) return;
+  auto& waiting = undelivered_[call.caller];
+  if (waiting.lines.size() >= bounds_.waiting_of_one) return;
+  waiting.since = Loop::now();
+  waiting.lines.push_back(std::move(line));
+  ++undelivered_lines_;
 }
 
 }  // namespace amberknot::net
--- a/src/net/jsonl_front.hpp
+++ b/src/net/jsonl_front.hpp
@@ -9,24 +9,28 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "net/jsonl.hpp"
+#include "net/log.hpp"
 #include "net/stream.hpp"
 
 namespace amberknot::net {
 
-/// Names of the settings, as they stand in set-ups.
+/// Names of the settings, as they stand in set-ups, and the lines that a call of each class takes at most.
 struct Names {
   std::vector<std::string> classes;
   std::vector<std::string> tenants;
+  std::vector<double> widths = {};  ///< by class; empty: not told
 };
 
 class JsonlFront : public core::ClientPort, public Stream::Owner {
  public:
   JsonlFront(Loop& loop, core::CallTable& table, core::Counters& counters, const Names& names,
-             const asio::ip::tcp::endpoint& listen, std::size_t most_connections);
+             const Settings& settings, const Bounds& bounds, const asio::ip::tcp::endpoint& listen);
 
   bool answer(CallId call, std::string_view description) override;
   void refuse(CallId call, Duration stay_away) override;
@@ -34,39 +38,67 @@
   void release(CallId call, core::Cause cause) override;
 
   [[nodiscard]] asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
  private:
+  struct Connection {
+    std::shared_ptr<Stream> stream;
+    Instant accepted{};
+    std::optional<Instant> half_line_since;
+    bool useful = false;               ///< a set-up of it was taken, or it ended or tested something
+    std::unordered_set<CallId> calls;  ///< that came by it
+    std::size_t unanswered = 0;        ///< of these
+    std::size_t held = 0;              ///< bytes for the unanswered ones
+  };
   struct Call {
     std::string sid;
-    std::shared_ptr<Stream> stream;
+    Connection* on = nullptr;  ///< by which it came; null once that is gone
     asio::ip::address caller;
     bool answered = false;
+    std::size_t held = 0;
+  };
+  struct Waiting {
+    std::deque<std::string> lines;
+    Instant since{};
   };
 
   void accept();
+  void take(asio::ip::tcp::socket socket);
+  bool make_room();
   std::size_t on_bytes(Stream& stream, std::span<char> bytes) override;
   void on_closed(Stream& stream, Closed why) override;
-  bool on_line(Stream& stream, std::span<char> line, char* end);
-  void open(Stream& stream, const JsonLine& line);
-  void close(Stream& stream, const JsonLine& line);
+  bool on_line(Connection& from, std::span<char> line, char* end);
+  void open(Connection& from, const JsonLine& line);
+  /// What is wrong with a set-up, or null.
+  const char* check(const JsonLine& line, core::NewSetUp& to) const;
+  void open_again(Connection& from, const std::string& sid, CallId live);
+  void close(Connection& from, const JsonLine& line);
+  void leave(Connection& connection, bool with_what_is_queued);
   /// The final message of a call; on its own connection before the answer, on any of the caller's after it.
   void finish(CallId call, std::string line);
+  Call take_out(CallId call);
+  void settled(Call& call);
   std::shared_ptr<Stream> any_of(const asio::ip::address& caller);
-  void reap();
+  void sweep();
 
   Loop& loop_;
   core::CallTable& table_;
   core::Counters& counters_;
   const Names& names_;
+  const Settings& settings_;
+  Bounds bounds_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
-  std::size_t most_connections_;
   JsonLineReader reader_;
-  std::map<Stream*, std::shared_ptr<Stream>> streams_;
+  std::unordered_map<Stream*, Connection> connections_;
+  std::map<asio::ip::address, std::vector<Stream*>> by_caller_;
+  std::list<std::shared_ptr<Stream>> lingering_;  ///< closed for us, not yet by the other side
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, CallId> by_sid_;
-  std::map<asio::ip::address, std::deque<std::string>>
-      undelivered_;  ///< releases for callers without a connection
+  std::size_t held_ = 0;                              ///< bytes for all unanswered calls
+  std::map<asio::ip::address, Waiting> undelivered_;  ///< releases for callers without a connection
+  std::size_t undelivered_lines_ = 0;
+  log::Few log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
 };
 
 }  // namespace amberknot::net
--- a/src/net/router.cpp
+++ b/src/net/router.cpp
@@ -28,7 +28,7 @@
       dispatcher_(config.settings, Loop::now()),
       table_(dispatcher_, servers_, loop.wheel, counters_, &Loop::now),
       links_(loop, table_, servers_, counters_, bounds_, config.name, config.connect_limit),
-      front_(loop, table_, counters_, names_, config.listen, bounds_.callers),
+      front_(loop, table_, counters_, names_, dispatcher_.settings(), bounds_, config.listen),
       diameter_(setup.diameter) {
   loop.outgoing.most = bounds_.queued;
   loop.outgoing.most_on_one = bounds_.queued_on_one;
--- a/src/net/router.hpp
+++ b/src/net/router.hpp
@@ -40,6 +40,7 @@
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
   [[nodiscard]] const core::ServerList& servers() const { return servers_; }
+  [[nodiscard]] std::size_t callers() const { return front_.connections(); }
   [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return front_.local(); }
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const {
     return diameter_front_ ? std::optional(diameter_front_->local()) : std::nullopt;
