Evict connections with standing calls last, and release where calls were served

At fault in src/net/jsonl_front.cpp: make_room took the useful connection that was idle longest, also one whose call stood, and any_of sent the release on the latest connection of the address, most likely one that never reads calls. Ruled out: lost links (none) and descriptors (532 of 1,024).

--- a/src/net/jsonl_front.cpp
+++ b/src/net/jsonl_front.cpp
@@ -1,6 +1,7 @@
 #include "net/jsonl_front.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "net/json_text.hpp"
@@ -90,7 +91,8 @@
 }
 
 // At the bound the one that is worth least gives way to the newcomer: one that is closing anyway, then the
-// oldest that has said nothing of use, then the one that has been idle longest. One with a set-up open never.
+// oldest that has said nothing of use, then the one that has been idle longest, those with calls that stand
+// last, since their callers wait there for the release. One with a set-up open never.
 bool JsonlFront::make_room() {
   std::erase_if(lingering_, [](const auto& stream) { return !stream->is_lingering(); });
   if (connections_.size() + lingering_.size() < bounds_.callers) return true;
@@ -101,7 +103,7 @@
   }
   Connection* least = nullptr;
   const auto rank = [](const Connection& one) {
-    return std::pair(one.useful, one.useful ? one.stream->used_at() : one.accepted);
+    return std::tuple(one.useful, !one.calls.empty(), one.useful ? one.stream->used_at() : one.accepted);
   };
   for (auto& [key, one] : connections_) {
     if (one.unanswered == 0 && (least == nullptr || rank(one) < rank(*least))) least = &one;
@@ -235,11 +237,14 @@
 std::shared_ptr<Stream> JsonlFront::any_of(const asio::ip::address& caller) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return nullptr;
-  // The latest is the likeliest to be read.
-  for (auto at = found->second.rbegin(); at != found->second.rend(); ++at) {
-    if ((*at)->is_open()) return (*at)->shared_from_this();
+  // One that has served calls, and the latest used, is the likeliest to be read: others may come from the
+  // same address and never ask for anything.
+  const auto rank = [this](Stream* one) { return std::pair(connections_.at(one).useful, one->used_at()); };
+  Stream* best = nullptr;
+  for (auto* one : found->second) {
+    if (one->is_open() && (best == nullptr || rank(best) < rank(one))) best = one;
   }
-  return nullptr;
+  return best != nullptr ? best->shared_from_this() : nullptr;
 }
 
 // ---- what callers say -----------------------------------------------------------------------------------
--- a/tests/bad_clients_test.cpp
+++ b/tests/bad_clients_test.cpp
@@ -59,6 +59,40 @@
   CHECK_FALSE(bench.caller->closed);
 }
 
+// Guards against calls that end unheard: their callers wait for the release where the calls were opened.
+TEST_CASE("connections with calls that stand give way last, and releases go where calls were served") {
+  auto config = bench_config();
+  config.sockets = 32;
+  Bench bench({}, config);
+  bench.list();
+  auto& end = bench.standing(kA);
+  std::vector<std::unique_ptr<End>> idle;
+  SUBCASE("more idle connections than there is room for") {
+    for (int i = 0; i < 40; ++i) {
+      idle.push_back(bench.connect(bench.router->callers_at()));
+      idle.back()->stream->send(probe(kB));
+      bench.until([&] { return idle.back()->has("\"probed\""); });
+    }
+    bench.settle();
+    CHECK_FALSE(bench.caller->closed);
+  }
+  SUBCASE("its own connection is gone, and a silent one came later than one in use") {
+    const auto used = bench.connect(bench.router->callers_at());
+    used->stream->send(probe(kB));
+    bench.until([&] { return used->has("\"probed\""); });
+    const auto silent = bench.connect(bench.router->callers_at());
+    bench.until([&] { return bench.router->callers() == 3; });
+    bench.caller->stream->close();
+    bench.until([&] { return bench.router->callers() == 2; });
+    end.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+    bench.until([&] { return used->has("\"close\",\"sid\":\"" + kA); });
+    CHECK(silent->in.empty());
+    return;
+  }
+  end.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+}
+
 // Guards against a reset that overtakes the refusal, as a close with unread input is one.
 TEST_CASE("a refusal arrives although its connection is closed for what follows") {
   Bench bench;
