Shut a server for errors only after three in a row with none that stood between

At fault: read_ending in src/rules.cpp counted one error as a server at fault. Ruled out: links (none stuck or reset).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,6 +47,8 @@
 constexpr double kRecoveryGain = 0.4;
 // Without news an excess delay fades by this time constant, in multiples of the resend time or least aim.
 constexpr double kFadeSpans = 20.0;
+// So many set-ups in a row that fail at a server show that it is at fault, and not the calls.
+constexpr int kErrorsOfFault = 3;
 // After "processor full" a server is shut for this share of the same, doubled each time up to the most.
 constexpr double kShutSpans = 0.5;
 constexpr double kMostShutSpans = 4.0;
@@ -110,6 +112,7 @@
   Instant last_send{};
   Instant shut_until{};
   double shut_spans = kShutSpans;  // next pause after "processor full"
+  int errors_in_row = 0;           // set-ups that failed since one stood
   bool suspect = false;
   Instant suspect_since{};
   Instant next_trial{};
@@ -393,7 +396,8 @@
 
   // Departure: a full processor turns away at a cost in work, and a faulty one answers at once with errors;
   // either would draw most sends by its speed. It is left alone for a pause that doubles, and met again with
-  // one token; each call that stands halves the pause again.
+  // one token; each call that stands halves the pause again. One error may be the call's own, and shuts
+  // nothing.
   void shut(Server& server, std::optional<Duration> asked) {
     press();
     if (now_ < server.shut_until) return;
@@ -491,6 +495,7 @@
       heard(*server, {});
       learn_delay(*server, news.taken);
       server->shut_spans = std::max(kShutSpans, server->shut_spans / 2.0);
+      server->errors_in_row = 0;
       if (warmth(*server) >= 1.0) {
         served_.count(now_, 1.0 / std::max(1.0, warm_servers()));
       } else if (delay(*server) < scaled(span_, kCalmShare)) {
@@ -555,7 +560,7 @@
         break;
       case Outcome::kError:
         heard(server, news.report);
-        if (!news.number_busy) shut(server, std::nullopt);
+        if (!news.number_busy && ++server.errors_in_row >= kErrorsOfFault) shut(server, std::nullopt);
         break;
       case Outcome::kOk:
         heard(server, news.report);
