--- a/src/net/config.cpp
+++ b/src/app/config.cpp
@@ -1,13 +1,14 @@
-#include "net/config.hpp"
+#include "app/config.hpp"
 
 #include <charconv>
 #include <fstream>
 #include <sstream>
 
-#include "net/json_text.hpp"
-#include "settings.hpp"
+#include "net/stream.hpp"
+#include "settings/json_text.hpp"
+#include "settings/settings.hpp"
 
-namespace amberknot::net {
+namespace amberknot::app {
 namespace {
 
 /// The nested settings as the path=value lines of the simulator's first message, which one reader serves.
@@ -19,7 +20,7 @@
     return;
   }
   const auto scalar = [](const rapidjson::Value& one) {
-    return one.IsTrue() ? std::string("true") : one.IsFalse() ? "false" : std::string(text_of(one));
+    return one.IsTrue() ? std::string("true") : one.IsFalse() ? "false" : std::string(settings::text_of(one));
   };
   if (!value.IsArray()) {
     to += path + "=" + scalar(value) + "\n";
@@ -43,13 +44,13 @@
 }
 
 const rapidjson::Value& need(const rapidjson::Value& object, const char* name) {
-  const auto* value = member(object, name);
+  const auto* value = settings::member(object, name);
   if (value == nullptr) throw ConfigError(std::string("config: missing ") + name);
   return *value;
 }
 
 asio::ip::tcp::endpoint endpoint(std::string_view text, const char* field) {
-  const auto read = read_endpoint(text);
+  const auto read = net::read_endpoint(text);
   if (!read) throw ConfigError(std::string("config: no address in ") + field);
   return *read;
 }
@@ -61,8 +62,8 @@
 
 std::vector<std::string> names_in(const rapidjson::Value& settings, const char* list) {
   std::vector<std::string> names;
-  if (const auto* items = member(settings, list); items != nullptr && items->IsArray()) {
-    for (const auto& item : items->GetArray()) names.emplace_back(text_in(item, "name"));
+  if (const auto* items = settings::member(settings, list); items != nullptr && items->IsArray()) {
+    for (const auto& item : items->GetArray()) names.emplace_back(settings::text_in(item, "name"));
   }
   return names;
 }
@@ -71,43 +72,43 @@
 
 Config read_config(std::string json, std::string_view name, std::string_view listen) {
   rapidjson::Document document;
-  document.ParseInsitu<kJsonFlags>(json.data());
+  document.ParseInsitu<settings::kJsonFlags>(json.data());
   if (document.HasParseError() || !document.IsObject()) throw ConfigError("config: not a JSON object");
   Config config;
-  config.name = name.empty() ? text_in(document, "name") : name;
-  config.listen = endpoint(listen.empty() ? text_in(document, "listen") : listen, "listen");
-  const auto seed = text_of(need(document, "seed"));
+  config.name = name.empty() ? settings::text_in(document, "name") : name;
+  config.listen = endpoint(listen.empty() ? settings::text_in(document, "listen") : listen, "listen");
+  const auto seed = settings::text_of(need(document, "seed"));
   const auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (seed.empty() || bad != std::errc{} || end != seed.data() + seed.size()) {
     throw ConfigError("config: seed is not 16 hex digits");
   }
-  if (const auto* limits = member(document, "limits")) {
-    const auto sockets = number_of(text_in(*limits, "sockets"));
+  if (const auto* limits = settings::member(document, "limits")) {
+    const auto sockets = settings::number_of(settings::text_in(*limits, "sockets"));
     if (!sockets || *sockets < 32 || *sockets > 1e7) throw ConfigError("config: limits.sockets out of range");
     config.sockets = static_cast<std::size_t>(*sockets);
-    const auto memory = number_of(text_in(*limits, "memory_mb"));
+    const auto memory = settings::number_of(settings::text_in(*limits, "memory_mb"));
     if (!memory || *memory < 16 || *memory > 1e6) throw ConfigError("config: limits.memory_mb out of range");
     config.memory_mb = static_cast<std::size_t>(*memory);
   }
-  config.channel = endpoint(text_of(need(document, "channel")), "channel");
-  if (const auto* own = member(document, "peer_listen")) {
-    config.peer_listen = datagram_endpoint(text_of(*own), "peer_listen");
+  config.channel = endpoint(settings::text_of(need(document, "channel")), "channel");
+  if (const auto* own = settings::member(document, "peer_listen")) {
+    config.peer_listen = datagram_endpoint(settings::text_of(*own), "peer_listen");
   }
-  if (const auto* all = member(document, "peers_all")) {
-    config.peers_all = datagram_endpoint(text_of(*all), "peers_all");
+  if (const auto* all = settings::member(document, "peers_all")) {
+    config.peers_all = datagram_endpoint(settings::text_of(*all), "peers_all");
   }
-  if (const auto* peers = member(document, "peers"); peers != nullptr && peers->IsArray()) {
+  if (const auto* peers = settings::member(document, "peers"); peers != nullptr && peers->IsArray()) {
     for (const auto& peer : peers->GetArray())
-      config.peers.push_back(datagram_endpoint(text_of(peer), "peers"));
+      config.peers.push_back(datagram_endpoint(settings::text_of(peer), "peers"));
   }
   const auto& known = need(document, "known");
-  const auto cursor = number_of(text_in(known, "cursor"));
+  const auto cursor = settings::number_of(settings::text_in(known, "cursor"));
   if (!cursor || *cursor < 0) throw ConfigError("config: no number in known.cursor");
   config.cursor = static_cast<std::uint64_t>(*cursor);
   const auto& events = need(known, "cmds");
   if (!events.IsArray()) throw ConfigError("config: known.cmds is not a list");
   for (const auto& event : events.GetArray()) {
-    auto news = read_list_news(event);
+    auto news = feed::read_list_news(event);
     if (!news) throw ConfigError("config: an event in known.cmds cannot be read");
     config.known.push_back(std::move(*news));
   }
@@ -115,21 +116,24 @@
   std::string pairs;
   flatten(settings, "", pairs);
   try {
-    config.settings = simhost::parse_settings(pairs, config.seed).settings;
-  } catch (const simhost::SettingsError& error) {
+    config.settings = settings::parse_settings(pairs, config.seed).settings;
+  } catch (const settings::SettingsError& error) {
     throw ConfigError(std::string("config: settings: ") + error.what());
   }
   config.settings_text = std::move(pairs);
   config.names = {names_in(settings, "classes"), names_in(settings, "tenants"), {}};
-  if (const auto* family = member(settings, "family_info")) {
-    if (const auto* widths = member(*family, "channels_needed"); widths != nullptr && widths->IsArray()) {
+  if (const auto* family = settings::member(settings, "family_info")) {
+    if (const auto* widths = settings::member(*family, "channels_needed");
+        widths != nullptr && widths->IsArray()) {
       for (const auto& width : widths->GetArray()) {
-        config.names.widths.push_back(number_of(text_of(width)).value_or(1.0));
+        config.names.widths.push_back(settings::number_of(settings::text_of(width)).value_or(1.0));
       }
     }
   }
-  const auto* limits = member(settings, "limits");
-  const auto connect = limits != nullptr ? number_of(text_in(*limits, "connect_timeout_us")) : std::nullopt;
+  const auto* limits = settings::member(settings, "limits");
+  const auto connect = limits != nullptr
+                           ? settings::number_of(settings::text_in(*limits, "connect_timeout_us"))
+                           : std::nullopt;
   if (!connect || *connect <= 0) throw ConfigError("config: settings: no time in limits.connect_timeout_us");
   config.connect_limit = Duration{static_cast<std::int64_t>(*connect)};
   return config;
@@ -143,4 +147,4 @@
   return text.str();
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::app
--- a/src/net/config.hpp
+++ b/src/app/config.hpp
@@ -10,10 +10,10 @@
 #include <vector>
 
 #include "amberknot/admission.hpp"
-#include "net/feed_parse.hpp"
-#include "net/jsonl_front.hpp"
+#include "core/names.hpp"
+#include "feed/parse.hpp"
 
-namespace amberknot::net {
+namespace amberknot::app {
 
 /// The text names the field at fault.
 class ConfigError : public std::runtime_error {
@@ -32,10 +32,10 @@
   std::vector<asio::ip::udp::endpoint> peers;
   std::optional<asio::ip::udp::endpoint> peers_all;
   std::uint64_t cursor = 0;
-  std::vector<ListNews> known;
+  std::vector<feed::ListNews> known;
   Settings settings;
   std::string settings_text;  ///< as path=value lines, to tell whether they were changed
-  Names names;
+  core::Names names;
   Duration connect_limit{};
 };
 
@@ -45,4 +45,4 @@
 /// The whole file. Throws ConfigError.
 std::string read_file(const std::string& path);
 
-}  // namespace amberknot::net
+}  // namespace amberknot::app
--- /dev/null
+++ b/src/app/kinds.cpp
@@ -0,0 +1,80 @@
+#include "app/kinds.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "diameter/front.hpp"
+#include "diameter/links.hpp"
+#include "jsonl/front.hpp"
+#include "net/log.hpp"
+#include "sip/links.hpp"
+
+namespace amberknot::app {
+namespace {
+
+std::unique_ptr<core::Front> make_jsonl_front(Site& site) {
+  return std::make_unique<jsonl::Front>(site.loop, site.table, site.counters, site.names, site.settings,
+                                        site.bounds, site.config.listen);
+}
+
+std::unique_ptr<core::Front> make_diameter_front(Site& site) {
+  const auto& setup = site.setup.diameter;
+  if (!setup || !setup->listen) return nullptr;
+  auto front = std::make_unique<diameter::Front>(
+      site.loop, site.table, site.counters, site.identity, site.names, site.settings, *setup->listen,
+      site.bounds.diameter, setup->clients, site.tenant_of,
+      [&servers = site.servers](std::string_view host) -> std::optional<CellNo> {
+        const auto* server = servers.find(host);
+        return server != nullptr ? std::optional(server->cell) : std::nullopt;
+      });
+  net::log::info("diameter: ", site.identity.host, " serves clients at ", front->where());
+  return front;
+}
+
+std::unique_ptr<core::Links> make_diameter_links(Site& site) {
+  if (!site.setup.diameter) return nullptr;
+  return std::make_unique<diameter::Links>(site.loop, site.table, site.servers, site.counters, site.identity,
+                                           site.config.connect_limit, site.server_changed);
+}
+
+std::unique_ptr<core::Links> make_sip_links(Site& site) {
+  return std::make_unique<sip::Links>(site.loop, site.table, site.servers, site.counters, site.bounds,
+                                      site.config.name, site.config.connect_limit);
+}
+
+bool speaks_diameter(const OperatorFile& setup, const std::string& server) {
+  return setup.diameter && setup.diameter->speaks_diameter(server);
+}
+bool speaks_sip(const OperatorFile& /*setup*/, const std::string& /*server*/) {
+  return true;
+}
+
+constexpr std::array kFronts = {FrontKind{"json-lines", make_jsonl_front},
+                                FrontKind{"diameter", make_diameter_front}};
+constexpr std::array kLinks = {LinksKind{"diameter", speaks_diameter, make_diameter_links},
+                               LinksKind{"sip", speaks_sip, make_sip_links}};
+
+}  // namespace
+
+std::span<const FrontKind> front_kinds() {
+  return kFronts;
+}
+std::span<const LinksKind> links_kinds() {
+  return kLinks;
+}
+
+void prepare(Site& site) {
+  if (const auto& setup = site.setup.diameter) {
+    auto& identity = site.identity;
+    identity.host = setup->origin_host;
+    identity.realm = setup->origin_realm;
+    identity.state_id = static_cast<std::uint32_t>(net::Loop::unix_ms() / 1000);
+    identity.watchdog = setup->watchdog;
+    identity.jitter = std::min<Duration>(identity.jitter, setup->watchdog / 5);
+    // RFC 6733: the low part is free, the high 12 bits are of the time.
+    identity.next_end_to_end =
+        (identity.state_id << 20U) | (static_cast<std::uint32_t>(site.config.seed) & 0xfffffU);
+  }
+}
+
+}  // namespace amberknot::app
--- a/src/main.cpp
+++ b/src/app/main.cpp
@@ -5,10 +5,10 @@
 #include <iostream>
 #include <string>
 
-#include "net/config.hpp"
+#include "app/config.hpp"
+#include "app/router.hpp"
 #include "net/log.hpp"
 #include "net/loop.hpp"
-#include "net/router.hpp"
 
 namespace {
 
@@ -19,19 +19,19 @@
   return value == nullptr ? std::string() : std::string(value);
 }
 
-void print_counters(const net::Router& router) {
+void print_counters(const app::Router& router) {
   router.counters().print(std::clog);
   std::clog << "; now: unanswered=" << router.table().unanswered()
             << " standing=" << router.table().standing() << std::endl;
 }
 
-net::Config read_configuration() {
-  return net::read_config(net::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
+app::Config read_configuration() {
+  return app::read_config(app::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
                           variable("RELAY_LISTEN"));
 }
 
 // The whole new configuration is read and checked before any of it is applied; a bad one changes nothing.
-void reload(net::Router& router) {
+void reload(app::Router& router) {
   try {
     router.reload(read_configuration());
   } catch (const std::exception& error) {
@@ -39,7 +39,7 @@
   }
 }
 
-void watch_signals(asio::signal_set& signals, net::Loop& loop, net::Router& router) {
+void watch_signals(asio::signal_set& signals, net::Loop& loop, app::Router& router) {
   signals.async_wait([&](const asio::error_code& error, int signal) {
     if (error) return;
     if (signal == SIGUSR1) {
@@ -54,22 +54,22 @@
 }
 
 /// `--operator FILE`, or nothing.
-net::OperatorFile read_operator(int count, char** words) {
+app::OperatorFile read_operator(int count, char** words) {
   if (count == 1) return {};
   if (count != 3 || std::string(words[1]) != "--operator") {
-    throw net::ConfigError("usage: amberknot_router [--operator FILE]");
+    throw app::ConfigError("usage: amberknot_router [--operator FILE]");
   }
-  return net::read_operator_file(net::read_file(words[2]));
+  return app::read_operator_file(app::read_file(words[2]));
 }
 
-int run(const net::OperatorFile& setup) {
+int run(const app::OperatorFile& setup) {
   net::log::set_level(variable("RELAY_LOG"));
   net::Loop loop;
   // Caught before anything is served: unhandled, each of these would end the program.
   asio::signal_set signals(loop.io, SIGTERM, SIGINT, SIGUSR1);
   signals.add(SIGHUP);
   const auto config = read_configuration();
-  net::Router router(loop, config, setup);
+  app::Router router(loop, config, setup);
   watch_signals(signals, loop, router);
   net::log::info(config.name, " serves callers at ", router.callers_at());
   loop.io.run();
--- a/src/net/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -1,11 +1,12 @@
-#include "net/operator_file.hpp"
+#include "app/operator_file.hpp"
 
 #include <initializer_list>
 
-#include "net/config.hpp"
-#include "net/json_text.hpp"
+#include "app/config.hpp"
+#include "net/stream.hpp"
+#include "settings/json_text.hpp"
 
-namespace amberknot::net {
+namespace amberknot::app {
 namespace {
 
 using std::chrono::milliseconds;
@@ -21,13 +22,15 @@
       : value_(value), path_(std::move(path)) {
     if (!value.IsObject()) wrong(path_, "is not an object");
     for (const auto& item : value.GetObject()) {
-      if (std::find(fields.begin(), fields.end(), text_of(item.name)) == fields.end()) {
-        wrong(path_ + "." + std::string(text_of(item.name)), "is not known");
+      if (std::find(fields.begin(), fields.end(), settings::text_of(item.name)) == fields.end()) {
+        wrong(path_ + "." + std::string(settings::text_of(item.name)), "is not known");
       }
     }
   }
 
-  [[nodiscard]] const rapidjson::Value* find(const char* name) const { return member(value_, name); }
+  [[nodiscard]] const rapidjson::Value* find(const char* name) const {
+    return settings::member(value_, name);
+  }
   [[nodiscard]] std::string field(const char* name) const { return path_ + "." + name; }
 
   [[nodiscard]] std::string text(const char* name,
@@ -35,7 +38,7 @@
     const auto* value = find(name);
     if (value == nullptr && otherwise) return *otherwise;
     if (value == nullptr) wrong(field(name), "is missing");
-    const auto read = text_of(*value);
+    const auto read = settings::text_of(*value);
     if (read.empty()) wrong(field(name), "is not a text");
     return std::string(read);
   }
@@ -43,7 +46,7 @@
   [[nodiscard]] milliseconds time(const char* name, milliseconds otherwise, milliseconds least) const {
     const auto* value = find(name);
     if (value == nullptr) return otherwise;
-    const auto read = number_of(text_of(*value));
+    const auto read = settings::number_of(settings::text_of(*value));
     constexpr double kMost = 86'400'000;
     if (!read || *read < static_cast<double>(least.count()) || *read > kMost)
       wrong(field(name), "is out of range");
@@ -56,8 +59,8 @@
     if (value == nullptr) return read;
     if (!value->IsArray()) wrong(field(name), "is not a list");
     for (const auto& item : value->GetArray()) {
-      if (text_of(item).empty()) wrong(field(name), "holds something that is not a text");
-      read.emplace(text_of(item));
+      if (settings::text_of(item).empty()) wrong(field(name), "holds something that is not a text");
+      read.emplace(settings::text_of(item));
     }
     return read;
   }
@@ -75,7 +78,7 @@
   setup.origin_host = section.text("origin_host");
   setup.origin_realm = section.text("origin_realm");
   if (section.find("listen") != nullptr) {
-    setup.listen = read_endpoint(section.text("listen"));
+    setup.listen = net::read_endpoint(section.text("listen"));
     if (!setup.listen) wrong(section.field("listen"), "is not an address with a port");
   }
   setup.clients = section.texts("clients");
@@ -85,9 +88,10 @@
   if (const auto* tenants = section.find("tenants")) {
     if (!tenants->IsObject()) wrong(section.field("tenants"), "is not an object");
     for (const auto& item : tenants->GetObject()) {
-      const auto name = std::string(text_of(item.name));
-      if (text_of(item.value).empty()) wrong(section.field("tenants") + "." + name, "is not a text");
-      setup.tenants.emplace(name, text_of(item.value));
+      const auto name = std::string(settings::text_of(item.name));
+      if (settings::text_of(item.value).empty())
+        wrong(section.field("tenants") + "." + name, "is not a text");
+      setup.tenants.emplace(name, settings::text_of(item.value));
     }
   }
   return setup;
@@ -117,7 +121,7 @@
 
 OperatorFile read_operator_file(std::string json) {
   rapidjson::Document document;
-  document.ParseInsitu<kJsonFlags>(json.data());
+  document.ParseInsitu<settings::kJsonFlags>(json.data());
   if (document.HasParseError()) throw ConfigError("operator file: not JSON");
   const Section file(document, "file", {"diameter", "ldap"});
   OperatorFile read;
@@ -129,4 +133,4 @@
   return read;
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::app
--- a/src/net/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -11,7 +11,7 @@
 
 #include "directory/tenants.hpp"
 
-namespace amberknot::net {
+namespace amberknot::app {
 
 struct DiameterSetup {
   std::string origin_host;
@@ -35,4 +35,4 @@
 /// Throws ConfigError, whose text names the field.
 OperatorFile read_operator_file(std::string json);
 
-}  // namespace amberknot::net
+}  // namespace amberknot::app
--- a/src/net/router.hpp
+++ b/src/app/router.hpp
@@ -3,27 +3,26 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
+#include "app/config.hpp"
+#include "app/kinds.hpp"
+#include "app/operator_file.hpp"
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
+#include "core/names.hpp"
 #include "core/server_list.hpp"
-#include "diameter/front.hpp"
-#include "diameter/links.hpp"
 #include "directory/tenants.hpp"
-#include "net/config.hpp"
-#include "net/feed.hpp"
-#include "net/jsonl_front.hpp"
+#include "feed/feed.hpp"
+#include "feed/peers.hpp"
 #include "net/loop.hpp"
-#include "net/operator_file.hpp"
-#include "net/peers.hpp"
-#include "net/sip_links.hpp"
 
-namespace amberknot::net {
+namespace amberknot::app {
 
 class Router {
  public:
-  Router(Loop& loop, const Config& config, const OperatorFile& setup = {});
+  Router(net::Loop& loop, const Config& config, const OperatorFile& setup = {});
 
   /// Goes on serving until all that was taken is answered, then releases what stands and calls `done`.
   void stop_when_answered(std::function<void()> done);
@@ -35,48 +34,48 @@
   /// Forgets the servers that had been gone for long by then and that nothing refers to.
   void forget_gone(Instant now);
   /// News of the servers, as from the command channel.
-  void apply(const ListNews& news);
+  void apply(const feed::ListNews& news);
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
   [[nodiscard]] const core::ServerList& servers() const { return servers_; }
-  [[nodiscard]] std::size_t callers() const { return front_.connections(); }
-  [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return front_.local(); }
-  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const {
-    return diameter_front_ ? std::optional(diameter_front_->local()) : std::nullopt;
-  }
+  /// Open connections of callers, by whatever front.
+  [[nodiscard]] std::size_t callers() const;
+  /// Where the front of that name in the table of kinds listens; empty: it is not set up.
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> front_at(std::string_view name) const;
+  [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return *front_at(front_kinds()[0].name); }
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const { return front_at("diameter"); }
   /// The tenant that a Diameter client's User-Name or realm belongs to, by the directory or the operator's
   /// file.
   [[nodiscard]] std::string tenant_of(std::string_view user) const;
 
  private:
-  void start_diameter(const Config& config, const OperatorFile& setup);
+  void follow_directory();
+  void server_changed(ServerId id, bool started_anew);
+  [[nodiscard]] core::Links* links_of(const std::string& server) const;
   [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
-  void tell_links(const core::ListedServer& server);
   void look_whether_done();
   void forget_now_and_then();
 
-  Loop& loop_;
+  net::Loop& loop_;
   Config config_;  ///< in force
-  Names names_;
-  Bounds bounds_;
+  core::Names names_;
+  net::Bounds bounds_;
   core::Counters counters_;
   core::ServerList servers_;
   core::Dispatcher dispatcher_;
   core::CallTable table_;
-  SipLinks links_;
-  JsonlFront front_;
-  std::optional<DiameterSetup> diameter_;
-  diameter::Identity identity_;
-  std::unique_ptr<diameter::Links> diameter_links_;
-  std::unique_ptr<diameter::Front> diameter_front_;
+  OperatorFile setup_;
+  Site site_;
+  std::vector<std::unique_ptr<core::Links>> links_;   ///< in the order of the table; null: not set up
+  std::vector<std::unique_ptr<core::Front>> fronts_;  ///< the same
   directory::TenantMap directory_;
   std::unique_ptr<directory::Refresher> refresher_;
-  std::unique_ptr<Peers> peers_;
-  std::unique_ptr<Feed> feed_;
+  std::unique_ptr<feed::Peers> peers_;
+  std::unique_ptr<feed::Feed> feed_;
   std::function<void()> done_;
   Instant stop_from_{};
   Instant stop_by_{};
 };
 
-}  // namespace amberknot::net
+}  // namespace amberknot::app
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -10,6 +10,8 @@
 
 namespace amberknot::core {
 
+struct ListedServer;
+
 /// Q.850 causes that travel with releases.
 enum class Cause : int {
   kNormal = 16,
@@ -62,4 +64,29 @@
   virtual void probe(ServerId server) = 0;
 };
 
+/// One kind of callers' front, as the composition of the program holds it.
+class Front : public ClientPort {
+ public:
+  /// Where its callers connect, as host:port.
+  [[nodiscard]] virtual std::string where() const = 0;
+  /// Open connections of callers.
+  [[nodiscard]] virtual std::size_t connections() const = 0;
+  /// The program ends: every other side is told, where its protocol has words for that.
+  virtual void leave() {}
+};
+
+/// The links to all servers of one kind.
+class Links : public ServerPort {
+ public:
+  /// The list was changed: open links to what is new, close those to what has gone, take back what may not
+  /// leave any more.
+  virtual void server_changed(const ListedServer& server) = 0;
+  /// It has gone and nothing of it is left: its name, if it comes again, is another server's.
+  virtual void forget_server(ServerId server) = 0;
+  /// False: nothing new may go there now, whatever the list says.
+  [[nodiscard]] virtual bool serves(ServerId /*server*/) const { return true; }
+  /// The program ends.
+  virtual void leave() {}
+};
+
 }  // namespace amberknot::core
--- a/src/core/server_list.cpp
+++ b/src/core/server_list.cpp
@@ -22,6 +22,11 @@
   return found != servers_.end() ? &found->second : nullptr;
 }
 
+const ListedServer* ServerList::find(std::string_view name) const {
+  const auto found = by_name_.find(name);
+  return found != by_name_.end() ? find(found->second) : nullptr;
+}
+
 void ServerList::forget(ServerId id) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -20,7 +20,7 @@
   ListState state = ListState::kReady;
   std::int64_t started_unix_ms = 0;  ///< zero: long ago
   std::optional<Instant> started;    ///< the same on the monotonic clock, read once for each start
-  ServerPort* port = nullptr;        ///< whose links lead there
+  Links* port = nullptr;             ///< whose links lead there
   std::optional<Instant> gone_at;    ///< while it is gone
 };
 
@@ -38,6 +38,7 @@
   /// The entry of that name, made on first sight. Ids are never used again.
   ListedServer& of(std::string_view name);
   [[nodiscard]] ListedServer* find(ServerId id);
+  [[nodiscard]] const ListedServer* find(std::string_view name) const;
   [[nodiscard]] const ListedServer* find(ServerId id) const;
   [[nodiscard]] const std::map<ServerId, ListedServer>& all() const { return servers_; }
   /// Nothing refers to it any more. Its name, if it comes again, gets another id.
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 #include <vector>
 
-#include "net/json_text.hpp"
 #include "net/log.hpp"
+#include "settings/json_text.hpp"
 
 namespace amberknot::diameter {
 namespace {
@@ -25,7 +25,7 @@
 }  // namespace
 
 Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-             const net::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
+             const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
              std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of)
     : loop_(loop),
       table_(table),
@@ -133,13 +133,13 @@
   const auto tenant_name = tenant_of_(user);
   const auto tenant = std::find(names_.tenants.begin(), names_.tenants.end(), tenant_name);
   const auto wait_text = message.parameter(Parameter::kWaitMs);
-  const double wait_ms = wait_text ? net::number_of(*wait_text).value_or(-1.0) : -1.0;
+  const double wait_ms = wait_text ? settings::number_of(*wait_text).value_or(-1.0) : -1.0;
   Fault fault;
   if (cls == names_.classes.end()) {
     fault = {Result::kInvalidAvpValue, failed(message, Code::kServiceContextId)};
   } else if (message.find(Code::kSubscriptionId) == nullptr) {
     fault = {Result::kMissingAvp, missing(Code::kSubscriptionId)};
-  } else if (!net::is_number_called(number)) {
+  } else if (!core::is_number_called(number)) {
     fault = {Result::kInvalidAvpValue, failed(message, Code::kSubscriptionId)};
   } else if (wait_text && (wait_ms < 0 || wait_ms > 86'400'000)) {
     fault = {Result::kInvalidAvpValue, failed(message, Code::kServiceParameterInfo)};
--- a/src/diameter/front.hpp
+++ b/src/diameter/front.hpp
@@ -11,12 +11,12 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
+#include "core/names.hpp"
 #include "diameter/peer.hpp"
-#include "net/jsonl_front.hpp"
 
 namespace amberknot::diameter {
 
-class Front : public core::ClientPort, public Peer::Handler {
+class Front : public core::Front, public Peer::Handler {
  public:
   /// The tenant that a User-Name or realm belongs to; empty: none.
   using TenantOf = std::function<std::string(std::string_view)>;
@@ -24,7 +24,7 @@
   using PoolOf = std::function<std::optional<CellNo>(std::string_view)>;
 
   Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-        const net::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
+        const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
         std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of);
   ~Front() override;
 
@@ -33,8 +33,9 @@
   void fail(CallId call, core::Cause cause) override;
   void release(CallId call, core::Cause cause) override;
 
-  [[nodiscard]] asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
-  void leave();
+  [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
+  [[nodiscard]] std::size_t connections() const override { return peers_.size(); }
+  void leave() override;
 
  private:
   struct Session {
@@ -67,7 +68,7 @@
   core::CallTable& table_;
   core::Counters& counters_;
   Identity& identity_;
-  const net::Names& names_;
+  const core::Names& names_;
   const Settings& settings_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
--- a/src/diameter/links.hpp
+++ b/src/diameter/links.hpp
@@ -15,7 +15,7 @@
 
 namespace amberknot::diameter {
 
-class Links : public core::ServerPort {
+class Links : public core::Links {
  public:
   /// Told when a server begins or ceases to take new calls, or has started anew.
   using OnChange = std::function<void(ServerId server, bool started_anew)>;
@@ -24,12 +24,10 @@
         Identity& identity, Duration connect_limit, OnChange on_change);
   ~Links() override;
 
-  void server_changed(const core::ListedServer& server);
-  /// It has gone and nothing of it is left.
-  void forget_server(ServerId server);
-  [[nodiscard]] bool serves(ServerId server) const;
-  /// The router ends: every peer is told.
-  void leave();
+  void server_changed(const core::ListedServer& server) override;
+  void forget_server(ServerId server) override;
+  [[nodiscard]] bool serves(ServerId server) const override;
+  void leave() override;
 
   void set_up(const core::SetUp& set_up) override;
   void cancel(const core::AttemptRef& attempt) override;
--- a/src/net/feed.cpp
+++ b/src/feed/feed.cpp
@@ -1,4 +1,4 @@
-#include "net/feed.hpp"
+#include "feed/feed.hpp"
 
 #include <algorithm>
 #include <sstream>
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 namespace {
 
 using std::chrono::milliseconds;
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Feed::Feed(Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
+Feed::Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
            OnNews on_news)
     : loop_(loop),
       counters_(counters),
@@ -37,12 +37,12 @@
   reader_ = {};
   ended_ = false;
   torn_ = false;
-  stream_ = std::make_shared<Stream>(loop_, *this);
+  stream_ = std::make_shared<net::Stream>(loop_, *this);
   stream_->connect(channel_, kConnectLimit);
 }
 
 void Feed::again(const char* why) {
-  log::info("command channel ", why, ", resuming after ", last_);
+  net::log::info("command channel ", why, ", resuming after ", last_);
   loop_.wheel.cancel(std::exchange(silence_, 0));
   if (stream_) stream_->close();
   loop_.wheel.cancel(retry_);
@@ -54,7 +54,7 @@
 
 void Feed::move_to(const asio::ip::tcp::endpoint& channel) {
   if (channel == channel_) return;
-  log::info("command channel moves from ", channel_, " to ", channel, ", resuming after ", last_);
+  net::log::info("command channel moves from ", channel_, " to ", channel, ", resuming after ", last_);
   channel_ = channel;
   // The old one tells nothing more though it stays open for a while: what it still sends is not waited for.
   loop_.wheel.cancel(std::exchange(silence_, 0));
@@ -71,7 +71,7 @@
   });
 }
 
-void Feed::on_open(Stream& stream) {
+void Feed::on_open(net::Stream& stream) {
   std::ostringstream head;
   head << "GET /cmd/next HTTP/1.1\r\nHost: " << channel_ << "\r\nAccept: text/event-stream\r\n"
        << "Last-Event-ID: " << last_ << "\r\n\r\n";
@@ -79,7 +79,7 @@
   watch();
 }
 
-std::size_t Feed::on_bytes(Stream& stream, std::span<char> bytes) {
+std::size_t Feed::on_bytes(net::Stream& stream, std::span<char> bytes) {
   watch();
   static const http_parser_settings settings = [] {
     http_parser_settings made;
@@ -94,20 +94,20 @@
   if (ended_ || HTTP_PARSER_ERRNO(&parser_) != HPE_OK || taken != bytes.size()) {
     if (!ended_) {
       ++counters_.unreadable;
-      log::warn("command channel: ", http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
+      net::log::warn("command channel: ", http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
     }
     again(ended_ ? "ended" : "unreadable");
   }
   return bytes.size();
 }
 
-void Feed::on_closed(Stream& /*stream*/, Closed why) {
+void Feed::on_closed(net::Stream& /*stream*/, net::Closed why) {
   again(name(why));
 }
 
 int Feed::on_head(http_parser* parser) {
   if (parser->status_code == 200) return 0;
-  log::warn("command channel answers ", parser->status_code);
+  net::log::warn("command channel answers ", parser->status_code);
   return -1;
 }
 
@@ -126,15 +126,15 @@
 void Feed::on_event(const SseEvent& event) {
   if (torn_) return;
   auto news = read_list_news(event.data);
-  const auto id = number_of(event.id);
+  const auto id = settings::number_of(event.id);
   const bool has_id = id && *id >= 0;
   if (!news) {
     // Torn on the way, most likely: asked for again, and skipped only if it is no better then. What follows
     // it is not taken before, since its number would hide this one for good.
     ++counters_.unreadable;
     torn_ = ++torn_in_row_ <= kMostTorn;
-    log::warn("command channel: event ", event.id, " cannot be read",
-              torn_ ? ", asked for again" : ", skipped: the list may be wrong");
+    net::log::warn("command channel: event ", event.id, " cannot be read",
+                   torn_ ? ", asked for again" : ", skipped: the list may be wrong");
     if (torn_ || !has_id) return;
     torn_in_row_ = 0;
     last_ = std::max(last_, static_cast<std::uint64_t>(*id));
@@ -153,4 +153,4 @@
   on_news_(news);
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/feed.hpp
+++ b/src/feed/feed.hpp
@@ -9,16 +9,16 @@
 #include <string>
 
 #include "core/counters.hpp"
-#include "net/feed_parse.hpp"
+#include "feed/parse.hpp"
 #include "net/stream.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 
-class Feed : public Stream::Owner {
+class Feed : public net::Stream::Owner {
  public:
   using OnNews = std::function<void(const ListNews&)>;
 
-  Feed(Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
+  Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
        OnNews on_news);
 
   [[nodiscard]] std::uint64_t last() const { return last_; }
@@ -31,20 +31,20 @@
   void connect();
   void again(const char* why);
   void watch();
-  void on_open(Stream& stream) override;
-  std::size_t on_bytes(Stream& stream, std::span<char> bytes) override;
-  void on_closed(Stream& stream, Closed why) override;
+  void on_open(net::Stream& stream) override;
+  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
+  void on_closed(net::Stream& stream, net::Closed why) override;
   void on_event(const SseEvent& event);
   static int on_body(http_parser* parser, const char* at, std::size_t size);
   static int on_head(http_parser* parser);
   static int on_end(http_parser* parser);
 
-  Loop& loop_;
+  net::Loop& loop_;
   core::Counters& counters_;
   asio::ip::tcp::endpoint channel_;
   std::uint64_t last_;
   OnNews on_news_;
-  std::shared_ptr<Stream> stream_;
+  std::shared_ptr<net::Stream> stream_;
   http_parser parser_{};
   SseReader reader_;
   bool ended_ = false;
@@ -55,4 +55,4 @@
   core::TimerWheel::Handle retry_ = 0;
 };
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/feed_parse.cpp
+++ b/src/feed/parse.cpp
@@ -1,6 +1,6 @@
-#include "net/feed_parse.hpp"
+#include "feed/parse.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 
 namespace {
 constexpr std::size_t kMostLine = 1024 * 1024;  // a whole list of a large fleet fits
@@ -48,31 +48,32 @@
 
 std::optional<ListNews> read_list_news(std::string json) {
   rapidjson::Document document;
-  document.ParseInsitu<kJsonFlags>(json.data());
+  document.ParseInsitu<settings::kJsonFlags>(json.data());
   if (document.HasParseError() || !document.IsObject()) return std::nullopt;
   return read_list_news(document);
 }
 
 std::optional<ListNews> read_list_news(const rapidjson::Value& event) {
   ListNews news;
-  const auto cursor = number_of(text_in(event, "cursor"));
+  const auto cursor = settings::number_of(settings::text_in(event, "cursor"));
   if (!cursor || *cursor < 0) return std::nullopt;
   news.cursor = static_cast<std::uint64_t>(*cursor);
-  const auto* nodes = member(event, "nodes");
+  const auto* nodes = settings::member(event, "nodes");
   if (nodes == nullptr) return news;  // an event of another kind
-  const auto* snapshot = member(*nodes, "snapshot");
+  const auto* snapshot = settings::member(*nodes, "snapshot");
   news.whole_list = snapshot != nullptr && snapshot->IsTrue();
-  const auto* endpoints = member(*nodes, "endpoints");
+  const auto* endpoints = settings::member(*nodes, "endpoints");
   if (endpoints == nullptr || !endpoints->IsArray()) return std::nullopt;
   news.has_servers = true;
   for (const auto& entry : endpoints->GetArray()) {
     core::ListChange change;
-    change.name = text_in(entry, "name");
-    change.address = text_in(entry, "address");
-    const auto cell = number_of(text_in(entry, "group")).value_or(0);
+    change.name = settings::text_in(entry, "name");
+    change.address = settings::text_in(entry, "address");
+    const auto cell = settings::number_of(settings::text_in(entry, "group")).value_or(0);
     change.cell = cell >= 0 && cell < 4e9 ? static_cast<std::uint32_t>(cell) : 0;
-    change.started_unix_ms = static_cast<std::int64_t>(number_of(text_in(entry, "since_ms")).value_or(0));
-    const auto state = text_in(entry, "status");
+    change.started_unix_ms =
+        static_cast<std::int64_t>(settings::number_of(settings::text_in(entry, "since_ms")).value_or(0));
+    const auto state = settings::text_in(entry, "status");
     if (change.name.empty()) continue;
     if (state == "ready") {
       change.state = ListState::kReady;
@@ -88,4 +89,4 @@
   return news;
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/feed_parse.hpp
+++ b/src/feed/parse.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "core/server_list.hpp"
-#include "net/json_text.hpp"
+#include "settings/json_text.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 
 struct SseEvent {
   std::string id;
@@ -43,4 +43,4 @@
 std::optional<ListNews> read_list_news(std::string json);
 std::optional<ListNews> read_list_news(const rapidjson::Value& event);
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/peers.cpp
+++ b/src/feed/peers.cpp
@@ -1,18 +1,19 @@
-#include "net/peers.hpp"
+#include "feed/peers.hpp"
 
 #include <algorithm>
 #include <utility>
 
 #include "net/log.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 
 namespace {
 constexpr std::size_t kMostBytes = 256;
 }
 
-Peers::Peers(Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
-             asio::ip::udp::endpoint everyone, OnMessage on_message)
+Peers::Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen,
+             std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
+             OnMessage on_message)
     : socket_(loop.io, listen),
       peers_(std::move(peers)),
       everyone_(std::move(everyone)),
@@ -23,7 +24,7 @@
 
 void Peers::tell_all(const std::vector<std::uint8_t>& bytes) {
   if (bytes.size() > kMostBytes) {
-    log::error("message to the siblings dropped: ", bytes.size(), " bytes");
+    net::log::error("message to the siblings dropped: ", bytes.size(), " bytes");
     return;
   }
   asio::error_code error;  // such a message may be lost anyway
@@ -43,4 +44,4 @@
                              });
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/peers.hpp
+++ b/src/feed/peers.hpp
@@ -10,13 +10,13 @@
 
 #include "net/loop.hpp"
 
-namespace amberknot::net {
+namespace amberknot::feed {
 
 class Peers {
  public:
   using OnMessage = std::function<void(std::uint32_t from, std::vector<std::uint8_t> bytes)>;
 
-  Peers(Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
+  Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
         asio::ip::udp::endpoint everyone, OnMessage on_message);
   void move_to(std::vector<asio::ip::udp::endpoint> peers, const asio::ip::udp::endpoint& everyone) {
     peers_ = std::move(peers);
@@ -34,4 +34,4 @@
   asio::ip::udp::endpoint from_;
 };
 
-}  // namespace amberknot::net
+}  // namespace amberknot::feed
--- a/src/net/jsonl.cpp
+++ b/src/jsonl/codec.cpp
@@ -1,10 +1,10 @@
-#include "net/jsonl.hpp"
+#include "jsonl/codec.hpp"
 
 #include <algorithm>
 
-#include "net/json_text.hpp"
+#include "settings/json_text.hpp"
 
-namespace amberknot::net {
+namespace amberknot::jsonl {
 
 struct JsonLineReader::Parser {
   rapidjson::Document document;
@@ -19,43 +19,37 @@
          });
 }
 
-bool is_number_called(std::string_view text) {
-  return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '+' ||
-           c == '*' || c == '#' || c == '-' || c == '.' || c == '_';
-  });
-}
-
 std::optional<JsonLine> JsonLineReader::read(std::span<char> line, char* end) {
   *end = '\0';
   // A zero byte would end the text early and hide what follows.
   if (std::find(line.begin(), line.end(), '\0') != line.end()) return std::nullopt;
   auto& document = parser_->document;
   document = rapidjson::Document();
-  document.ParseInsitu<kJsonFlags>(line.data());
+  document.ParseInsitu<settings::kJsonFlags>(line.data());
   if (document.HasParseError() || !document.IsObject()) return std::nullopt;
 
   JsonLine read;
-  const auto type = text_in(document, "msg");
+  const auto type = settings::text_in(document, "msg");
   if (type.empty()) return std::nullopt;
   if (type == "open") read.type = JsonLine::Type::kOpen;
   if (type == "close") read.type = JsonLine::Type::kClose;
   if (type == "probe") read.type = JsonLine::Type::kProbe;
-  read.sid = text_in(document, "sid");
+  read.sid = settings::text_in(document, "sid");
   const bool needs_id = read.type == JsonLine::Type::kOpen || read.type == JsonLine::Type::kClose;
   if (needs_id && !is_call_id(read.sid)) return std::nullopt;
-  if (const auto* attrs = member(document, "attrs")) {
-    read.call_class = text_in(*attrs, "class");
-    read.left = text_in(*attrs, "left");
-    read.tenant = text_in(*attrs, "tenant");
-    read.key = text_in(*attrs, "key");
-    read.extras = text_in(*attrs, "extras");
+  if (const auto* attrs = settings::member(document, "attrs")) {
+    read.call_class = settings::text_in(*attrs, "class");
+    read.left = settings::text_in(*attrs, "left");
+    read.tenant = settings::text_in(*attrs, "tenant");
+    read.key = settings::text_in(*attrs, "key");
+    read.extras = settings::text_in(*attrs, "extras");
   }
-  if (const auto* text = member(document, "text")) {
+  if (const auto* text = settings::member(document, "text")) {
     read.has_text = text->IsString();
-    read.text = text_of(*text);
+    read.text = settings::text_of(*text);
   }
-  if (const auto code = number_of(text_in(document, "code")); code && std::abs(*code) < 1e6) {
+  if (const auto code = settings::number_of(settings::text_in(document, "code"));
+      code && std::abs(*code) < 1e6) {
     read.code = static_cast<int>(*code);
   }
   return read;
@@ -70,7 +64,7 @@
     const auto colon = part.find(':');
     if (colon == std::string_view::npos) return std::nullopt;
     const auto name = part.substr(0, colon);
-    const auto value = number_of(part.substr(colon + 1));
+    const auto value = settings::number_of(part.substr(colon + 1));
     if (!value) return std::nullopt;
     if (name == "dest") {
       if (*value < 0 || *value > 1e9 || *value != std::floor(*value)) return std::nullopt;
@@ -91,7 +85,7 @@
   std::string line = "{\"msg\":\"";
   line += type;
   line += "\",\"sid\":";
-  append_quoted(line, sid);
+  settings::append_quoted(line, sid);
   line += ",\"attrs\":{";
   return line;
 }
@@ -101,7 +95,7 @@
 std::string ready_line(std::string_view sid, std::string_view description) {
   auto line = line_of("ready", sid);
   line += "},\"text\":";
-  append_quoted(line, description);
+  settings::append_quoted(line, description);
   line += "}\n";
   return line;
 }
@@ -124,4 +118,4 @@
   return line_of("probed", sid) + "},\"code\":" + (passed ? "1" : "0") + "}\n";
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::jsonl
--- a/src/net/jsonl.hpp
+++ b/src/jsonl/codec.hpp
@@ -10,7 +10,7 @@
 
 #include "core/ports.hpp"
 
-namespace amberknot::net {
+namespace amberknot::jsonl {
 
 struct JsonLine {
   enum class Type { kOpen, kClose, kProbe, kOther };
@@ -45,12 +45,10 @@
 std::optional<Extras> read_extras(std::string_view text);
 
 bool is_call_id(std::string_view text);
-/// A number called may stand in a request line: digits, letters and a few marks.
-bool is_number_called(std::string_view text);
 
 std::string ready_line(std::string_view sid, std::string_view description);
 std::string close_line(std::string_view sid, core::Cause cause, std::optional<Duration> wait = std::nullopt);
 std::string closed_line(std::string_view sid);
 std::string probed_line(std::string_view sid, bool passed);
 
-}  // namespace amberknot::net
+}  // namespace amberknot::jsonl
--- a/src/net/jsonl_front.cpp
+++ b/src/jsonl/front.cpp
@@ -1,12 +1,12 @@
-#include "net/jsonl_front.hpp"
+#include "jsonl/front.hpp"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-#include "net/json_text.hpp"
+#include "settings/json_text.hpp"
 
-namespace amberknot::net {
+namespace amberknot::jsonl {
 namespace {
 
 using std::chrono::milliseconds;
@@ -36,8 +36,8 @@
 
 }  // namespace
 
-JsonlFront::JsonlFront(Loop& loop, core::CallTable& table, core::Counters& counters, const Names& names,
-                       const Settings& settings, const Bounds& bounds, const asio::ip::tcp::endpoint& listen)
+Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
+             const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen)
     : loop_(loop),
       table_(table),
       counters_(counters),
@@ -52,12 +52,12 @@
 
 // ---- connections ----------------------------------------------------------------------------------------
 
-void JsonlFront::accept() {
+void Front::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
       // Out of descriptors, most likely: accepting again at once would spin.
-      log::warn("accept failed: ", error.message());
+      net::log::warn("accept failed: ", error.message());
       pause_.expires_after(milliseconds{20});
       pause_.async_wait([this](const asio::error_code& stopped) {
         if (!stopped) accept();
@@ -68,17 +68,17 @@
       take(std::move(socket));
     } else {
       ++counters_.turned_away;
-      log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
+      net::log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
     }
     accept();
   });
 }
 
-void JsonlFront::take(asio::ip::tcp::socket socket) {
-  auto stream = std::make_shared<Stream>(loop_, *this);
+void Front::take(asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<net::Stream>(loop_, *this);
   auto& connection = connections_[stream.get()];
   connection.stream = stream;
-  connection.accepted = Loop::now();
+  connection.accepted = net::Loop::now();
   stream->adopt(std::move(socket));
   if (stream->is_closed()) return;
   const auto caller = stream->remote().address();
@@ -94,7 +94,7 @@
 // At the bound the one that is worth least gives way to the newcomer: one that is closing anyway, then the
 // oldest that has said nothing of use, then the one that has been idle longest, those with calls that stand
 // last, since their callers wait there for the release. One with a set-up open never.
-bool JsonlFront::make_room() {
+bool Front::make_room() {
   std::erase_if(lingering_, [](const auto& stream) { return !stream->is_lingering(); });
   if (connections_.size() + lingering_.size() < bounds_.callers) return true;
   if (!lingering_.empty()) {
@@ -115,7 +115,7 @@
   return true;
 }
 
-void JsonlFront::leave(Connection& connection, bool with_what_is_queued) {
+void Front::leave(Connection& connection, bool with_what_is_queued) {
   const auto stream = connection.stream;
   if (with_what_is_queued) {
     stream->finish();
@@ -123,19 +123,19 @@
   } else {
     stream->close();
   }
-  on_closed(*stream, Closed::kEnded);
+  on_closed(*stream, net::Closed::kEnded);
 }
 
-std::size_t JsonlFront::on_bytes(Stream& stream, std::span<char> bytes) {
+std::size_t Front::on_bytes(net::Stream& stream, std::span<char> bytes) {
   auto& from = connections_.at(&stream);
   std::size_t taken = 0;
   for (int lines = 0; lines < kMostLinesATurn; ++lines) {
     const auto rest = bytes.subspan(taken);
     const auto end = std::find(rest.begin(), rest.end(), '\n');
     const auto size = static_cast<std::size_t>(end - rest.begin());
-    if (size > kMostMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
+    if (size > net::kMostMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
       ++counters_.unreadable;
-      log::warn(log_unreadable_, "unreadable line from ", stream.remote(), ": connection closed");
+      net::log::warn(log_unreadable_, "unreadable line from ", stream.remote(), ": connection closed");
       leave(from, true);
       return bytes.size();
     }
@@ -144,7 +144,7 @@
       if (rest.empty()) {
         from.half_line_since.reset();
       } else if (taken > 0 || !from.half_line_since) {
-        from.half_line_since = Loop::now();
+        from.half_line_since = net::Loop::now();
       }
       return taken;
     }
@@ -158,7 +158,7 @@
   return taken;
 }
 
-bool JsonlFront::on_line(Connection& from, std::span<char> line, char* end) {
+bool Front::on_line(Connection& from, std::span<char> line, char* end) {
   if (std::all_of(line.begin(), line.end(), [](char c) { return c == ' ' || c == '\r' || c == '\t'; }))
     return true;
   const auto read = reader_.read(line, end);
@@ -180,8 +180,8 @@
   return true;
 }
 
-void JsonlFront::on_closed(Stream& stream, Closed why) {
-  log::debug("caller ", stream.remote(), " ", name(why));
+void Front::on_closed(net::Stream& stream, net::Closed why) {
+  net::log::debug("caller ", stream.remote(), " ", name(why));
   const auto found = connections_.find(&stream);
   if (found == connections_.end()) return;
   const auto gone = std::move(found->second);
@@ -206,10 +206,10 @@
 
 // Guards against connections that hold a place and say nothing, or never end a line: descriptors are few, and
 // their other side is owed a close.
-void JsonlFront::sweep() {
+void Front::sweep() {
   loop_.after(kSweepEvery, [this] {
-    const Instant now = Loop::now();
-    std::vector<Stream*> out;
+    const Instant now = net::Loop::now();
+    std::vector<net::Stream*> out;
     for (const auto& [key, one] : connections_) {
       const bool silent = !one.useful && now - one.accepted > kProveWithin;
       const bool halted = one.half_line_since && now - *one.half_line_since > kLineWithin;
@@ -221,7 +221,7 @@
       if (found == connections_.end()) continue;
       if (!found->second.useful) {
         ++counters_.silent;
-        log::info(log_silent_, "caller ", key->remote(), " has said nothing of use: connection closed");
+        net::log::info(log_silent_, "caller ", key->remote(), " has said nothing of use: connection closed");
       }
       leave(found->second, true);
     }
@@ -235,13 +235,15 @@
   });
 }
 
-std::shared_ptr<Stream> JsonlFront::any_of(const asio::ip::address& caller) {
+std::shared_ptr<net::Stream> Front::any_of(const asio::ip::address& caller) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return nullptr;
   // One that has served calls, and the latest used, is the likeliest to be read: others may come from the
   // same address and never ask for anything.
-  const auto rank = [this](Stream* one) { return std::pair(connections_.at(one).useful, one->used_at()); };
-  Stream* best = nullptr;
+  const auto rank = [this](net::Stream* one) {
+    return std::pair(connections_.at(one).useful, one->used_at());
+  };
+  net::Stream* best = nullptr;
   for (auto* one : found->second) {
     if (one->is_open() && (best == nullptr || rank(best) < rank(one))) best = one;
   }
@@ -250,7 +252,7 @@
 
 // ---- what callers say -----------------------------------------------------------------------------------
 
-const char* JsonlFront::check(const JsonLine& line, core::NewSetUp& to) const {
+const char* Front::check(const JsonLine& line, core::NewSetUp& to) const {
   const auto cls = index_of(names_.classes, line.call_class);
   if (!cls) return "class";
   const auto tenant =
@@ -258,10 +260,10 @@
   if (!tenant) return "tenant";
   const auto& rules = settings_.classes[*cls];
   // A caller keeps trying as long as its class's deadline: no try lasts much longer.
-  const auto left = number_of(line.left);
+  const auto left = settings::number_of(line.left);
   const double most_left = kMostLeft * static_cast<double>(rules.deadline.count()) / 1000.0;
   if (!left || *left < 0 || *left > most_left) return "left";
-  if (!is_number_called(line.key)) return "key";
+  if (!core::is_number_called(line.key)) return "key";
   const auto extras = read_extras(line.extras);
   if (line.extras.empty() || !extras || !extras->dest) return "extras";
   const CellNo dest{*extras->dest};
@@ -274,7 +276,7 @@
   to.call_class = line.call_class;
   to.number = line.key;
   to.description = line.text;
-  to.facts.expires = Loop::now() + Duration{static_cast<std::int64_t>(*left * 1000.0)};
+  to.facts.expires = net::Loop::now() + Duration{static_cast<std::int64_t>(*left * 1000.0)};
   to.facts.first_choice = dest;
   to.facts.width = extras->width;
   to.facts.was_cut = extras->again;
@@ -283,7 +285,7 @@
   return nullptr;
 }
 
-void JsonlFront::open(Connection& from, const JsonLine& line) {
+void Front::open(Connection& from, const JsonLine& line) {
   const std::string sid(line.sid);
   if (const auto live = by_sid_.find(sid); live != by_sid_.end()) {
     open_again(from, sid, live->second);
@@ -292,7 +294,7 @@
   core::NewSetUp set_up;
   if (const char* wrong = check(line, set_up)) {
     ++counters_.malformed;
-    log::warn(log_malformed_, "set-up ", sid, " failed: bad or missing ", wrong);
+    net::log::warn(log_malformed_, "set-up ", sid, " failed: bad or missing ", wrong);
     from.stream->send(close_line(sid, core::Cause::kInvalidContents));
     return;
   }
@@ -301,7 +303,7 @@
   if (held_ + held > bounds_.calls || from.held + held > bounds_.calls_of_one) {
     // There is no memory to hold it: refused at once, with the time to stay away.
     ++counters_.turned_away;
-    log::warn(log_full_, "set-up refused: ", held_, " bytes are held for unanswered calls");
+    net::log::warn(log_full_, "set-up refused: ", held_, " bytes are held for unanswered calls");
     from.stream->send(close_line(
         sid, core::Cause::kCongestion,
         settings_.limits.retry_advice ? std::optional(settings_.limits.max_retry_advice) : std::nullopt));
@@ -319,9 +321,9 @@
 
 // Two set-ups under one id. On one connection its caller could not tell their answers apart: both end with
 // the one that the id is owed. A stranger is answered where it asked, and the live call goes on.
-void JsonlFront::open_again(Connection& from, const std::string& sid, CallId live) {
+void Front::open_again(Connection& from, const std::string& sid, CallId live) {
   ++counters_.repeated_ids;
-  log::warn(log_repeated_, "set-up with the id of a live call failed: ", sid);
+  net::log::warn(log_repeated_, "set-up with the id of a live call failed: ", sid);
   const auto line = close_line(sid, core::Cause::kInvalidContents);
   if (calls_.at(live).on == &from) {
     finish(live, line);
@@ -331,7 +333,7 @@
   }
 }
 
-void JsonlFront::close(Connection& from, const JsonLine& line) {
+void Front::close(Connection& from, const JsonLine& line) {
   const auto found = by_sid_.find(std::string(line.sid));
   // Also where the id is not known: a release crosses ours, and its sender is owed that it was heard.
   from.stream->send(closed_line(line.sid));
@@ -348,7 +350,7 @@
 // ---- what the core says ---------------------------------------------------------------------------------
 
 // The call is answered or over: what it held is free.
-void JsonlFront::settled(Call& call) {
+void Front::settled(Call& call) {
   if (std::exchange(call.answered, true)) return;
   held_ -= call.held;
   if (call.on == nullptr) return;
@@ -356,7 +358,7 @@
   call.on->held -= call.held;
 }
 
-JsonlFront::Call JsonlFront::take_out(CallId id) {
+Front::Call Front::take_out(CallId id) {
   const auto found = calls_.find(id);
   auto call = std::move(found->second);
   calls_.erase(found);
@@ -368,34 +370,34 @@
   return call;
 }
 
-bool JsonlFront::answer(CallId id, std::string_view description) {
+bool Front::answer(CallId id, std::string_view description) {
   const auto found = calls_.find(id);
   if (found == calls_.end() || found->second.on == nullptr) return false;
   auto line = ready_line(found->second.sid, description);
-  if (line.size() > kMostMessage) return false;
+  if (line.size() > net::kMostMessage) return false;
   settled(found->second);
   found->second.on->stream->send(std::move(line));
   return true;
 }
 
-void JsonlFront::refuse(CallId id, Duration stay_away) {
+void Front::refuse(CallId id, Duration stay_away) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   finish(id, close_line(found->second.sid, core::Cause::kCongestion,
                         stay_away > Duration::zero() ? std::optional(stay_away) : std::nullopt));
 }
 
-void JsonlFront::fail(CallId id, core::Cause cause) {
+void Front::fail(CallId id, core::Cause cause) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) finish(id, close_line(found->second.sid, cause));
 }
 
-void JsonlFront::release(CallId id, core::Cause cause) {
+void Front::release(CallId id, core::Cause cause) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) finish(id, close_line(found->second.sid, cause));
 }
 
-void JsonlFront::finish(CallId id, std::string line) {
+void Front::finish(CallId id, std::string line) {
   const auto call = take_out(id);
   auto to = call.on != nullptr ? call.on->stream : nullptr;
   if (call.answered && (!to || !to->is_open())) to = any_of(call.caller);
@@ -406,9 +408,9 @@
   if (!call.answered || undelivered_lines_ >= bounds_.waiting) return;
   auto& waiting = undelivered_[call.caller];
   if (waiting.lines.size() >= bounds_.waiting_of_one) return;
-  waiting.since = Loop::now();
+  waiting.since = net::Loop::now();
   waiting.lines.push_back(std::move(line));
   ++undelivered_lines_;
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::jsonl
--- a/src/net/jsonl_front.hpp
+++ b/src/jsonl/front.hpp
@@ -14,35 +14,29 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
-#include "net/jsonl.hpp"
+#include "core/names.hpp"
+#include "jsonl/codec.hpp"
 #include "net/log.hpp"
 #include "net/stream.hpp"
 
-namespace amberknot::net {
+namespace amberknot::jsonl {
 
-/// Names of the settings, as they stand in set-ups, and the lines that a call of each class takes at most.
-struct Names {
-  std::vector<std::string> classes;
-  std::vector<std::string> tenants;
-  std::vector<double> widths = {};  ///< by class; empty: not told
-};
-
-class JsonlFront : public core::ClientPort, public Stream::Owner {
+class Front : public core::Front, public net::Stream::Owner {
  public:
-  JsonlFront(Loop& loop, core::CallTable& table, core::Counters& counters, const Names& names,
-             const Settings& settings, const Bounds& bounds, const asio::ip::tcp::endpoint& listen);
+  Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
+        const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen);
 
   bool answer(CallId call, std::string_view description) override;
   void refuse(CallId call, Duration stay_away) override;
   void fail(CallId call, core::Cause cause) override;
   void release(CallId call, core::Cause cause) override;
 
-  [[nodiscard]] asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
-  [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+  [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
+  [[nodiscard]] std::size_t connections() const override { return connections_.size(); }
 
  private:
   struct Connection {
-    std::shared_ptr<Stream> stream;
+    std::shared_ptr<net::Stream> stream;
     Instant accepted{};
     std::optional<Instant> half_line_since;
     bool useful = false;               ///< a set-up of it was taken, or it ended or tested something
@@ -65,8 +59,8 @@
   void accept();
   void take(asio::ip::tcp::socket socket);
   bool make_room();
-  std::size_t on_bytes(Stream& stream, std::span<char> bytes) override;
-  void on_closed(Stream& stream, Closed why) override;
+  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
+  void on_closed(net::Stream& stream, net::Closed why) override;
   bool on_line(Connection& from, std::span<char> line, char* end);
   void open(Connection& from, const JsonLine& line);
   /// What is wrong with a set-up, or null.
@@ -78,27 +72,27 @@
   void finish(CallId call, std::string line);
   Call take_out(CallId call);
   void settled(Call& call);
-  std::shared_ptr<Stream> any_of(const asio::ip::address& caller);
+  std::shared_ptr<net::Stream> any_of(const asio::ip::address& caller);
   void sweep();
 
-  Loop& loop_;
+  net::Loop& loop_;
   core::CallTable& table_;
   core::Counters& counters_;
-  const Names& names_;
+  const core::Names& names_;
   const Settings& settings_;
-  Bounds bounds_;
+  net::Bounds bounds_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
   JsonLineReader reader_;
-  std::unordered_map<Stream*, Connection> connections_;
-  std::map<asio::ip::address, std::vector<Stream*>> by_caller_;
-  std::list<std::shared_ptr<Stream>> lingering_;  ///< closed for us, not yet by the other side
+  std::unordered_map<net::Stream*, Connection> connections_;
+  std::map<asio::ip::address, std::vector<net::Stream*>> by_caller_;
+  std::list<std::shared_ptr<net::Stream>> lingering_;  ///< closed for us, not yet by the other side
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<std::string, CallId> by_sid_;
   std::size_t held_ = 0;                              ///< bytes for all unanswered calls
   std::map<asio::ip::address, Waiting> undelivered_;  ///< releases for callers without a connection
   std::size_t undelivered_lines_ = 0;
-  log::Few log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
+  net::log::Few log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
 };
 
-}  // namespace amberknot::net
+}  // namespace amberknot::jsonl
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 namespace amberknot::net {
@@ -315,4 +316,10 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+std::string text_of(const asio::ip::tcp::endpoint& endpoint) {
+  std::ostringstream text;
+  text << endpoint;
+  return text.str();
+}
+
 }  // namespace amberknot::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -102,5 +102,6 @@
 
 /// host:port, numbers only: there is no DNS.
 std::optional<asio::ip::tcp::endpoint> read_endpoint(std::string_view text);
+std::string text_of(const asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace amberknot::net
--- a/src/net/json_text.hpp
+++ b/src/settings/json_text.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace amberknot::net {
+namespace amberknot::settings {
 
 inline constexpr unsigned kJsonFlags = rapidjson::kParseInsituFlag | rapidjson::kParseIterativeFlag |
                                        rapidjson::kParseValidateEncodingFlag |
@@ -73,4 +73,4 @@
   to += '"';
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::settings
--- a/src/simhost/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,11 +1,11 @@
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 #include <charconv>
 #include <cmath>
 #include <map>
 #include <optional>
 
-namespace amberknot::simhost {
+namespace amberknot::settings {
 namespace {
 
 constexpr std::uint32_t kMostItems = 10'000;  // longest list of objects that is believed
@@ -173,4 +173,4 @@
   return parsed;
 }
 
-}  // namespace amberknot::simhost
+}  // namespace amberknot::settings
--- a/src/simhost/settings.hpp
+++ b/src/settings/settings.hpp
@@ -9,7 +9,7 @@
 
 #include "amberknot/admission.hpp"
 
-namespace amberknot::simhost {
+namespace amberknot::settings {
 
 /// A setting that is needed is missing or cannot be read; the text names its key.
 class SettingsError : public std::runtime_error {
@@ -25,4 +25,4 @@
 
 ParsedSettings parse_settings(std::string_view text, std::uint64_t seed);
 
-}  // namespace amberknot::simhost
+}  // namespace amberknot::settings
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -7,12 +7,12 @@
 #include <type_traits>
 #include <utility>
 
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 namespace amberknot::simhost {
 
 struct Host::Instance {
-  explicit Instance(ParsedSettings parsed)
+  explicit Instance(settings::ParsedSettings parsed)
       : columns(std::move(parsed.columns)),
         names_wait(parsed.names_wait),
         admission(std::move(parsed.settings)) {}
@@ -82,7 +82,7 @@
   void operator()(const SwitchTo& at) { node = at.node; }
   void operator()(const Launch& launch) {
     run([&] {
-      auto instance = std::make_unique<Instance>(parse_settings(launch.settings, launch.seed));
+      auto instance = std::make_unique<Instance>(settings::parse_settings(launch.settings, launch.seed));
       instance->admission.start(now, actions);
       host.instances_[node] = std::move(instance);
     });
--- a/src/net/sip.cpp
+++ b/src/sip/codec.cpp
@@ -1,10 +1,10 @@
-#include "net/sip.hpp"
+#include "sip/codec.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 
-namespace amberknot::net {
+namespace amberknot::sip {
 namespace {
 
 constexpr std::size_t kMostHeaders = 64;
@@ -212,4 +212,4 @@
   return head;
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::sip
--- a/src/net/sip.hpp
+++ b/src/sip/codec.hpp
@@ -9,7 +9,7 @@
 
 #include "core/ports.hpp"
 
-namespace amberknot::net {
+namespace amberknot::sip {
 
 struct SipHead {
   int status = 0;           ///< zero for a request
@@ -53,4 +53,4 @@
 /// 200 to a request of the other side.
 std::string ok_head(const SipHead& request);
 
-}  // namespace amberknot::net
+}  // namespace amberknot::sip
--- a/src/net/sip_links.cpp
+++ b/src/sip/links.cpp
@@ -1,4 +1,4 @@
-#include "net/sip_links.hpp"
+#include "sip/links.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace amberknot::net {
+namespace amberknot::sip {
 namespace {
 
 using std::chrono::milliseconds;
@@ -37,22 +37,22 @@
 }  // namespace
 
 /// One connection to a server, and what left by it.
-struct SipLinks::Link : Stream::Owner, std::enable_shared_from_this<Link> {
-  Link(SipLinks& all, Server& server) : all(all), server(server) {}
-  void on_open(Stream& /*stream*/) override { all.link_open(*this); }
-  std::size_t on_bytes(Stream& /*stream*/, std::span<char> bytes) override {
+struct Links::Link : net::Stream::Owner, std::enable_shared_from_this<Link> {
+  Link(Links& all, Server& server) : all(all), server(server) {}
+  void on_open(net::Stream& /*stream*/) override { all.link_open(*this); }
+  std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
     return all.link_bytes(*this, bytes);
   }
-  void on_closed(Stream& /*stream*/, Closed why) override { all.link_closed(*this, why); }
+  void on_closed(net::Stream& /*stream*/, net::Closed why) override { all.link_closed(*this, why); }
 
   struct Bye {
     std::string id;
     std::string text;
     Instant sent{};
   };
-  SipLinks& all;
+  Links& all;
   Server& server;
-  std::shared_ptr<Stream> stream;
+  std::shared_ptr<net::Stream> stream;
   std::vector<core::AttemptRef> out;  ///< in the order in which they were queued
   std::deque<Bye> byes;               ///< not yet confirmed
   int resent = 0;                     ///< how often what waits on it has been moved, at most
@@ -63,7 +63,7 @@
   [[nodiscard]] bool is_usable() const { return stream->is_open() && !half_since; }
 };
 
-struct SipLinks::Server {
+struct Links::Server {
   explicit Server(ServerId id) : id(id) {}
   ServerId id;
   std::string address;
@@ -83,8 +83,8 @@
   }
 };
 
-SipLinks::SipLinks(Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-                   const Bounds& bounds, std::string own_name, Duration connect_limit)
+Links::Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
+             const net::Bounds& bounds, std::string own_name, Duration connect_limit)
     : loop_(loop),
       table_(table),
       servers_(servers),
@@ -95,19 +95,19 @@
   watch_links();
 }
 
-SipLinks::~SipLinks() {
+Links::~Links() {
   for (auto& [id, server] : by_id_) {
     for (auto& link : server->links) link->stream->close();
   }
 }
 
-SipLinks::Server& SipLinks::of(ServerId id) {
+Links::Server& Links::of(ServerId id) {
   auto& server = by_id_[id];
   if (!server) server = std::make_unique<Server>(id);
   return *server;
 }
 
-void SipLinks::server_changed(const core::ListedServer& listed) {
+void Links::server_changed(const core::ListedServer& listed) {
   auto& server = of(listed.id);
   const bool moved = !server.address.empty() && server.address != listed.address;
   server.address = listed.address;
@@ -139,7 +139,7 @@
   if (server.wanted) keep_warm(server);
 }
 
-void SipLinks::forget_server(ServerId id) {
+void Links::forget_server(ServerId id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   auto& server = *found->second;
@@ -159,7 +159,7 @@
 
 // ---- links ----------------------------------------------------------------------------------------------
 
-void SipLinks::keep_warm(Server& server) {
+void Links::keep_warm(Server& server) {
   if (!server.wanted || server.retry != 0) return;
   while (server.links.size() < kWarmLinks) {
     const auto had = server.links.size();
@@ -168,16 +168,16 @@
   }
 }
 
-void SipLinks::connect(Server& server) {
-  const auto to = read_endpoint(server.address);
+void Links::connect(Server& server) {
+  const auto to = net::read_endpoint(server.address);
   if (!to) {
-    log::warn("server address cannot be read: ", server.address);
+    net::log::warn("server address cannot be read: ", server.address);
     return;
   }
   // The first link to a server is not denied: the list of servers is short.
   if (links_ >= bounds_.links && !server.links.empty()) return;
   auto link = std::make_shared<Link>(*this, server);
-  link->stream = std::make_shared<Stream>(loop_, *link);
+  link->stream = std::make_shared<net::Stream>(loop_, *link);
   server.links.push_back(link);
   ++links_;
   link->stream->connect(*to, connect_limit_);
@@ -186,7 +186,7 @@
 // The open link with the fewest set-ups out, so that one spoilt answer or reset takes few others along; with
 // some out on each, one more is opened for those to come. Without an open link one that is coming up, or a
 // new one, backoff or not.
-std::shared_ptr<SipLinks::Link> SipLinks::pick_link(Server& server) {
+std::shared_ptr<Links::Link> Links::pick_link(Server& server) {
   std::shared_ptr<Link> best;
   const std::size_t count = server.links.size();
   for (std::size_t i = 0; i < count; ++i) {
@@ -206,15 +206,15 @@
   return server.links.size() > count ? server.links.back() : nullptr;
 }
 
-void SipLinks::link_open(Link& link) {
+void Links::link_open(Link& link) {
   auto& server = link.server;
-  link.up = link.heard = Loop::now();
+  link.up = link.heard = net::Loop::now();
   server.refusals = 0;
-  log::debug("link up: ", servers_.find(server.id)->name);
+  net::log::debug("link up: ", servers_.find(server.id)->name);
   for (auto& [id, bye] : std::exchange(server.pending, {})) send_bye(server, std::move(id), std::move(bye));
 }
 
-void SipLinks::link_closed(Link& gone, Closed why) {
+void Links::link_closed(Link& gone, net::Closed why) {
   auto& server = gone.server;
   const auto at = std::find_if(server.links.begin(), server.links.end(),
                                [&](const auto& link) { return link.get() == &gone; });
@@ -222,19 +222,19 @@
   const auto link = *at;  // keeps it alive
   server.links.erase(at);
   --links_;
-  const Instant now = Loop::now();
+  const Instant now = net::Loop::now();
   const bool was_up = link->up != Instant{};
   if (was_up) {
-    log::info(log_link_, "link to ", servers_.find(server.id)->name, " ", name(why));
+    net::log::info(log_link_, "link to ", servers_.find(server.id)->name, " ", name(why));
   } else {
-    log::debug("no link to ", servers_.find(server.id)->name, ": ", name(why));
+    net::log::debug("no link to ", servers_.find(server.id)->name, ": ", name(why));
   }
-  server.refusals = why == Closed::kRefused ? server.refusals + 1 : 0;
+  server.refusals = why == net::Closed::kRefused ? server.refusals + 1 : 0;
 
   // What never left goes by another link: it is no attempt's end. Only with nothing to go by is it one. A
   // refusal, or silence for the whole time, says that there is nothing; a reset of a new link does not.
   auto unsent = link->stream->take_unsent();
-  const bool dead = why == Closed::kRefused || why == Closed::kNeverUp;
+  const bool dead = why == net::Closed::kRefused || why == net::Closed::kNeverUp;
   const bool again = server.wanted && (server.open_links() > 0 || !dead);
   std::vector<core::AttemptRef> stranded;
   for (auto& message : unsent) {
@@ -284,7 +284,7 @@
   server.backoff = std::min(server.backoff * 2, kMostBackoff);
 }
 
-void SipLinks::end_on(Link& link, Outcome outcome) {
+void Links::end_on(Link& link, Outcome outcome) {
   const auto over = std::exchange(link.out, {});
   std::vector<std::string> probes;
   for (const auto& [id, probe] : probes_) {
@@ -314,7 +314,7 @@
 // Guards against a link that is open and serves no further use: its server has answered what was sent by
 // other links later, or a message on it has begun and does not end. What is out on it is lost, and held on to
 // it would wait for its callers' whole patience.
-bool SipLinks::is_stuck(const Link& link, Instant now) {
+bool Links::is_stuck(const Link& link, Instant now) {
   if (link.half_since) return now - *link.half_since > kHalfMessage;
   if (!link.stream->is_open() || link.out.empty()) return false;
   const auto first = find(link.out.front());
@@ -324,9 +324,9 @@
          now - link.server.answered_at > kOvertakenFor;
 }
 
-void SipLinks::watch_links() {
+void Links::watch_links() {
   loop_.after(kWatchEvery, [this] {
-    const Instant now = Loop::now();
+    const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Link>> stuck;
     for (const auto& [id, server] : by_id_) {
       for (const auto& link : server->links) {
@@ -336,9 +336,9 @@
     }
     for (const auto& link : stuck) {
       ++counters_.stuck_links;
-      log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
-                link->out.size(), " set-ups out");
-      link->stream->fail(Closed::kReset);
+      net::log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
+                     link->out.size(), " set-ups out");
+      link->stream->fail(net::Closed::kReset);
     }
     watch_links();
   });
@@ -346,7 +346,7 @@
 
 // ---- what the core asks ---------------------------------------------------------------------------------
 
-void SipLinks::set_up(const core::SetUp& set_up) {
+void Links::set_up(const core::SetUp& set_up) {
   auto& server = of(set_up.attempt.server);
   const auto link = pick_link(server);
   if (!link) {
@@ -357,14 +357,14 @@
   }
   Key key{server.id, std::string(set_up.id)};
   by_call_[set_up.attempt.call] = key;
-  attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, Loop::now(), false};
+  attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, net::Loop::now(), false};
   link->out.push_back(set_up.attempt);
   link->stream->send(invite_head({set_up.id, set_up.number, set_up.attempt.attempt + 1}, own_name_,
                                  set_up.call_class, set_up.wait, set_up.description.size()),
                      std::string(set_up.description), tag(set_up.attempt));
 }
 
-void SipLinks::cancel(const core::AttemptRef& attempt) {
+void Links::cancel(const core::AttemptRef& attempt) {
   const auto found = find(attempt);
   if (found == attempts_.end()) return;
   const auto link = found->second.link;
@@ -379,7 +379,7 @@
   link->stream->send(request_head("CANCEL", {id, number, attempt.attempt + 1}, own_name_));
 }
 
-void SipLinks::release(const core::AttemptRef& attempt, core::Cause cause) {
+void Links::release(const core::AttemptRef& attempt, core::Cause cause) {
   const auto found = find(attempt);
   if (found == attempts_.end()) return;
   std::string id = found->first.second;
@@ -391,11 +391,11 @@
 
 // A release that is lost leaves a call standing for good: it is kept until it is confirmed, and told again
 // when its link is lost before that.
-void SipLinks::send_bye(Server& server, std::string id, std::string bye) {
+void Links::send_bye(Server& server, std::string id, std::string bye) {
   if (server.open_links() > 0) {
     if (const auto link = pick_link(server)) {
       if (link->byes.size() >= kMostByes) link->byes.pop_front();
-      link->byes.push_back({std::move(id), bye, Loop::now()});
+      link->byes.push_back({std::move(id), bye, net::Loop::now()});
       link->stream->send(std::move(bye));
       return;
     }
@@ -405,28 +405,28 @@
   keep_warm(server);
 }
 
-void SipLinks::probe(ServerId id) {
+void Links::probe(ServerId id) {
   auto& server = of(id);
   const auto link = pick_link(server);
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next_probe_++));
-  Probe probe{id, link, Loop::now(), 0};
+  Probe probe{id, link, net::Loop::now(), 0};
   probe.limit =
       loop_.after(kProbeLimit, [this, key = std::string(text)] { end_probe(key, Outcome::kTimeout, {}); });
   probes_.emplace(text, std::move(probe));
   if (link) link->stream->send(options_head(text, own_name_));
 }
 
-void SipLinks::end_probe(const std::string& id, Outcome outcome, const Report& load) {
+void Links::end_probe(const std::string& id, Outcome outcome, const Report& load) {
   const auto found = probes_.find(id);
   if (found == probes_.end()) return;
   const auto probe = std::move(found->second);
   probes_.erase(found);
   loop_.wheel.cancel(probe.limit);
-  table_.probed(probe.server, outcome, Loop::now() - probe.sent, load);
+  table_.probed(probe.server, outcome, net::Loop::now() - probe.sent, load);
 }
 
-void SipLinks::drop(Attempts::iterator at) {
+void Links::drop(Attempts::iterator at) {
   if (at == attempts_.end()) return;
   if (const auto& link = at->second.link) {
     std::erase_if(link->out, [&](const auto& ref) { return ref.call == at->second.ref.call; });
@@ -435,7 +435,7 @@
   attempts_.erase(at);
 }
 
-SipLinks::Attempts::iterator SipLinks::find(const core::AttemptRef& attempt) {
+Links::Attempts::iterator Links::find(const core::AttemptRef& attempt) {
   const auto key = by_call_.find(attempt.call);
   if (key == by_call_.end()) return attempts_.end();
   const auto found = attempts_.find(key->second);
@@ -448,17 +448,17 @@
 
 // ---- what the servers say -------------------------------------------------------------------------------
 
-std::size_t SipLinks::link_bytes(Link& link, std::span<char> bytes) {
+std::size_t Links::link_bytes(Link& link, std::span<char> bytes) {
   const auto keep = link.shared_from_this();
-  link.heard = Loop::now();
+  link.heard = net::Loop::now();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
-    const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, kMostMessage);
+    const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
     if (read.state == SipRead::State::kMore) break;
     if (read.state == SipRead::State::kBad) {
       ++counters_.unreadable;
-      log::warn(log_bad_, "unreadable head from ", servers_.find(link.server.id)->name, ": link closed");
-      link.stream->fail(Closed::kReset);
+      net::log::warn(log_bad_, "unreadable head from ", servers_.find(link.server.id)->name, ": link closed");
+      link.stream->fail(net::Closed::kReset);
       return bytes.size();
     }
     on_message(link, read);
@@ -468,12 +468,12 @@
   if (taken == bytes.size()) {
     link.half_since.reset();
   } else if (taken > 0 || !link.half_since) {
-    link.half_since = Loop::now();
+    link.half_since = net::Loop::now();
   }
   return taken;
 }
 
-void SipLinks::on_message(Link& link, const SipRead& read) {
+void Links::on_message(Link& link, const SipRead& read) {
   const auto& head = read.head;
   if (head.status != 0) {
     if (head.method == "INVITE") {
@@ -496,7 +496,7 @@
   }
 }
 
-void SipLinks::on_invite_answer(Link& link, const SipRead& read) {
+void Links::on_invite_answer(Link& link, const SipRead& read) {
   const auto& head = read.head;
   auto& server = link.server;
   if (head.status < 200) return;
@@ -510,7 +510,7 @@
   link.stream->send(request_head("ACK", call, own_name_));
   if (current && found->second.sent > server.answered_sent) {
     server.answered_sent = found->second.sent;
-    server.answered_at = Loop::now();
+    server.answered_at = net::Loop::now();
   }
   if (head.status < 300) {
     // The answer of the call that stands, repeated: a release would cut that call.
@@ -532,14 +532,15 @@
       // It has run, and what it says is spoilt: released there, and no part of it is passed on. The link
       // carries nothing more.
       ++counters_.spoilt_answers;
-      log::warn(log_bad_, "spoilt answer of ", servers_.find(server.id)->name, " to ", id, ": link closed");
+      net::log::warn(log_bad_, "spoilt answer of ", servers_.find(server.id)->name, " to ", id,
+                     ": link closed");
       const auto keep = link.shared_from_this();
-      link.stream->fail(Closed::kReset);
+      link.stream->fail(net::Closed::kReset);
       send_bye(server, id, std::move(bye));
       return;
     }
     ++counters_.late_answers;
-    log::info(log_late_, "late answer of ", servers_.find(server.id)->name, " released: ", call.id);
+    net::log::info(log_late_, "late answer of ", servers_.find(server.id)->name, " released: ", call.id);
     // Nobody waits for it any more: it is released, and no second answer is passed on.
     link.stream->send(std::move(bye));
     return;
@@ -566,7 +567,7 @@
   table_.ended(ref, end);
 }
 
-void SipLinks::on_bye(Link& link, const SipHead& head) {
+void Links::on_bye(Link& link, const SipHead& head) {
   link.stream->send(ok_head(head));
   const auto found = attempts_.find({link.server.id, std::string(head.call_id)});
   if (found == attempts_.end()) {
@@ -585,4 +586,4 @@
   table_.ended(ref, end);
 }
 
-}  // namespace amberknot::net
+}  // namespace amberknot::sip
--- a/src/net/sip_links.hpp
+++ b/src/sip/links.hpp
@@ -13,22 +13,19 @@
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "net/log.hpp"
-#include "net/sip.hpp"
 #include "net/stream.hpp"
+#include "sip/codec.hpp"
 
-namespace amberknot::net {
+namespace amberknot::sip {
 
-class SipLinks : public core::ServerPort {
+class Links : public core::Links {
  public:
-  SipLinks(Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-           const Bounds& bounds, std::string own_name, Duration connect_limit);
-  ~SipLinks() override;
+  Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
+        const net::Bounds& bounds, std::string own_name, Duration connect_limit);
+  ~Links() override;
 
-  /// The list was changed: open links to what is new, close those to what has gone, take back what may not
-  /// leave any more.
-  void server_changed(const core::ListedServer& server);
-  /// It has gone and nothing of it is left: its name, if it comes again, is another server's.
-  void forget_server(ServerId server);
+  void server_changed(const core::ListedServer& server) override;
+  void forget_server(ServerId server) override;
   [[nodiscard]] std::size_t servers() const { return by_id_.size(); }
 
   void set_up(const core::SetUp& set_up) override;
@@ -67,7 +64,7 @@
   void connect(Server& server);
   std::shared_ptr<Link> pick_link(Server& server);
   void link_open(Link& link);
-  void link_closed(Link& link, Closed why);
+  void link_closed(Link& link, net::Closed why);
   std::size_t link_bytes(Link& link, std::span<char> bytes);
   void on_message(Link& link, const SipRead& read);
   void on_invite_answer(Link& link, const SipRead& read);
@@ -79,15 +76,15 @@
   [[nodiscard]] bool is_stuck(const Link& link, Instant now);
   Attempts::iterator find(const core::AttemptRef& attempt);
   void drop(Attempts::iterator at);
-  static Stream::Tag tag(const core::AttemptRef& attempt) {
-    return (static_cast<Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
+  static net::Stream::Tag tag(const core::AttemptRef& attempt) {
+    return (static_cast<net::Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
   }
 
-  Loop& loop_;
+  net::Loop& loop_;
   core::CallTable& table_;
   core::ServerList& servers_;
   core::Counters& counters_;
-  Bounds bounds_;
+  net::Bounds bounds_;
   std::string own_name_;
   Duration connect_limit_;
   std::map<ServerId, std::unique_ptr<Server>> by_id_;
@@ -96,7 +93,7 @@
   std::unordered_map<std::string, Probe> probes_;
   std::uint64_t next_probe_ = 1;
   std::size_t links_ = 0;  ///< connecting and open, to all servers
-  log::Few log_late_, log_bad_, log_link_;
+  net::log::Few log_late_, log_bad_, log_link_;
 };
 
-}  // namespace amberknot::net
+}  // namespace amberknot::sip
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -109,8 +109,8 @@
   std::vector<std::string> got;
 };
 
-net::OperatorFile setup(bool servers, bool clients, milliseconds watchdog = std::chrono::seconds{30}) {
-  net::OperatorFile file;
+app::OperatorFile setup(bool servers, bool clients, milliseconds watchdog = std::chrono::seconds{30}) {
+  app::OperatorFile file;
   file.diameter.emplace();
   file.diameter->origin_host = "n0.kartu.example";
   file.diameter->origin_realm = "kartu.example";
@@ -122,7 +122,7 @@
 }
 
 struct DiameterBench : Bench {
-  explicit DiameterBench(const net::OperatorFile& file, bool client = false) : Bench(file) {
+  explicit DiameterBench(const app::OperatorFile& file, bool client = false) : Bench(file) {
     server.make = [this] { return std::make_unique<DiameterEnd>(loop, "s1.acme", state); };
     list();
     if (!file.diameter->servers.empty()) {
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -114,7 +114,7 @@
 
 TEST_CASE("the directory is read again off the call path, and the last good copy is kept when that fails") {
   LdapStandIn server;
-  net::OperatorFile setup;
+  app::OperatorFile setup;
   setup.diameter.emplace();
   setup.diameter->origin_host = "n0";
   setup.diameter->origin_realm = "kartu.example";
--- a/tests/net_bench.hpp
+++ b/tests/net_bench.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "net/router.hpp"
+#include "app/router.hpp"
 
 namespace amberknot::tests {
 
@@ -86,8 +86,8 @@
   std::function<std::unique_ptr<End>()> make;  ///< where more than an End is wanted
 };
 
-inline net::Config bench_config() {
-  net::Config config;
+inline app::Config bench_config() {
+  app::Config config;
   config.name = "n0";
   config.listen = {asio::ip::make_address("127.0.0.1"), 0};
   config.connect_limit = milliseconds{500};
@@ -117,10 +117,10 @@
 
 /// A router with one session server and the command channel, all stand-ins.
 struct Bench {
-  explicit Bench(const net::OperatorFile& setup = {}, const net::Config& base = bench_config())
+  explicit Bench(const app::OperatorFile& setup = {}, const app::Config& base = bench_config())
       : server(loop), channel(loop), config(base) {
     config.channel = channel.acceptor.local_endpoint();
-    router = std::make_unique<net::Router>(loop, config, setup);
+    router = std::make_unique<app::Router>(loop, config, setup);
     caller = connect(router->callers_at());
   }
 
@@ -148,7 +148,7 @@
     return end;
   }
   void list(ListState state = ListState::kReady, std::int64_t started = 0, const std::string& name = "s1") {
-    net::ListNews news;
+    feed::ListNews news;
     news.has_servers = true;
     news.changes.push_back({name, server.address, 0, state, started});
     router->apply(news);
@@ -185,8 +185,8 @@
 
   Loop loop;
   Listener server, channel;
-  net::Config config;
-  std::unique_ptr<net::Router> router;
+  app::Config config;
+  std::unique_ptr<app::Router> router;
   std::unique_ptr<End> caller;
 };
 
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -2,15 +2,19 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "app/config.hpp"
+#include "app/operator_file.hpp"
 #include "core/timer_wheel.hpp"
-#include "net/config.hpp"
-#include "net/feed_parse.hpp"
-#include "net/jsonl.hpp"
-#include "net/operator_file.hpp"
-#include "net/sip.hpp"
+#include "feed/parse.hpp"
+#include "jsonl/codec.hpp"
+#include "net/bounds.hpp"
+#include "sip/codec.hpp"
 
 using namespace amberknot;
-using namespace amberknot::net;
+using namespace amberknot::app;
+using namespace amberknot::feed;
+using namespace amberknot::jsonl;
+using namespace amberknot::sip;
 
 TEST_CASE("a JSON line is read, or refused as a whole") {
   using Type = JsonLine::Type;
@@ -121,7 +125,7 @@
   };
   for (const auto& one : cases) {
     CAPTURE(one.text);
-    const auto read = read_sip(one.text, kMostMessage);
+    const auto read = read_sip(one.text, net::kMostMessage);
     CHECK(read.state == one.state);
     CHECK(read.head.status == one.status);
     if (one.state == State::kWhole) {
@@ -129,7 +133,7 @@
       CHECK(read.size() == std::string(one.text).size());
     }
   }
-  CHECK(read_sip(std::string(kMostMessage + 1, 'a'), kMostMessage).state == State::kBad);
+  CHECK(read_sip(std::string(net::kMostMessage + 1, 'a'), net::kMostMessage).state == State::kBad);
 }
 
 TEST_CASE("causes and load reports") {
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -72,8 +72,8 @@
   int status_ = 0;
 };
 
-net::ListNews news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
-  net::ListNews news;
+feed::ListNews news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
+  feed::ListNews news;
   news.cursor = cursor;
   news.has_servers = true;
   news.changes.push_back({name, address, 0, ListState::kReady, 0});
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,10 +1,10 @@
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 #include <gtest/gtest.h>
 
 #include "settings_text.hpp"
 
-namespace amberknot::simhost {
+namespace amberknot::settings {
 namespace {
 
 using namespace std::chrono_literals;
@@ -91,4 +91,4 @@
 }
 
 }  // namespace
-}  // namespace amberknot::simhost
+}  // namespace amberknot::settings
