--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -28,6 +28,9 @@
 // Set-ups sent so much later have been answered, and so long ago: what is out on a silent link is lost.
 constexpr Duration kOvertakenBy = milliseconds{60};
 constexpr Duration kOvertakenFor = milliseconds{60};
+// The same while answers go on by other links, or where all that was out on it has been called off. Cutting a
+// link loses the releases that are on their way in it, so it is cut late, and others are chosen meanwhile.
+constexpr Duration kDoubtedFor = seconds{3};
 constexpr Duration kWatchEvery = milliseconds{20};
 // So many refusals in a row, and no link left, show that no process listens there any more.
 constexpr int kRefusalsOfDeath = 2;
@@ -57,10 +60,15 @@
   std::deque<Bye> byes;               ///< not yet confirmed
   int resent = 0;                     ///< how often what waits on it has been moved, at most
   Instant up{};
-  Instant heard{};
   std::optional<Instant> half_since;  ///< the start of a message is there, and not its end
+  /// When the first set-up left by it of all since which nothing has been heard on it. Outlives the set-up:
+  /// one that was called off unanswered tells as much of the link as one that is out.
+  std::optional<Instant> silent_since;
+  std::optional<Instant> overtaken_at;  ///< when later set-ups by other links had been answered
 
   [[nodiscard]] bool is_usable() const { return stream->is_open() && !half_since; }
+  /// It may be stalled: other links are to be preferred.
+  [[nodiscard]] bool is_doubted() const { return overtaken_at || (silent_since && out.empty()); }
 };
 
 struct Links::Server {
@@ -191,7 +199,8 @@
   const std::size_t count = server.links.size();
   for (std::size_t i = 0; i < count; ++i) {
     const auto& link = server.links[(server.turn + i) % count];
-    if (link->is_usable() && (!best || link->out.size() < best->out.size())) best = link;
+    const auto rank = [](const Link& one) { return std::pair(one.is_doubted(), one.out.size()); };
+    if (link->is_usable() && (!best || rank(*link) < rank(*best))) best = link;
   }
   ++server.turn;
   if (best) {
@@ -208,7 +217,7 @@
 
 void Links::link_open(Link& link) {
   auto& server = link.server;
-  link.up = link.heard = net::Loop::now();
+  link.up = net::Loop::now();
   server.refusals = 0;
   net::log::debug("link up: ", servers_.find(server.id)->name);
   for (auto& [id, bye] : std::exchange(server.pending, {})) send_bye(server, std::move(id), std::move(bye));
@@ -253,6 +262,7 @@
     other->out.push_back(*ref);
     attempt->second.link = other;
     attempt->second.sent = now;
+    if (!other->silent_since) other->silent_since = now;
     link->out.erase(ref);
     other->stream->send(std::move(message.head), std::move(message.body), message.tag);
   }
@@ -316,12 +326,16 @@
 // it would wait for its callers' whole patience.
 bool Links::is_stuck(const Link& link, Instant now) {
   if (link.half_since) return now - *link.half_since > kHalfMessage;
-  if (!link.stream->is_open() || link.out.empty()) return false;
-  const auto first = find(link.out.front());
-  if (first == attempts_.end()) return false;
-  const Instant sent = std::max(first->second.sent, link.up);
-  return link.heard <= sent && sent + kOvertakenBy < link.server.answered_sent &&
-         now - link.server.answered_at > kOvertakenFor;
+  if (!link.stream->is_open() || !link.overtaken_at) return false;
+  if (now - *link.overtaken_at > kDoubtedFor) return true;
+  return !link.out.empty() && now - link.server.answered_at > kOvertakenFor;
+}
+
+// Silence counts from when the link was up: until then a set-up waits for the connection.
+void Links::note_overtaken(Link& link, Instant now) {
+  if (!link.silent_since || link.overtaken_at) return;
+  if (std::max(*link.silent_since, link.up) + kOvertakenBy < link.server.answered_sent)
+    link.overtaken_at = now;
 }
 
 void Links::watch_links() {
@@ -330,6 +344,7 @@
     std::vector<std::shared_ptr<Link>> stuck;
     for (const auto& [id, server] : by_id_) {
       for (const auto& link : server->links) {
+        note_overtaken(*link, now);
         if (is_stuck(*link, now)) stuck.push_back(link);
         while (!link->byes.empty() && now - link->byes.front().sent > kByeDoubt) link->byes.pop_front();
       }
@@ -359,6 +374,7 @@
   by_call_[set_up.attempt.call] = key;
   attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, net::Loop::now(), false};
   link->out.push_back(set_up.attempt);
+  if (!link->silent_since) link->silent_since = net::Loop::now();
   link->stream->send(invite_head({set_up.id, set_up.number, set_up.attempt.attempt + 1}, own_name_,
                                  set_up.call_class, set_up.wait, set_up.description.size()),
                      std::string(set_up.description), tag(set_up.attempt));
@@ -374,6 +390,8 @@
   if (!link || link->stream->is_closed()) return;
   if (link->stream->take_back(tag(attempt))) {
     ++counters_.taken_back;
+    // It never left, so that no answer to it tells nothing of the link.
+    if (link->out.empty() && !link->overtaken_at) link->silent_since.reset();
     return;
   }
   link->stream->send(request_head("CANCEL", {id, number, attempt.attempt + 1}, own_name_));
@@ -450,7 +468,8 @@
 
 std::size_t Links::link_bytes(Link& link, std::span<char> bytes) {
   const auto keep = link.shared_from_this();
-  link.heard = net::Loop::now();
+  link.silent_since.reset();
+  link.overtaken_at.reset();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
     const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
--- a/src/sip/links.hpp
+++ b/src/sip/links.hpp
@@ -73,7 +73,8 @@
   void end_on(Link& link, Outcome outcome);
   void end_probe(const std::string& id, Outcome outcome, const Report& load);
   void watch_links();
-  [[nodiscard]] bool is_stuck(const Link& link, Instant now);
+  static void note_overtaken(Link& link, Instant now);
+  [[nodiscard]] static bool is_stuck(const Link& link, Instant now);
   Attempts::iterator find(const core::AttemptRef& attempt);
   void drop(Attempts::iterator at);
   static net::Stream::Tag tag(const core::AttemptRef& attempt) {
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -126,6 +126,30 @@
   CHECK(Loop::now() - sent >= milliseconds{500});
 }
 
+// Guards against feeding a stalled link: with all that was out on it called off, it has the fewest out.
+TEST_CASE("a link whose set-up was called off unanswered is not chosen while others answer, and cut late") {
+  Bench bench;
+  bench.list();
+  bench.open(kA);
+  auto& mute = bench.invited(kA);
+  bench.say("{\"msg\":\"close\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":16}\n");
+  bench.until([&] { return mute.has("CANCEL sip:"); });
+  // Answers keep coming by the other links, closer together than what is waited for, until it is cut.
+  int made = 0;
+  std::string last;
+  bench.until([&] {
+    if (last.empty() || bench.caller->has("\"ready\",\"sid\":\"" + last)) {
+      last = std::to_string(1'000'000'000'000'000 + ++made);
+      bench.open(last);
+      bench.answer(bench.invited(last), last);
+    }
+    return mute.closed;
+  });
+  CHECK(mute.count(" INVITE\r\n") == 1);
+  CHECK(bench.router->counters().stuck_links == 1);
+  CHECK(made > 1);
+}
+
 // Guards against a call that stands for good at its server because the link was lost with its release.
 TEST_CASE("a release that was not confirmed is told again when its link is lost") {
   Bench bench;
