Add the translation core: dialects, compiled mappings, versions, duplicates, eligibility

Need: old clients have to reach new servers with no change in meaning; what is ruled out for a call, what an error proves and what its caller is told are decisions of their own.

Change: src/translate without I/O: dialects of three clients and four servers, mappings compiled from the project's and the operator's rows into flat programs (what is not total is refused with the field's name), one meaning for each error, versions by server as a state machine, an index of duplicates bounded in bytes, Retry-After in both forms.

Not wired yet: no front or link uses mappings.

--- /dev/null
+++ b/bench/plain_mapping.hpp
@@ -0,0 +1,142 @@
+// The plain way to do what a compiled Program does: a map of texts in, a map of texts out, every row looked
+// at by name. The slow model of the property tests, and the other side of the benchmark's ratio.
+#pragma once
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "translate/mapping.hpp"
+
+namespace amberknot::plain {
+
+using Fields = std::map<std::string, std::string>;
+
+class Interpreter {
+ public:
+  Interpreter(const translate::Dialect& from, const translate::Dialect& to, translate::Kind kind,
+              const translate::Table& operators)
+      : from_(from), to_(to), kind_(kind) {
+    // Which row counts for which field is found once; it would be unfair to search the tables for each
+    // message.
+    for (const auto& field : to.of(kind)) {
+      const translate::Row* best = nullptr;
+      int best_rank = -1;
+      for (const auto* table : {&operators, &translate::own_table()}) {
+        for (const auto& row : table->rows) {
+          if (row.kind != kind || row.field.empty()) continue;
+          if ((row.from != "*" && row.from != from.name) || (row.to != "*" && row.to != to.name)) continue;
+          if (name_in(to, row.field) != field.name) continue;
+          const int rank =
+              (table == &operators ? 10 : 0) + (row.from != "*" ? 1 : 0) + (row.to != "*" ? 1 : 0);
+          if (rank > best_rank) {
+            best = &row;
+            best_rank = rank;
+          }
+        }
+      }
+      rows_.push_back({&field, best});
+    }
+  }
+
+  /// Empty: not eligible, with the name of the field in `bar`.
+  std::optional<Fields> run(const Fields& in, std::string& bar) const {
+    Fields out;
+    for (const auto& [field, row] : rows_) {
+      const auto value = value_of(*field, row, in);
+      if (value && holds(*field, *value)) {
+        out[field->name] = *value;
+        continue;
+      }
+      if (row != nullptr && row->otherwise) {
+        if (const auto* constant = std::get_if<translate::Constant>(&*row->otherwise)) {
+          out[field->name] = constant->value;
+          continue;
+        }
+        if (std::holds_alternative<translate::LeaveOut>(*row->otherwise)) continue;
+      }
+      if (!value && !field->required) continue;
+      bar = field->name;
+      return std::nullopt;
+    }
+    return out;
+  }
+
+  static bool holds(const translate::FieldSpec& field, const std::string& value) {
+    if (translate::is_textual(field.type)) return translate::holds(field, std::string_view(value));
+    std::int64_t number = 0;
+    const auto [end, bad] = std::from_chars(value.data(), value.data() + value.size(), number);
+    return bad == std::errc{} && end == value.data() + value.size() && translate::holds(field, number);
+  }
+
+ private:
+  std::string name_in(const translate::Dialect& dialect, const std::string& name) const {
+    if (name.empty() || name[0] != '@') return name;
+    for (const auto& field : dialect.of(kind_)) {
+      if (field.meaning != translate::Meaning::kNone && translate::name_of(field.meaning) == name.substr(1)) {
+        return field.name;
+      }
+    }
+    return {};
+  }
+
+  const translate::FieldSpec* source(const std::string& name) const {
+    for (const auto& field : from_.of(kind_)) {
+      if (field.name == name) return &field;
+    }
+    return nullptr;
+  }
+
+  std::optional<std::string> value_of(const translate::FieldSpec& to, const translate::Row* row,
+                                      const Fields& in) const {
+    using translate::Type;
+    std::string name;
+    if (row == nullptr) {
+      for (const auto& field : from_.of(kind_)) {
+        if (to.meaning != translate::Meaning::kNone && field.meaning == to.meaning) name = field.name;
+      }
+    } else if (const auto* copy = std::get_if<translate::Copy>(&*row->source)) {
+      name = name_in(from_, copy->of);
+    } else if (const auto* constant = std::get_if<translate::Constant>(&*row->source)) {
+      return constant->value;
+    } else if (const auto* derived = std::get_if<translate::Derived>(&*row->source)) {
+      const auto found = in.find(name_in(from_, derived->of));
+      if (found == in.end()) return std::nullopt;
+      char made[translate::kMostDerived];
+      std::size_t size = 0;
+      if (!translate::find_rule(derived->rule)->make(found->second, to, made, size))
+        return std::string("\x01 none");
+      return std::string(made, size);
+    } else {
+      const auto& lookup = std::get<translate::Lookup>(*row->source);
+      const auto found = in.find(name_in(from_, lookup.by));
+      if (found == in.end()) return std::nullopt;
+      const auto value = lookup.table.find(found->second);
+      return value != lookup.table.end() ? value->second : std::string("\x01 none");
+    }
+    const auto found = in.find(name);
+    if (found == in.end()) return std::nullopt;
+    const auto* from = source(name);
+    if (from->type == Type::kDuration && to.type == Type::kDuration) {
+      std::int64_t number = 0;
+      std::from_chars(found->second.data(), found->second.data() + found->second.size(), number);
+      return std::to_string(number * from->unit / to.unit);
+    }
+    if (from->type == Type::kDigits && to.type == Type::kNumber) {
+      std::int64_t number = 0;
+      const auto [end, bad] =
+          std::from_chars(found->second.data(), found->second.data() + found->second.size(), number);
+      return bad == std::errc{} ? std::to_string(number) : std::string("none");
+    }
+    return found->second;
+  }
+
+  const translate::Dialect& from_;
+  const translate::Dialect& to_;
+  translate::Kind kind_;
+  std::vector<std::pair<const translate::FieldSpec*, const translate::Row*>> rows_;
+};
+
+}  // namespace amberknot::plain
--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -97,11 +97,18 @@
 
 enum class ListState : std::uint8_t { kReady, kGone, kDraining };
 
+/// A version of the servers' protocols, by number; what it speaks is none of the module's business.
+enum class VersionNo : std::uint8_t {};
+/// Versions by bit, 0 to 31.
+using VersionSet = std::uint32_t;
+inline constexpr VersionSet kAllVersions = ~VersionSet{0};
+
 struct ListEntry {
   ServerId server{};
   CellNo cell{};
   ListState state = ListState::kReady;
   std::optional<Instant> started;  ///< absent: long ago
+  VersionNo version{};             ///< may change while the server runs
 };
 
 enum class ListScope : std::uint8_t { kDelta, kFull, kCached, kFailed };
@@ -121,6 +128,7 @@
   bool in_transit = false;
   bool was_cut = false;
   bool redialled = false;
+  VersionSet ruled_out = 0;  ///< servers of these versions cannot be told what it needs
 };
 
 struct Established {
@@ -139,7 +147,9 @@
   Outcome outcome = Outcome::kOk;
   Duration taken{};
   bool call_ended = false;
-  bool number_busy = false;            ///< the callee's lines, not the server, were busy
+  bool of_the_call = false;            ///< an error that is no fault of the server: the number was busy, or
+                                       ///< a field of the call is not taken there
+  VersionSet rules_out = 0;            ///< versions ruled out for this call from now on
   std::optional<Duration> asked_wait;  ///< the wait a full processor names
   Report report;
 };
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -127,7 +127,7 @@
 }
 
 core::ServerFacts Router::facts_of(const core::ListedServer& server) const {
-  core::ServerFacts facts{server.id, server.cell, server.state, server.started};
+  core::ServerFacts facts{server.id, server.cell, server.state, server.started, server.version};
   // A server whose links cannot take anything new now, as a Diameter peer that is not up or whose watchdog is
   // silent; what is out there may finish. To the module that is a server that drains.
   if (facts.state == ListState::kReady && !server.port->serves(server.id)) {
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -33,6 +33,7 @@
   auto& call = calls_[id];
   call.client = &client;
   call.set_up = std::move(set_up);
+  call.placement = Placement(call.set_up.facts.ruled_out);
   call.deadline = wheel_.at(call.set_up.facts.expires, [this, id] { time_out(id); });
   ++counters_.taken;
   return id;
@@ -59,7 +60,7 @@
   if (out) {
     ++counters_.ended[static_cast<std::size_t>(Outcome::kCancelled)];
     enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
-                                 {Outcome::kCancelled, taken, true, false, {}}));
+                                 {Outcome::kCancelled, taken, true, false, 0, {}}));
   }
 }
 
@@ -76,7 +77,7 @@
   forget(id);
   if (auto* to = port(attempt.server)) to->release(attempt, cause);
   enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
-                               {Outcome::kOk, taken, true, false, {}}));
+                               {Outcome::kOk, taken, true, false, 0, {}}));
 }
 
 // ---- from the servers' side -----------------------------------------------------------------------------
@@ -91,10 +92,10 @@
   if (!call->client->answer(attempt.call, description)) {
     // The caller is owed a final answer, and this one does not fit its side.
     ++counters_.failed;
-    call->client->fail(attempt.call, Cause::kInvalidContents);
+    call->client->fail(attempt.call, Reason::kFieldRefused);
     forget(attempt.call);
     enact(dispatcher_.report_end(clock_(), attempt.call, attempt.server, attempt.attempt,
-                                 {Outcome::kError, taken, true, false, {}}));
+                                 {Outcome::kError, taken, true, false, 0, {}}));
     return false;
   }
   ++counters_.stood;
@@ -109,8 +110,14 @@
 void CallTable::end_attempt(CallId id, const AttemptEnd& end) {
   auto& call = calls_.at(id);
   const auto attempt = attempt_of(id, call);
-  EndFacts facts{end.outcome, clock_() - call.sent, call.state == State::kStanding, end.number_busy,
+  EndFacts facts{end.outcome, clock_() - call.sent, call.state == State::kStanding, end.of_the_call, 0,
                  end.load};
+  if (end.error && call.state == State::kOut) {
+    const auto verdict = call.placement.ended(call.version, *end.error, end.stay_away);
+    facts.outcome = verdict.outcome;
+    facts.of_the_call = verdict.of_the_call;
+    facts.rules_out = verdict.final_now ? kAllVersions : call.placement.ruled_out();
+  }
   if (facts.call_ended) {
     call.state = State::kReleasing;
     --standing_;
@@ -119,7 +126,7 @@
     call.client->release(id, end.cause);
     forget(id);
   } else {
-    ++counters_.ended[static_cast<std::size_t>(end.outcome)];
+    ++counters_.ended[static_cast<std::size_t>(facts.outcome)];
     call.state = State::kHeld;
   }
   enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt, facts));
@@ -206,16 +213,10 @@
       break;
     case Decision::Kind::kRefuse:
       // Given up on is answered at once: the advice tells the caller when to come back.
-      if (!held) break;
-      ++counters_.refused;
-      found->second.client->refuse(decision.call, decision.time);
-      forget(decision.call);
+      if (held) tell(decision.call, Reason::kCongestion, decision.time);
       break;
     case Decision::Kind::kFail:
-      if (!held) break;
-      ++counters_.failed;
-      found->second.client->fail(decision.call, Cause::kTemporaryFailure);
-      forget(decision.call);
+      if (held) tell(decision.call, Reason::kServerFault, Duration::zero());
       break;
     case Decision::Kind::kCancel: {
       if (found == calls_.end() || found->second.state != State::kOut) break;
@@ -239,10 +240,37 @@
   }
 }
 
+void CallTable::tell(CallId id, Reason otherwise, Duration stay_away) {
+  auto& call = calls_.at(id);
+  const bool nobody = call.placement.ruled_out() != 0 && call.placement.stranded(versions());
+  const auto reason = call.placement.reason(nobody ? Reason::kNoServerSpeaks : otherwise);
+  if (facts_of(reason).final_answer == Final::kRefused) {
+    ++counters_.refused;
+    // The servers' wish counts where the settings allow any, and no longer than they do.
+    const auto& limits = dispatcher_.settings().limits;
+    const Duration asked = call.placement.stay_away().value_or(Duration::zero());
+    if (limits.retry_advice) stay_away = std::max(stay_away, std::min(asked, limits.max_retry_advice));
+    call.client->refuse(id, reason, stay_away);
+  } else {
+    ++counters_.failed;
+    call.client->fail(id, reason);
+  }
+  forget(id);
+}
+
+VersionSet CallTable::versions() const {
+  VersionSet set = 0;
+  for (const auto& [id, server] : servers_.all()) {
+    if (server.state != ListState::kGone) set |= set_of(server.version);
+  }
+  return set;
+}
+
 void CallTable::send(const Decision& decision) {
   auto& call = calls_.at(decision.call);
   call.state = State::kOut;
   call.server = decision.server;
+  if (const auto* listed = servers_.find(decision.server)) call.version = listed->version;
   call.sent = clock_();
   ++call.attempts;
   ++counters_.sent;
@@ -277,9 +305,7 @@
   // Guards the rule of one final answer in time: whatever is still undecided now is refused.
   const auto still = calls_.find(id);
   if (last && still != calls_.end() && still->second.state == State::kHeld) {
-    ++counters_.refused;
-    still->second.client->refuse(id, Duration::zero());
-    forget(id);
+    tell(id, Reason::kTimeout, Duration::zero());
     enact(dispatcher_.report_given_up(clock_(), id));
   }
 }
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -13,6 +13,7 @@
 
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
+#include "core/placement.hpp"
 #include "core/ports.hpp"
 #include "core/server_list.hpp"
 #include "core/timer_wheel.hpp"
@@ -32,8 +33,11 @@
 struct AttemptEnd {
   Outcome outcome = Outcome::kOk;
   Cause cause = Cause::kNormal;
-  bool number_busy = false;
+  bool of_the_call = false;
   Report load;
+  /// What the error means, where a server answered with one; it then says the outcome.
+  std::optional<ErrorMeaning> error = {};
+  std::optional<Duration> stay_away = {};  ///< asked by the server
 };
 
 class CallTable {
@@ -85,6 +89,8 @@
     State state = State::kHeld;
     std::uint32_t attempts = 0;
     ServerId server{};
+    VersionNo version{};  ///< of the latest attempt
+    Placement placement;
     Instant sent{};
     TimerWheel::Handle deadline = 0;
   };
@@ -93,6 +99,10 @@
   void carry_out(Decision& decision);
   void send(const Decision& decision);
   void end_attempt(CallId id, const AttemptEnd& end);
+  /// The one final answer of a held call: refused or failed, as its reason says.
+  void tell(CallId id, Reason otherwise, Duration stay_away);
+  /// The versions of all servers that have not gone.
+  [[nodiscard]] VersionSet versions() const;
   void time_out(CallId id);
   void arm();
   ServerPort* port(ServerId server);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -81,6 +81,7 @@
   news.call_class = facts.call_class;
   news.tenant = facts.tenant;
   news.was_cut = facts.was_cut;
+  news.ruled_out = facts.ruled_out;
   return run(now, news);
 }
 
@@ -98,7 +99,8 @@
   news.outcome = facts.outcome;
   news.taken = facts.taken;
   news.call_ended = facts.call_ended;
-  news.number_busy = facts.number_busy;
+  news.of_the_call = facts.of_the_call;
+  news.rules_out = facts.rules_out;
   news.report = facts.load;
   return run(now, news);
 }
@@ -118,7 +120,8 @@
 
 Decisions Dispatcher::report_servers(Instant now, bool whole_list, const std::vector<ServerFacts>& servers) {
   ListNews news{whole_list ? ListScope::kFull : ListScope::kDelta, {}};
-  for (const auto& one : servers) news.entries.push_back({one.server, one.cell, one.state, one.started});
+  for (const auto& one : servers)
+    news.entries.push_back({one.server, one.cell, one.state, one.started, one.version});
   return run(now, news);
 }
 
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -31,13 +31,15 @@
   std::size_t call_class = 0;
   std::size_t tenant = 0;
   bool was_cut = false;
+  VersionSet ruled_out = 0;
 };
 
 struct EndFacts {
   Outcome outcome = Outcome::kOk;
   Duration taken{};
   bool call_ended = false;
-  bool number_busy = false;
+  bool of_the_call = false;
+  VersionSet rules_out = 0;
   Report load;
 };
 
@@ -46,6 +48,7 @@
   CellNo cell{};
   ListState state = ListState::kReady;
   std::optional<Instant> started;
+  VersionNo version{};
 };
 
 class Dispatcher {
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "amberknot/admission.hpp"
+#include "core/reason.hpp"
 
 namespace amberknot::core {
 
@@ -47,8 +48,10 @@
   virtual ~ClientPort() = default;
   /// False: the answer does not fit this side's messages; the call is then failed.
   virtual bool answer(CallId call, std::string_view description) = 0;
-  virtual void refuse(CallId call, Duration stay_away) = 0;
-  virtual void fail(CallId call, Cause cause) = 0;
+  /// Trying again is harmless; `stay_away` says when, zero: no advice.
+  virtual void refuse(CallId call, Reason reason, Duration stay_away) = 0;
+  /// This call is over, and no more is said.
+  virtual void fail(CallId call, Reason reason) = 0;
   virtual void release(CallId call, Cause cause) = 0;
 };
 
--- /dev/null
+++ b/src/core/reason.cpp
@@ -0,0 +1,73 @@
+#include "core/reason.hpp"
+
+namespace amberknot::core {
+namespace {
+
+struct ReasonRow {
+  std::string_view name;
+  ReasonFacts facts;
+};
+constexpr std::array<ReasonRow, kReasons> kReasonRows = {{
+    {"normal", {Final::kFailed, Reason::kServerFault}},
+    {"congestion", {Final::kRefused, Reason::kCongestion}},
+    {"no-circuit", {Final::kRefused, Reason::kCongestion}},
+    {"timeout", {Final::kRefused, Reason::kCongestion}},
+    {"over-share", {Final::kRefused, Reason::kCongestion}},
+    {"region-closed", {Final::kRefused, Reason::kCongestion}},
+    {"number-busy", {Final::kFailed, Reason::kServerFault}},
+    {"number-unknown", {Final::kFailed, Reason::kFieldRefused}},
+    {"tenant-unknown", {Final::kFailed, Reason::kFieldRefused}},
+    {"tenant-suspended", {Final::kFailed, Reason::kTenantUnknown}},
+    {"field-refused", {Final::kFailed, Reason::kServerFault}},
+    {"no-server-speaks", {Final::kFailed, Reason::kFieldRefused}},
+    {"duplicate", {Final::kFailed, Reason::kFieldRefused}},
+    {"server-fault", {Final::kFailed, Reason::kServerFault}},
+    {"cut", {Final::kFailed, Reason::kServerFault}},
+}};
+
+}  // namespace
+
+std::string_view name_of(Reason reason) {
+  return kReasonRows[static_cast<std::size_t>(reason)].name;
+}
+const ReasonFacts& facts_of(Reason reason) {
+  return kReasonRows[static_cast<std::size_t>(reason)].facts;
+}
+
+std::optional<Reason> reason_of(std::string_view name) {
+  for (std::size_t i = 0; i < kReasons; ++i) {
+    if (kReasonRows[i].name == name) return static_cast<Reason>(i);
+  }
+  return std::nullopt;
+}
+
+Verdict verdict_of(const ErrorMeaning& meaning) {
+  Verdict verdict;
+  switch (meaning.about) {
+    case About::kServer:
+      // Full is what the module takes as a reason to leave a server alone for a while, and it proves that
+      // nothing ran; an error that may have run counts against the server as one.
+      if (meaning.ran == Ran::kMaybe) {
+        verdict.outcome = meaning.reason == Reason::kTimeout ? Outcome::kTimeout
+                          : meaning.reason == Reason::kCut   ? Outcome::kReset
+                                                             : Outcome::kError;
+      } else {
+        const bool full = meaning.reason == Reason::kCongestion || meaning.reason == Reason::kNoCircuit;
+        verdict.outcome = full ? Outcome::kFull : Outcome::kMoot;
+      }
+      break;
+    case About::kVersion:
+      verdict.outcome = meaning.ran == Ran::kNo ? Outcome::kMoot : Outcome::kError;
+      verdict.of_the_call = true;
+      verdict.rules_out_version = true;
+      break;
+    case About::kCall:
+      verdict.outcome = Outcome::kError;
+      verdict.of_the_call = true;
+      verdict.final_now = true;
+      break;
+  }
+  return verdict;
+}
+
+}  // namespace amberknot::core
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -21,6 +21,7 @@
   std::int64_t started_unix_ms = 0;  ///< zero: long ago
   std::optional<Instant> started;    ///< the same on the monotonic clock, read once for each start
   Links* port = nullptr;             ///< whose links lead there
+  VersionNo version{};               ///< of the protocol that it speaks
   std::optional<Instant> gone_at;    ///< while it is gone
 };
 
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -7,6 +7,7 @@
 
 #include "net/log.hpp"
 #include "settings/json_text.hpp"
+#include "translate/dialect.hpp"
 
 namespace amberknot::diameter {
 namespace {
@@ -22,6 +23,11 @@
   return avp != nullptr ? std::string(avp->whole) : missing(code);
 }
 
+Result result_of(core::Reason reason) {
+  static const auto& dialect = *translate::find_dialect("diameter");
+  return static_cast<Result>(translate::word_for(dialect, reason).code);
+}
+
 }  // namespace
 
 Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
@@ -240,11 +246,11 @@
                 [&](Writer& writer) { writer.add_parameter(Parameter::kDescription, description); });
 }
 
-void Front::refuse(CallId call, Duration stay_away) {
+void Front::refuse(CallId call, core::Reason reason, Duration stay_away) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
   const std::string id = found->second;
-  finish(sessions_.at(id), Result::kTooBusy, [&](Writer& writer) {
+  finish(sessions_.at(id), result_of(reason), [&](Writer& writer) {
     if (stay_away <= Duration::zero()) return;
     const auto ms = std::chrono::duration_cast<milliseconds>(stay_away).count();
     writer.add(Code::kErrorMessage, "come back in " + std::to_string(ms) + " ms");
@@ -253,11 +259,11 @@
   forget(id);
 }
 
-void Front::fail(CallId call, core::Cause /*cause*/) {
+void Front::fail(CallId call, core::Reason reason) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
   const std::string id = found->second;
-  finish(sessions_.at(id), Result::kUnableToComply, {});
+  finish(sessions_.at(id), result_of(reason), {});
   forget(id);
 }
 
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "settings/json_text.hpp"
+#include "translate/dialect.hpp"
 
 namespace amberknot::jsonl {
 namespace {
@@ -34,6 +35,11 @@
   return static_cast<std::size_t>(at - names.begin());
 }
 
+core::Cause cause_of(core::Reason reason) {
+  static const auto& dialect = *translate::find_dialect("json-lines");
+  return static_cast<core::Cause>(translate::word_for(dialect, reason).code);
+}
+
 }  // namespace
 
 Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
@@ -380,16 +386,16 @@
   return true;
 }
 
-void Front::refuse(CallId id, Duration stay_away) {
+void Front::refuse(CallId id, core::Reason reason, Duration stay_away) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
-  finish(id, close_line(found->second.sid, core::Cause::kCongestion,
+  finish(id, close_line(found->second.sid, cause_of(reason),
                         stay_away > Duration::zero() ? std::optional(stay_away) : std::nullopt));
 }
 
-void Front::fail(CallId id, core::Cause cause) {
+void Front::fail(CallId id, core::Reason reason) {
   const auto found = calls_.find(id);
-  if (found != calls_.end()) finish(id, close_line(found->second.sid, cause));
+  if (found != calls_.end()) finish(id, close_line(found->second.sid, cause_of(reason)));
 }
 
 void Front::release(CallId id, core::Cause cause) {
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/front.hpp
@@ -27,8 +27,8 @@
         const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen);
 
   bool answer(CallId call, std::string_view description) override;
-  void refuse(CallId call, Duration stay_away) override;
-  void fail(CallId call, core::Cause cause) override;
+  void refuse(CallId call, core::Reason reason, Duration stay_away) override;
+  void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
   [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -96,6 +96,7 @@
   ListState state = ListState::kReady;
   Instant gone_at{};
   std::optional<Instant> cold_since;
+  VersionNo version{};
   std::optional<double> free_lines;
   std::optional<double> lines;
   double most_standing = 0;  // calls of all senders, since its start
@@ -203,6 +204,7 @@
       auto& server = servers_[entry.server];
       server.id = entry.server;
       server.cell = entry.cell;
+      server.version = entry.version;
       if (entry.state == ListState::kGone && server.state != ListState::kGone) server.gone_at = now_;
       server.state = entry.state;
       // A fresh start time is a cold processor, whether or not its stop was ever listed.
@@ -406,8 +408,24 @@
     server.shut_spans = std::min(2.0 * server.shut_spans, kMostShutSpans);
   }
 
+  [[nodiscard]] static bool speaks_to(const Server& server, const Call& call) {
+    return (call.facts.ruled_out >> static_cast<unsigned>(server.version) & 1U) == 0;
+  }
+
+  // Departure: no server there is can be told what the call needs. Holding it would not change that.
+  [[nodiscard]] bool stranded(const Call& call) const {
+    if (call.facts.ruled_out == 0 || call.facts.ruled_out == kAllVersions) return call.facts.ruled_out != 0;
+    bool any = false;
+    for (const auto& [id, server] : servers_) {
+      if (server.state == ListState::kGone) continue;
+      if (speaks_to(server, call)) return false;
+      any = true;
+    }
+    return any;
+  }
+
   [[nodiscard]] bool may_take(const Server& server, const Call& call) const {
-    if (!server.usable_state()) return false;
+    if (!server.usable_state() || !speaks_to(server, call)) return false;
     if (set_.own_cell && server.cell == *set_.own_cell) return false;
     if (call.facts.in_transit) return server.cell == call.facts.destination;
     const auto& pools = set_.classes[call.facts.call_class].pools;
@@ -520,6 +538,7 @@
     if (call == nullptr || !attempt_is(*call, news.server, news.attempt)) return;
     return_token(*call);
     call->at.reset();
+    call->facts.ruled_out |= news.rules_out;
     if (news.call_ended) {
       finish(news.call);
       return;
@@ -560,7 +579,7 @@
         break;
       case Outcome::kError:
         heard(server, news.report);
-        if (!news.number_busy && ++server.errors_in_row >= kErrorsOfFault) shut(server, std::nullopt);
+        if (!news.of_the_call && ++server.errors_in_row >= kErrorsOfFault) shut(server, std::nullopt);
         break;
       case Outcome::kOk:
         heard(server, news.report);
@@ -615,7 +634,7 @@
   // True when the call need not be held longer: it was sent, or it can no longer stand in time.
   bool try_held(CallId id) {
     auto& call = calls_.at(id);
-    if (now_ >= call.give_up) return true;
+    if (now_ >= call.give_up || stranded(call)) return true;
     next_look_ = std::min(next_look_, call.give_up);  // sooner than the usual look
     if (call.not_before > now_) return false;
     Server* server = choose(call);
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -104,7 +104,7 @@
     constexpr std::uint32_t kNumberBusy = 4;
     auto event = raw.event;
     const bool processor_full = (raw.reason & kReasonMask) == kProcessorFull;
-    event.number_busy = raw.event.outcome == Outcome::kError && raw.reason == kNumberBusy;
+    event.of_the_call = raw.event.outcome == Outcome::kError && raw.reason == kNumberBusy;
     if (const auto found = host.instances_.find(node); found != host.instances_.end()) {
       event.report = found->second->report(raw.report);
       if (found->second->names_wait && processor_full && raw.reason > kReasonMask) {
--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -581,7 +581,7 @@
       break;
     default:
       end.outcome = Outcome::kError;
-      end.number_busy = head.diagnosis == "sub";
+      end.of_the_call = head.diagnosis == "sub";
   }
   table_.ended(ref, end);
 }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -554,7 +554,7 @@
       ended.call = CallId{id};
       ended.server = ServerId{1};
       ended.outcome = Outcome::kError;
-      ended.number_busy = *at == 'b';
+      ended.of_the_call = *at == 'b';
       ended.call_ended = true;
       play.at(now + 30ms).tell(ended);
     }
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -66,7 +66,7 @@
     ended.server = ServerId{server};
     ended.attempt = attempt;
     ended.outcome = outcome;
-    ended.number_busy = outcome == Outcome::kError;  // no fault of the server
+    ended.of_the_call = outcome == Outcome::kError;  // no fault of the server
     ended.call_ended = call_ended;
     ended.report = report;
     return tell(ended);
