--- a/src/feed/parse.hpp
+++ b/src/feed/parse.hpp
@@ -1,8 +1,7 @@
-// The command channel's stream: server-sent events, and the news of servers that each of them holds.
+// The news of servers that the command channel's events hold.
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,27 +9,12 @@
 
 #include "core/server_list.hpp"
 #include "settings/json_text.hpp"
+#include "settings/sse.hpp"
 
 namespace amberknot::feed {
 
-struct SseEvent {
-  std::string id;
-  std::string data;
-};
-
-/// Server-sent events out of pieces that may be cut anywhere, also inside a line end.
-class SseReader {
- public:
-  /// False: a line is longer than is believed.
-  bool feed(std::string_view piece, const std::function<void(const SseEvent&)>& on_event);
-
- private:
-  void on_line(const std::function<void(const SseEvent&)>& on_event);
-  std::string line_;
-  bool after_cr_ = false;
-  SseEvent event_;
-  bool has_data_ = false;
-};
+using settings::SseEvent;
+using settings::SseReader;
 
 struct ListNews {
   std::uint64_t cursor = 0;
--- a/src/net/bounds.hpp
+++ b/src/net/bounds.hpp
@@ -17,6 +17,8 @@
   std::size_t queued_on_one;   ///< the same on one connection
   std::size_t calls;           ///< bytes held for calls that are not over
   std::size_t calls_of_one;    ///< the same for calls that came by one connection
+  std::size_t streams;         ///< requests out over HTTP/2, all connections together
+  std::size_t streams_of_one;  ///< the same on one connection
   std::size_t waiting;         ///< releases that wait for a caller's next connection, all callers together
   std::size_t waiting_of_one;  ///< the same for one caller or server
 
@@ -33,6 +35,9 @@
     bounds.queued_on_one = std::max(bounds.queued / 16, 2 * kMostMessage);
     bounds.calls = memory / 4;
     bounds.calls_of_one = bounds.calls / 4;
+    // An answer may have a whole message, and all may come at once.
+    bounds.streams = memory / 8 / kMostMessage;
+    bounds.streams_of_one = std::max<std::size_t>(bounds.streams / 4, 4);
     bounds.waiting = memory / 64 / 128;  // a release is some 100 bytes
     bounds.waiting_of_one = bounds.waiting / 4;
     return bounds;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -162,6 +162,13 @@
   return false;
 }
 
+bool Stream::is_queued(Tag tag) const {
+  for (auto at = out_.begin(); at != out_.end(); ++at) {
+    if (at->tag == tag) return at != out_.begin() || begun_ == 0;
+  }
+  return false;
+}
+
 std::vector<Stream::Message> Stream::take_unsent() {
   std::vector<Message> unsent;
   const std::size_t first = begun_ > 0 ? 1 : 0;
@@ -203,7 +210,9 @@
                          [self = shared_from_this()](const asio::error_code& failed) {
                            self->waiting_to_write_ = false;
                            self->loop_.outgoing.blocked.erase(self.get());
-                           if (!failed) self->flush();
+                           if (failed) return;
+                           self->flush();
+                           if (!self->is_closed() && self->out_.empty()) self->owner_->on_drained(*self);
                          });
       return;
     }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -27,6 +27,8 @@
     /// Returns how many bytes it took; the rest comes again with what follows. A message that does not fit
     /// is the owner's to refuse.
     virtual std::size_t on_bytes(Stream& stream, std::span<char> bytes) = 0;
+    /// What was blocked has left, and nothing is queued. Not called from inside send().
+    virtual void on_drained(Stream& /*stream*/) {}
     /// The connection is gone by the other side's doing. Not called after close().
     virtual void on_closed(Stream& stream, Closed why) = 0;
   };
@@ -42,6 +44,8 @@
   void send(std::string head, std::string body = {}, Tag tag = 0);
   /// True: the tagged message was queued with no byte written, and is queued no more.
   bool take_back(Tag tag);
+  /// Whether the tagged message is queued with no byte written.
+  [[nodiscard]] bool is_queued(Tag tag) const;
   struct Message {
     std::string head;
     std::string body;
