Reach servers of the session API from JSON lines and Diameter, whatever version each speaks

Need: old clients have to reach new servers with no change in meaning, also while servers are upgraded one by one.

Change: http2::Links, entered in the table of kinds and off without session_api in the operator's file. Each connection asks what its server speaks; the versions that cannot be told a set-up are ruled out before the module chooses.

Left: TLS, bounds of pings in the settings, the drain event is taken back by a new process only.

--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -5,6 +5,7 @@
 
 #include "diameter/front.hpp"
 #include "diameter/links.hpp"
+#include "http2/links.hpp"
 #include "jsonl/front.hpp"
 #include "net/log.hpp"
 #include "sip/links.hpp"
@@ -14,7 +15,7 @@
 
 std::unique_ptr<core::Front> make_jsonl_front(Site& site) {
   return std::make_unique<jsonl::Front>(site.loop, site.table, site.counters, site.names, site.settings,
-                                        site.bounds, site.config.listen);
+                                        site.bounds, site.config.listen, site.translator.get());
 }
 
 std::unique_ptr<core::Front> make_diameter_front(Site& site) {
@@ -26,7 +27,8 @@
       [&servers = site.servers](std::string_view host) -> std::optional<CellNo> {
         const auto* server = servers.find(host);
         return server != nullptr ? std::optional(server->cell) : std::nullopt;
-      });
+      },
+      site.translator.get());
   net::log::info("diameter: ", site.identity.host, " serves clients at ", front->where());
   return front;
 }
@@ -42,6 +44,22 @@
                                       site.config.name, site.config.connect_limit);
 }
 
+std::unique_ptr<core::Links> make_http2_links(Site& site) {
+  if (!site.setup.session_api) return nullptr;
+  const auto& limits = site.settings.limits;
+  return std::make_unique<http2::Links>(
+      site.loop, site.table, site.servers, site.counters, site.bounds, *site.translator,
+      site.config.connect_limit, limits.max_retry_advice,
+      [&setup = *site.setup.session_api, &translator = *site.translator](const std::string& server) {
+        const auto* speaks = setup.of(server);
+        return speaks != nullptr ? translator.server_no(*speaks) : std::nullopt;
+      },
+      site.server_changed);
+}
+
+bool speaks_session_api(const OperatorFile& setup, const std::string& server) {
+  return setup.session_api && setup.session_api->of(server) != nullptr;
+}
 bool speaks_diameter(const OperatorFile& setup, const std::string& server) {
   return setup.diameter && setup.diameter->speaks_diameter(server);
 }
@@ -51,8 +69,9 @@
 
 constexpr std::array kFronts = {FrontKind{"json-lines", make_jsonl_front},
                                 FrontKind{"diameter", make_diameter_front}};
-constexpr std::array kLinks = {LinksKind{"diameter", speaks_diameter, make_diameter_links},
-                               LinksKind{"sip", speaks_sip, make_sip_links}};
+constexpr std::array kLinks = {LinksKind{"diameter", "diameter-server", speaks_diameter, make_diameter_links},
+                               LinksKind{"session-api", "", speaks_session_api, make_http2_links},
+                               LinksKind{"sip", "sip", speaks_sip, make_sip_links}};
 
 }  // namespace
 
@@ -64,6 +83,18 @@
 }
 
 void prepare(Site& site) {
+  if (const auto& setup = site.setup.session_api) {
+    std::vector<std::string> clients = {"json-lines"};
+    if (site.setup.diameter && site.setup.diameter->listen) clients.emplace_back("diameter");
+    std::vector<std::string> servers = {"sip", "diameter-server", "session-1"};
+    const bool two = std::any_of(setup->servers.begin(), setup->servers.end(),
+                                 [](const auto& one) { return one.second != "session-1"; });
+    if (two) servers.emplace_back("session-2");
+    site.translator = std::make_unique<translate::Translator>(clients, servers, site.setup.translate);
+    if (!site.translator->faults().empty()) {
+      throw ConfigError("operator file: translate: " + site.translator->faults().front());
+    }
+  }
   if (const auto& setup = site.setup.diameter) {
     auto& identity = site.identity;
     identity.host = setup->origin_host;
--- a/src/app/kinds.hpp
+++ b/src/app/kinds.hpp
@@ -18,6 +18,7 @@
 #include "diameter/peer.hpp"
 #include "net/bounds.hpp"
 #include "net/loop.hpp"
+#include "translate/eligibility.hpp"
 
 namespace amberknot::app {
 
@@ -38,6 +39,8 @@
   std::function<void(ServerId server, bool started_anew)> server_changed;
   /// One name and one number space for the Diameter front and links.
   diameter::Identity identity = {};
+  /// Null: nothing is translated, and no server speaks the session API.
+  std::unique_ptr<translate::Translator> translator = {};
 };
 
 struct FrontKind {
@@ -48,6 +51,7 @@
 
 struct LinksKind {
   std::string_view name;
+  std::string_view dialect;  ///< of all its servers; empty: each has its own, which the links find out
   /// Whether the operator's file says that this server speaks it; the last row takes the rest.
   bool (*speaks)(const OperatorFile& setup, const std::string& server);
   /// Null: the operator's file does not set it up.
@@ -58,7 +62,8 @@
 std::span<const FrontKind> front_kinds();
 std::span<const LinksKind> links_kinds();
 
-/// What is made before both: the parts that several kinds share.
+/// What is made before both: the parts that several kinds share. Throws ConfigError where a mapping is not
+/// total.
 void prepare(Site& site);
 
 }  // namespace amberknot::app
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -117,15 +117,37 @@
   return source;
 }
 
+SessionApiSetup read_session_api(const rapidjson::Value& value) {
+  const Section section(value, "session_api", {"servers"});
+  SessionApiSetup setup;
+  const auto* servers = section.find("servers");
+  if (servers == nullptr) wrong(section.field("servers"), "is missing");
+  if (!servers->IsObject() || servers->ObjectEmpty()) wrong(section.field("servers"), "names no server");
+  for (const auto& item : servers->GetObject()) {
+    const auto name = std::string(settings::text_of(item.name));
+    const auto speaks = settings::text_of(item.value);
+    if (speaks != "learn" && speaks != "session-1" && speaks != "session-2") {
+      wrong(section.field("servers") + "." + name, "is none of learn, session-1, session-2");
+    }
+    setup.servers.emplace(name, speaks);
+  }
+  return setup;
+}
+
 }  // namespace
 
 OperatorFile read_operator_file(std::string json) {
   rapidjson::Document document;
   document.ParseInsitu<settings::kJsonFlags>(json.data());
   if (document.HasParseError()) throw ConfigError("operator file: not JSON");
-  const Section file(document, "file", {"diameter", "ldap"});
+  const Section file(document, "file", {"diameter", "ldap", "session_api", "translate"});
   OperatorFile read;
   if (const auto* diameter = file.find("diameter")) read.diameter = read_diameter(*diameter);
+  if (const auto* session_api = file.find("session_api")) read.session_api = read_session_api(*session_api);
+  if (const auto* table = file.find("translate")) {
+    const auto faults = translate::read_table(*table, read.translate);
+    if (!faults.empty()) throw ConfigError("operator file: " + faults.front());
+  }
   if (const auto* ldap = file.find("ldap")) read.ldap = read_ldap(*ldap);
   if (read.ldap && !(read.diameter && read.diameter->listen)) {
     throw ConfigError("operator file: ldap: serves Diameter clients only, and diameter.listen is missing");
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -1,5 +1,5 @@
-// The operator's file: what the platform does not say. It sets up the Diameter front and peers and the
-// tenants' directory; without it neither is there.
+// The operator's file: what the platform does not say. It sets up the Diameter front and peers, servers of
+// the session API, translation and the tenants' directory; without it none is there.
 #pragma once
 
 #include <asio.hpp>
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "directory/tenants.hpp"
+#include "translate/table.hpp"
 
 namespace amberknot::app {
 
@@ -27,8 +28,22 @@
   }
 };
 
+/// Which session servers speak the session API, and which version; `*`: all others.
+struct SessionApiSetup {
+  /// "learn", "session-1" or "session-2", by the server's name.
+  std::map<std::string, std::string, std::less<>> servers;
+
+  [[nodiscard]] const std::string* of(const std::string& server) const {
+    auto found = servers.find(server);
+    if (found == servers.end()) found = servers.find("*");
+    return found != servers.end() ? &found->second : nullptr;
+  }
+};
+
 struct OperatorFile {
   std::optional<DiameterSetup> diameter;
+  std::optional<SessionApiSetup> session_api;
+  translate::Table translate;
   std::optional<directory::LdapSource> ldap;
 };
 
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -95,12 +95,17 @@
   table_.list_changed(false, {facts_of(server)});
 }
 
-core::Links* Router::links_of(const std::string& server) const {
+void Router::assign_links(core::ListedServer& server) const {
   const auto kinds = links_kinds();
   for (std::size_t i = 0; i < kinds.size(); ++i) {
-    if (links_[i] && kinds[i].speaks(setup_, server)) return links_[i].get();
+    if (!links_[i] || !kinds[i].speaks(setup_, server.name)) continue;
+    server.port = links_[i].get();
+    if (!site_.translator) return;
+    const auto dialect = kinds[i].dialect;
+    server.version =
+        dialect.empty() ? core::kNotKnown : site_.translator->server_no(dialect).value_or(core::kNotKnown);
+    return;
   }
-  return links_.back().get();
 }
 
 std::size_t Router::callers() const {
@@ -163,7 +168,7 @@
     } else if (!server.gone_at) {
       server.gone_at = net::Loop::now();
     }
-    if (!known) server.port = links_of(server.name);
+    if (!known) assign_links(server);
     if (started) {
       // Read once for each start: the module takes a later moment for another start.
       server.started_unix_ms = change.started_unix_ms;
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -52,7 +52,7 @@
  private:
   void follow_directory();
   void server_changed(ServerId id, bool started_anew);
-  [[nodiscard]] core::Links* links_of(const std::string& server) const;
+  void assign_links(core::ListedServer& server) const;
   [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
   void look_whether_done();
   void forget_now_and_then();
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -284,8 +284,8 @@
   if (decision.time > Duration::zero() && decision.time < wait) wait = decision.time;
   wheel_.cancel(call.deadline);
   call.deadline = wheel_.at(call.sent + wait, [this, id = decision.call] { time_out(id); });
-  to->set_up(
-      {attempt, call.set_up.id, call.set_up.call_class, call.set_up.number, call.set_up.description, wait});
+  to->set_up({attempt, call.set_up.id, call.set_up.call_class, call.set_up.number, call.set_up.description,
+              wait, call.set_up.told.get()});
 }
 
 void CallTable::time_out(CallId id) {
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,7 @@
   std::string number;
   std::string description;
   CallFacts facts;  ///< `expires` is when the caller stops waiting
+  std::unique_ptr<const Told> told = {};
 };
 
 /// How an attempt ended before or after it stood, as a server's side saw it.
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -9,6 +9,9 @@
 
 namespace amberknot::core {
 
+/// The version of a server that has not said what it speaks: no call rules it out, but one that is over.
+inline constexpr VersionNo kNotKnown{31};
+
 constexpr VersionSet set_of(VersionNo version) {
   return VersionSet{1} << static_cast<unsigned>(version);
 }
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -32,6 +32,13 @@
   ServerId server{};
 };
 
+/// A set-up as its front read it, for links that need more of it than the fields below. The core only carries
+/// it.
+class Told {
+ public:
+  virtual ~Told() = default;
+};
+
 /// What a set-up carries on to a server, unchanged from its caller.
 struct SetUp {
   AttemptRef attempt;
@@ -39,7 +46,8 @@
   std::string_view call_class;
   std::string_view number;
   std::string_view description;
-  Duration wait{};  ///< how long an answer is waited for
+  Duration wait{};             ///< how long an answer is waited for
+  const Told* told = nullptr;  ///< null: the front keeps no more
 };
 
 /// Towards callers.
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -32,7 +32,8 @@
 
 Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
              const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
-             std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of)
+             std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of,
+             const translate::Translator* translator)
     : loop_(loop),
       table_(table),
       counters_(counters),
@@ -44,7 +45,9 @@
       most_connections_(most_connections),
       admitted_(std::move(admitted)),
       tenant_of_(std::move(tenant_of)),
-      pool_of_(std::move(pool_of)) {
+      pool_of_(std::move(pool_of)),
+      translator_(translator),
+      dialect_(translator != nullptr ? translator->client_no("diameter").value() : 0) {
   accept();
 }
 
@@ -174,6 +177,19 @@
                                       : settings_.classes[set_up.facts.call_class].deadline;
   set_up.facts.expires = net::Loop::now() + patience;
   set_up.facts.first_choice = pool_of_(message.text(Code::kDestinationHost));
+  if (translator_ != nullptr) {
+    using translate::Meaning;
+    auto told = std::make_unique<translate::Message>(
+        dialect_, translator_->client(dialect_).of(translate::Kind::kSetUp));
+    told->set(Meaning::kCall, set_up.id);
+    told->set(Meaning::kClass, set_up.call_class);
+    told->set(Meaning::kNumber, set_up.number);
+    told->set(Meaning::kTenant, tenant_name);
+    told->set(Meaning::kDescription, set_up.description);
+    told->set(Meaning::kPatience, patience.count() / 1000);
+    set_up.facts.ruled_out = translator_->rule(*told, scratch_);
+    set_up.told = std::move(told);
+  }
   const CallId call = table_.take(*this, std::move(set_up));
   // Only what the answer repeats is kept of the request.
   auto copy =
--- a/src/diameter/front.hpp
+++ b/src/diameter/front.hpp
@@ -13,6 +13,7 @@
 #include "core/counters.hpp"
 #include "core/names.hpp"
 #include "diameter/peer.hpp"
+#include "translate/eligibility.hpp"
 
 namespace amberknot::diameter {
 
@@ -25,7 +26,8 @@
 
   Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
         const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
-        std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of);
+        std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of,
+        const translate::Translator* translator = nullptr);
   ~Front() override;
 
   bool answer(CallId call, std::string_view description) override;
@@ -76,6 +78,9 @@
   std::set<std::string> admitted_;
   TenantOf tenant_of_;
   PoolOf pool_of_;
+  const translate::Translator* translator_;
+  std::size_t dialect_ = 0;
+  translate::Record scratch_;
   std::map<Peer*, std::shared_ptr<Peer>> peers_;
   std::map<std::string, Session> sessions_;
   std::unordered_map<CallId, std::string> by_call_;
--- a/src/http2/body.cpp
+++ b/src/http2/body.cpp
@@ -1,6 +1,5 @@
 #include "http2/body.hpp"
 
-#include "settings/json_text.hpp"
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -13,6 +12,7 @@
 #include <valijson/validator.hpp>
 
 #include "http2/schema_text.hpp"
+#include "settings/json_text.hpp"
 
 namespace amberknot::http2 {
 namespace {
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -43,13 +43,16 @@
 }  // namespace
 
 Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
-             const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen)
+             const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen,
+             const translate::Translator* translator)
     : loop_(loop),
       table_(table),
       counters_(counters),
       names_(names),
       settings_(settings),
       bounds_(bounds),
+      translator_(translator),
+      dialect_(translator != nullptr ? translator->client_no("json-lines").value() : 0),
       acceptor_(loop.io, listen, true),
       pause_(loop.io) {
   accept();
@@ -288,6 +291,20 @@
   to.facts.was_cut = extras->again;
   to.facts.call_class = *cls;
   to.facts.tenant = *tenant;
+  if (translator_ != nullptr) {
+    using translate::Meaning;
+    auto told = std::make_unique<translate::Message>(
+        dialect_, translator_->client(dialect_).of(translate::Kind::kSetUp));
+    told->set(Meaning::kCall, line.sid);
+    told->set(Meaning::kClass, line.call_class);
+    told->set(Meaning::kPatience, static_cast<std::int64_t>(*left));
+    told->set(Meaning::kTenant, line.tenant);
+    told->set(Meaning::kNumber, line.key);
+    told->set(Meaning::kDescription, line.text);
+    told->set(Meaning::kAgain, extras->again ? 1 : 0);
+    to.facts.ruled_out = translator_->rule(*told, scratch_);
+    to.told = std::move(told);
+  }
   return nullptr;
 }
 
@@ -305,7 +322,8 @@
     return;
   }
   from.useful = true;
-  const std::size_t held = kCallBytes + 2 * (set_up.description.size() + set_up.number.size());
+  const std::size_t told = set_up.told ? sizeof(translate::Message) + 2 * set_up.description.size() : 0;
+  const std::size_t held = kCallBytes + 2 * (set_up.description.size() + set_up.number.size()) + told;
   if (held_ + held > bounds_.calls || from.held + held > bounds_.calls_of_one) {
     // There is no memory to hold it: refused at once, with the time to stay away.
     ++counters_.turned_away;
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/front.hpp
@@ -18,13 +18,15 @@
 #include "jsonl/codec.hpp"
 #include "net/log.hpp"
 #include "net/stream.hpp"
+#include "translate/eligibility.hpp"
 
 namespace amberknot::jsonl {
 
 class Front : public core::Front, public net::Stream::Owner {
  public:
   Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
-        const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen);
+        const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen,
+        const translate::Translator* translator = nullptr);
 
   bool answer(CallId call, std::string_view description) override;
   void refuse(CallId call, core::Reason reason, Duration stay_away) override;
@@ -81,6 +83,9 @@
   const core::Names& names_;
   const Settings& settings_;
   net::Bounds bounds_;
+  const translate::Translator* translator_;  ///< null: nothing is translated
+  std::size_t dialect_ = 0;
+  mutable translate::Record scratch_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
   JsonLineReader reader_;
--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "core/report.hpp"
+
 namespace amberknot::sip {
 namespace {
 
@@ -152,18 +154,7 @@
     if (colon == std::string_view::npos) continue;
     const auto name = trim(part.substr(0, colon));
     const auto value = whole<double>(trim(part.substr(colon + 1)));
-    // Below zero: this report does not say.
-    if (!value || !std::isfinite(*value) || *value < 0) continue;
-    if (name == "x0" || name == "idle") report.free_lines = *value;
-    if (name == "x1" || name == "circuits") report.lines = *value;
-    if ((name == "latency_ms" || name == "lat_ms") && *value < 1e9) {
-      report.wait = Duration{static_cast<std::int64_t>(*value * 1000.0)};
-    }
-    if (name == "qps" || name == "max_rate") report.accept_rate = *value;
-    if (name == "eps" || name == "reduce") report.hold_back = *value;
-    if (name == "inflight" || name == "rif") report.in_work = *value;
-    if (name == "queue" || name == "q") report.waiting = *value;
-    if (name == "util" || name == "busy") report.busy = *value;
+    if (value) core::set_report_field(report, name, *value);
   }
   return report;
 }
--- a/src/translate/eligibility.cpp
+++ b/src/translate/eligibility.cpp
@@ -22,6 +22,9 @@
   take(clients, clients_, "clients");
   take(servers, servers_, "servers");
   if (servers_.size() > kMostDialects) servers_.resize(kMostDialects);
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    if (servers_[i].name.rfind("session-", 0) == 0) translated_ |= set_of(static_cast<DialectNo>(i));
+  }
   for (const auto& client : clients_) {
     for (const auto& server : servers_) {
       auto mapping = compile(client, server, operators_, faults_);
@@ -65,4 +68,9 @@
   return ruling;
 }
 
+DialectSet Translator::rule(const Message& message, Record& scratch) const {
+  if (fault_in(clients_[message.client()].of(Kind::kSetUp), message.record())) return translated_;
+  return rule(message.client(), message.record(), scratch).out & translated_;
+}
+
 }  // namespace amberknot::translate
--- a/src/translate/eligibility.hpp
+++ b/src/translate/eligibility.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "translate/mapping.hpp"
+#include "translate/message.hpp"
 #include "translate/versions.hpp"
 
 namespace amberknot::translate {
@@ -43,10 +44,15 @@
   };
   Ruling rule(std::size_t client, const Record& set_up, Record& scratch) const;
 
+  /// The same for what a front has read. Only dialects that are reached by translation are ruled out: the
+  /// older links take the fields as they are. A set-up that is not as its own dialect says is said in none of
+  /// them.
+  DialectSet rule(const Message& message, Record& scratch) const;
+  /// The dialects that are reached by translation.
+  [[nodiscard]] DialectSet translated() const { return translated_; }
+
   /// All dialects of this router's servers.
-  [[nodiscard]] DialectSet all() const {
-    return servers_.size() == kMostDialects ? ~0U : (1U << servers_.size()) - 1;
-  }
+  [[nodiscard]] DialectSet all() const { return (DialectSet{1} << servers_.size()) - 1; }
 
  private:
   std::vector<Dialect> clients_;
@@ -54,6 +60,7 @@
   Table operators_;
   std::vector<std::unique_ptr<Mapping>> mappings_;  ///< client by client
   std::vector<std::string> faults_;
+  DialectSet translated_ = 0;
 };
 
 }  // namespace amberknot::translate
--- a/src/translate/table.cpp
+++ b/src/translate/table.cpp
@@ -308,12 +308,16 @@
 }
 
 std::vector<std::string> read_table(std::string json, Table& to) {
-  std::vector<std::string> faults;
   rapidjson::Document document;
   document.ParseInsitu<settings::kJsonFlags>(json.data());
   if (document.HasParseError()) return {"translate: not JSON"};
+  return read_table(document, to);
+}
+
+std::vector<std::string> read_table(const rapidjson::Value& value, Table& to) {
+  std::vector<std::string> faults;
   Table read;
-  Reader(read, faults).read(document);
+  Reader(read, faults).read(value);
   if (faults.empty()) to = std::move(read);
   return faults;
 }
--- a/src/translate/table.hpp
+++ b/src/translate/table.hpp
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "settings/json_text.hpp"
 #include "translate/canonical.hpp"
 #include "translate/dialect.hpp"
 
@@ -69,6 +70,7 @@
 /// Reads an operator's table, the object `translate` of the operator's file (docs/operate-translation.md).
 /// The faults name the field by its path; empty: `to` holds the table.
 std::vector<std::string> read_table(std::string json, Table& to);
+std::vector<std::string> read_table(const rapidjson::Value& value, Table& to);
 
 /// A rule makes a text out of a text, for a field that is as the target says. It writes at most kMostDerived
 /// bytes; false: it makes nothing of that.
--- a/src/translate/versions.hpp
+++ b/src/translate/versions.hpp
@@ -19,7 +19,7 @@
 
 /// A dialect by its place in the router's list of servers' dialects; the module knows it by that number.
 using DialectNo = VersionNo;
-inline constexpr std::size_t kMostDialects = 32;
+inline constexpr std::size_t kMostDialects = 31;  // the last number is of what is not known
 /// A set of dialects.
 using DialectSet = VersionSet;
 using core::set_of;
