--- /dev/null
+++ b/fuzz/mapping_fuzz.cpp
@@ -0,0 +1,60 @@
+// Any text is read as an operator's table and compiled for every pair. What compiles is run on messages at
+// the bounds of their dialects: what it gives the other dialect takes.
+#include <cstdlib>
+#include <string>
+
+#include "translate/eligibility.hpp"
+
+using namespace amberknot::translate;
+
+namespace {
+
+/// The smallest or the largest message that a dialect takes.
+void fill(const std::vector<FieldSpec>& fields, bool largest, std::vector<std::string>& texts,
+          Record& record) {
+  texts.assign(fields.size(), {});
+  record.clear();
+  for (std::size_t i = 0; i < fields.size(); ++i) {
+    const auto& field = fields[i];
+    if (!field.required && !largest) continue;
+    if (field.type == Type::kWord) {
+      texts[i] = field.words.front();
+    } else if (is_textual(field.type)) {
+      texts[i].assign(static_cast<std::size_t>(largest ? field.most : field.least), '7');
+    }
+    if (is_textual(field.type)) {
+      record.set(i, std::string_view(texts[i]));
+    } else {
+      const auto unit = field.type == Type::kDuration ? field.unit : 1;
+      record.set(i, (largest ? field.most : field.least) / unit);
+    }
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  Table table;
+  if (!read_table(std::string(reinterpret_cast<const char*>(data), size), table).empty()) return 0;
+  if (table.rows.size() > 40) return 0;
+  static Record in, out;
+  std::vector<std::string> texts;
+  const Translator translator({"json-lines", "diameter", "iso8583"},
+                              {"sip", "diameter-server", "session-1", "session-2"}, table);
+  for (std::size_t client = 0; client < translator.clients(); ++client) {
+    for (std::size_t server = 0; server < translator.servers(); ++server) {
+      const auto no = static_cast<DialectNo>(server);
+      const auto* mapping = translator.mapping(client, no);
+      if (mapping == nullptr) continue;
+      for (const bool largest : {false, true}) {
+        fill(translator.client(client).of(Kind::kSetUp), largest, texts, in);
+        if (mapping->set_up.run(in, out) && fault_in(translator.server(no).of(Kind::kSetUp), out))
+          std::abort();
+        fill(translator.server(no).of(Kind::kAnswer), largest, texts, in);
+        if (mapping->answer.run(in, out) && fault_in(translator.client(client).of(Kind::kAnswer), out))
+          std::abort();
+      }
+    }
+  }
+  return 0;
+}
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -72,8 +72,8 @@
 
 Config read_config(std::string json, std::string_view name, std::string_view listen) {
   rapidjson::Document document;
-  document.ParseInsitu<settings::kJsonFlags>(json.data());
-  if (document.HasParseError() || !document.IsObject()) throw ConfigError("config: not a JSON object");
+  if (!settings::parse_in_place(json, document) || !document.IsObject())
+    throw ConfigError("config: not a JSON object");
   Config config;
   config.name = name.empty() ? settings::text_in(document, "name") : name;
   config.listen = endpoint(listen.empty() ? settings::text_in(document, "listen") : listen, "listen");
--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -82,19 +82,24 @@
   return kLinks;
 }
 
-void prepare(Site& site) {
-  if (const auto& setup = site.setup.session_api) {
-    std::vector<std::string> clients = {"json-lines"};
-    if (site.setup.diameter && site.setup.diameter->listen) clients.emplace_back("diameter");
-    std::vector<std::string> servers = {"sip", "diameter-server", "session-1"};
-    const bool two = std::any_of(setup->servers.begin(), setup->servers.end(),
-                                 [](const auto& one) { return one.second != "session-1"; });
-    if (two) servers.emplace_back("session-2");
-    site.translator = std::make_unique<translate::Translator>(clients, servers, site.setup.translate);
-    if (!site.translator->faults().empty()) {
-      throw ConfigError("operator file: translate: " + site.translator->faults().front());
-    }
+std::unique_ptr<translate::Translator> make_translator(const OperatorFile& setup) {
+  if (!setup.session_api) return nullptr;
+  std::vector<std::string> clients = {"json-lines"};
+  if (setup.diameter && setup.diameter->listen) clients.emplace_back("diameter");
+  std::vector<std::string> servers = {"sip", "diameter-server", "session-1"};
+  // Version 2 asks for a row of the operator's; without servers that may speak it none is wanted.
+  const bool two = std::any_of(setup.session_api->servers.begin(), setup.session_api->servers.end(),
+                               [](const auto& one) { return one.second != "session-1"; });
+  if (two) servers.emplace_back("session-2");
+  auto translator = std::make_unique<translate::Translator>(clients, servers, setup.translate);
+  if (!translator->faults().empty()) {
+    throw ConfigError("operator file: translate: " + translator->faults().front());
   }
+  return translator;
+}
+
+void prepare(Site& site) {
+  site.translator = make_translator(site.setup);
   if (const auto& setup = site.setup.diameter) {
     auto& identity = site.identity;
     identity.host = setup->origin_host;
--- a/src/app/kinds.hpp
+++ b/src/app/kinds.hpp
@@ -62,6 +62,10 @@
 std::span<const FrontKind> front_kinds();
 std::span<const LinksKind> links_kinds();
 
+/// The translator that the operator's file asks for; null: nothing is translated. Throws ConfigError where a
+/// mapping is not total.
+std::unique_ptr<translate::Translator> make_translator(const OperatorFile& setup);
+
 /// What is made before both: the parts that several kinds share. Throws ConfigError where a mapping is not
 /// total.
 void prepare(Site& site);
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -138,8 +138,7 @@
 
 OperatorFile read_operator_file(std::string json) {
   rapidjson::Document document;
-  document.ParseInsitu<settings::kJsonFlags>(json.data());
-  if (document.HasParseError()) throw ConfigError("operator file: not JSON");
+  if (!settings::parse_in_place(json, document)) throw ConfigError("operator file: not JSON");
   const Section file(document, "file", {"diameter", "ldap", "session_api", "translate"});
   OperatorFile read;
   if (const auto* diameter = file.find("diameter")) read.diameter = read_diameter(*diameter);
--- a/src/feed/parse.cpp
+++ b/src/feed/parse.cpp
@@ -4,8 +4,7 @@
 
 std::optional<ListNews> read_list_news(std::string json) {
   rapidjson::Document document;
-  document.ParseInsitu<settings::kJsonFlags>(json.data());
-  if (document.HasParseError() || !document.IsObject()) return std::nullopt;
+  if (!settings::parse_in_place(json, document) || !document.IsObject()) return std::nullopt;
   return read_list_news(document);
 }
 
--- a/src/http2/body.cpp
+++ b/src/http2/body.cpp
@@ -50,7 +50,7 @@
   std::map<std::string, valijson::Schema, std::less<>> schemas;
   valijson::Validator validator{valijson::Validator::kStrongTypes};
   rapidjson::Document document;
-  std::vector<char> text;  ///< the body with the zero byte that RapidJSON wants behind it
+  std::string text;  ///< the body; the document refers to it
 };
 
 BodyReader::BodyReader() : parts_(std::make_unique<Parts>()) {
@@ -77,10 +77,8 @@
     return false;
   }
   parts_->text.assign(body.begin(), body.end());
-  parts_->text.push_back('\0');
   parts_->document = rapidjson::Document();
-  parts_->document.ParseInsitu<kFlags>(parts_->text.data());
-  if (parts_->document.HasParseError()) {
+  if (!settings::parse_in_place<kFlags>(parts_->text, parts_->document)) {
     fault = "is not JSON";
     return false;
   }
@@ -105,6 +103,10 @@
     const auto found = parts_->document.FindMember(fields[i].name.c_str());
     if (found == parts_->document.MemberEnd()) continue;
     if (found->value.IsString()) {
+      if (settings::has_lone_surrogate(settings::text_of(found->value))) {
+        fault = fields[i].name + ": is no text";
+        return false;
+      }
       to.set(i, std::string_view(found->value.GetString(), found->value.GetStringLength()));
     } else if (found->value.IsInt64()) {
       to.set(i, found->value.GetInt64());
--- a/src/jsonl/codec.cpp
+++ b/src/jsonl/codec.cpp
@@ -45,7 +45,8 @@
     read.extras = settings::text_in(*attrs, "extras");
   }
   if (const auto* text = settings::member(document, "text")) {
-    read.has_text = text->IsString();
+    // Half of a surrogate pair has no bytes in UTF-8; passed on it would spoil the other side's message.
+    read.has_text = text->IsString() && !settings::has_lone_surrogate(settings::text_of(*text));
     read.text = settings::text_of(*text);
   }
   if (const auto code = settings::number_of(settings::text_in(document, "code"));
--- a/src/jsonl/codec.hpp
+++ b/src/jsonl/codec.hpp
@@ -27,7 +27,8 @@
  public:
   JsonLineReader();
   ~JsonLineReader();
-  /// `line` is without its line feed and is overwritten; `end` is a byte behind it that may be overwritten.
+  /// `line` is without its line feed and is overwritten; `end` is a byte behind it that may be
+  /// overwritten, and up to settings::kJsonPad bytes from there on may be read.
   /// Empty: the line cannot be read, or names no usable id.
   std::optional<JsonLine> read(std::span<char> line, char* end);
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kFirstBuffer = 4096;
 constexpr std::size_t kMostBuffer = kMostMessage + 1024;
+// Bytes behind what was read, for parsers that look ahead a little (RapidJSON's check of UTF-8).
+constexpr std::size_t kPad = 4;
 // After a failed write what has come is read on for so long.
 constexpr Duration kReadOn = milliseconds{20};
 // A finished connection whose other side does not close is closed after this.
@@ -57,7 +59,7 @@
   socket_.non_blocking(true, ignored);
   open_ = true;
   used_at_ = Loop::now();
-  in_.resize(kFirstBuffer);
+  in_.resize(kFirstBuffer + kPad);
   const auto self = shared_from_this();
   owner_->on_open(*this);
   if (is_closed()) return;
@@ -67,7 +69,7 @@
 
 void Stream::read() {
   reading_ = true;
-  socket_.async_read_some(asio::buffer(in_.data() + filled_, in_.size() - filled_),
+  socket_.async_read_some(asio::buffer(in_.data() + filled_, in_.size() - kPad - filled_),
                           [self = shared_from_this()](const asio::error_code& error, std::size_t got) {
                             self->reading_ = false;
                             if (self->is_closed()) {
@@ -100,13 +102,13 @@
     });
     return;
   }
-  if (filled_ == in_.size()) {
+  if (filled_ + kPad == in_.size()) {
     // A long message: most connections never see one, and their buffers stay small.
-    if (in_.size() >= kMostBuffer) {
+    if (in_.size() >= kMostBuffer + kPad) {
       fail(Closed::kOverrun);
       return;
     }
-    in_.resize(std::min(2 * in_.size(), kMostBuffer));
+    in_.resize(std::min(2 * in_.size(), kMostBuffer + kPad));
   }
   read();
 }
--- a/src/settings/json_text.hpp
+++ b/src/settings/json_text.hpp
@@ -17,6 +17,27 @@
                                        rapidjson::kParseValidateEncodingFlag |
                                        rapidjson::kParseNumbersAsStringsFlag;
 
+/// RapidJSON's check of UTF-8 reads so many bytes on from a lead byte, also where the text ends before:
+/// whoever parses in place has them behind the text.
+inline constexpr std::size_t kJsonPad = 4;
+
+/// Parses in place; the document refers to `json` afterwards. False: it is no JSON.
+template <unsigned kFlags = kJsonFlags>
+bool parse_in_place(std::string& json, rapidjson::Document& to) {
+  json.append(kJsonPad, '\0');
+  to.ParseInsitu<kFlags>(json.data());
+  return !to.HasParseError();
+}
+
+/// Whether a text that RapidJSON has passed as UTF-8 holds half of a surrogate pair: it takes an escaped low
+/// one alone, and makes bytes of it that are none.
+inline bool has_lone_surrogate(std::string_view text) {
+  for (std::size_t i = 0; i + 1 < text.size(); ++i) {
+    if (text[i] == '\xed' && static_cast<unsigned char>(text[i + 1]) >= 0xa0) return true;
+  }
+  return false;
+}
+
 inline std::string_view text_of(const rapidjson::Value& value) {
   return value.IsString() ? std::string_view(value.GetString(), value.GetStringLength()) : std::string_view();
 }
--- a/src/translate/table.cpp
+++ b/src/translate/table.cpp
@@ -309,8 +309,7 @@
 
 std::vector<std::string> read_table(std::string json, Table& to) {
   rapidjson::Document document;
-  document.ParseInsitu<settings::kJsonFlags>(json.data());
-  if (document.HasParseError()) return {"translate: not JSON"};
+  if (!settings::parse_in_place(json, document)) return {"translate: not JSON"};
   return read_table(document, to);
 }
 
--- a/tests/http2_test.cpp
+++ b/tests/http2_test.cpp
@@ -158,6 +158,8 @@
       {"{\"id\":\"00112233445566aa\",\"description\":\"" + std::string(8190, 'x') + "\xc3\xa9\xc3\xa9\"}", 1,
        "description"},
       {std::string(5000, '['), 1, "is not JSON"},
+      {"{\"id\xf0:", 1, "is not JSON"},
+      {R"({"id":"00112233445566aa","description":"\ude0b"})", 1, "description"},  // half a pair
       {"", 1, "is not JSON"},
   };
   BodyReader reader;
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -8,6 +8,7 @@
 #include "feed/parse.hpp"
 #include "jsonl/codec.hpp"
 #include "net/bounds.hpp"
+#include "settings/json_text.hpp"
 #include "sip/codec.hpp"
 
 using namespace amberknot;
@@ -16,6 +17,20 @@
 using namespace amberknot::jsonl;
 using namespace amberknot::sip;
 
+TEST_CASE("half of a surrogate pair is no text") {
+  JsonLineReader reader;
+  const auto has_text = [&](std::string line) {
+    line.append(settings::kJsonPad, '\0');
+    const auto read = reader.read({line.data(), line.size() - settings::kJsonPad},
+                                  line.data() + line.size() - settings::kJsonPad);
+    REQUIRE(read);
+    return read->has_text;
+  };
+  const std::string head = R"({"msg":"open","sid":"00000000000000aa","attrs":{},"text":")";
+  CHECK(has_text(head + "\\ud83d\\ude0b\"}"));
+  CHECK_FALSE(has_text(head + "\\ude0b\"}"));
+}
+
 TEST_CASE("a JSON line is read, or refused as a whole") {
   using Type = JsonLine::Type;
   struct Case {
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -199,6 +199,7 @@
 TEST_CASE("an operator's table with a fault is refused with the path of the field") {
   const std::vector<std::pair<std::string, std::string>> cases = {
       {"nonsense", "translate: not JSON"},
+      {"{\"a\xf0:", "translate: not JSON"},  // ends in a letter begun
       {"[]", "translate: is not an object"},
       {R"({"row":[]})", "translate.row: is not known"},
       {R"({"rows":{}})", "translate.rows: is not a list"},
