Forget what was out on connections that the router closes itself, and tell releases anew

Cause: a connection that is closed because its server moved, went or was forgotten tells nothing of what was out on it. The numbers of those requests stayed in the links' table, counted against the bound on streams for good, and a release among them was never told again.

Change: each request out knows its connection; closing one forgets its requests and frees its releases to be told again. The new test moves a server with a set-up and a release out.

--- a/src/http2/links.cpp
+++ b/src/http2/links.cpp
@@ -190,6 +190,7 @@
         if (attempt.conn == conn.get()) lost.push_back(attempt.ref);
       }
       conn->connection->close();
+      forget_out(server, *conn);
       std::sort(lost.begin(), lost.end(), [](const auto& a, const auto& b) { return a.call < b.call; });
       for (const auto& ref : lost) end(ref, end_of(Outcome::kReset));
     }
@@ -216,7 +217,10 @@
        {server.retry, server.calm, server.release_timer, server.events_timer, server.check_timer}) {
     loop_.wheel.cancel(timer);
   }
-  for (auto& conn : server.connections) conn->connection->close();
+  for (auto& conn : server.connections) {
+    conn->connection->close();
+    forget_out(server, *conn);
+  }
   connections_ -= server.connections.size();
   versions_.gone(id);
   by_id_.erase(found);
@@ -228,6 +232,15 @@
   return versions_.speaks(id).has_value() && !found->second->draining;
 }
 
+void Links::forget_out(Server& server, const Conn& conn) {
+  std::erase_if(out_, [&](const auto& item) {
+    const auto& out = item.second;
+    if (out.connection != conn.number) return false;
+    if (out.what == What::kRelease) release_out(server, out.id, false);
+    return true;
+  });
+}
+
 void Links::take_back(Server& server) {
   const auto back = std::exchange(server.waiting, {});
   for (const auto call : back) {
@@ -279,7 +292,7 @@
     for (const auto& conn : server.connections) {
       if (conn->number != action.connection || !conn->connection->has_room()) continue;
       const Key key = next_key_++;
-      out_[key] = {What::kVersions, {}, {}, net::Loop::now()};
+      out_[key] = {What::kVersions, {}, {}, net::Loop::now(), conn->number};
       if (!conn->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}}))
         out_.erase(key);
     }
@@ -389,7 +402,7 @@
     auto* conn = pick(server);
     if (conn == nullptr) break;
     const Key key = next_key_++;
-    out_[key] = {What::kRelease, {}, id, net::Loop::now()};
+    out_[key] = {What::kRelease, {}, id, net::Loop::now(), conn->number};
     release.out = true;
     ++release.tries;
     const auto cause = std::to_string(static_cast<int>(release.cause));
@@ -408,7 +421,7 @@
     attempt.key = next_key_++;
     attempt.conn = conn;
     attempt.sent = net::Loop::now();
-    out_[attempt.key] = {What::kSetUp, attempt.ref.call, attempt.id, attempt.sent};
+    out_[attempt.key] = {What::kSetUp, attempt.ref.call, attempt.id, attempt.sent, conn->number};
     const auto version = std::to_string(translator_.server(attempt.version).version);
     conn->connection->request(attempt.key, {"POST",
                                             "/sessions",
@@ -524,7 +537,7 @@
     return;
   }
   const Key key = next_key_++;
-  out_[key] = {What::kProbe, {}, {}, net::Loop::now()};
+  out_[key] = {What::kProbe, {}, {}, net::Loop::now(), conn->number};
   conn->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   loop_.after(milliseconds{250}, [this, id, key] {
     if (out_.erase(key) == 0) return;
@@ -756,7 +769,7 @@
   if (server.resumable) request.headers.emplace_back("last-event-id", std::to_string(server.last_event));
   server.reader = settings::SseReader(net::kMostMessage);
   server.events = key;
-  out_[key] = {What::kEvents, {}, {}, net::Loop::now()};
+  out_[key] = {What::kEvents, {}, {}, net::Loop::now(), conn->number};
   conn->connection->request(key, request);
 }
 
@@ -878,7 +891,7 @@
       const auto found = by_session_.find({server.id, id});
       if (found != by_session_.end() && attempts_.at(found->second).standing) {
         const Key key = next_key_++;
-        out_[key] = {What::kCheck, {}, id, net::Loop::now()};
+        out_[key] = {What::kCheck, {}, id, net::Loop::now(), conn->number};
         conn->connection->request(key, {"GET", "/sessions/" + id});
       }
     }
--- a/src/http2/links.hpp
+++ b/src/http2/links.hpp
@@ -73,6 +73,7 @@
     CallId call{};
     std::string id;
     Instant sent{};
+    std::uint64_t connection = 0;  ///< its number
   };
   struct Release {
     core::Cause cause{};
@@ -99,6 +100,8 @@
   void delete_session(Server& server, const std::string& id, core::Cause cause);
   void release_out(Server& server, const std::string& id, bool confirmed);
   void take_back(Server& server);
+  /// A connection that was closed from here tells nothing: what was out on it is forgotten.
+  void forget_out(Server& server, const Conn& conn);
   void end(const core::AttemptRef& ref, core::AttemptEnd what);
   void end_later(const core::AttemptRef& ref, core::AttemptEnd what);
   void apply(translate::Versions::Actions actions);
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -65,6 +65,7 @@
         if (on_set_up) on_set_up(set_ups.back());
       } else if (request.method == "DELETE") {
         deleted.push_back(request.path);
+        if (mute_deletes) return;
         peer.respond(id, deletes_fail-- > 0 ? 500 : 204, {}, "");
       } else {
         checked.push_back(request.path);
@@ -103,6 +104,7 @@
   std::pair<Http2Server::Peer*, std::int32_t> events{};
   std::string resumed_from;
   int asked = 0, followed = 0, deletes_fail = 0;
+  bool mute_deletes = false;
 };
 
 struct SessionBench : Bench {
@@ -310,6 +312,25 @@
   CHECK(server.deleted.size() == 3);
 }
 
+TEST_CASE(
+    "what was out at the old address of a server that moves is ended, and its releases told at the new one") {
+  SessionBench bench;
+  SessionServer old(bench.loop), moved(bench.loop);
+  bench.ready(old, "h1");
+  bench.stands(old, kA);
+  old.mute_deletes = true;
+  bench.say("{\"msg\":\"close\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":16}\n");
+  bench.until([&] { return old.deleted.size() == 1; });
+  bench.open_as(kB, "acme");
+  bench.came(old, 2);
+  const Instant at = Loop::now();
+  bench.ready(moved, "h1");
+  bench.until([&] { return moved.deleted.size() == 1; });
+  SessionServer::answer(bench.came(moved), kB);  // a reset: not before the release wait
+  CHECK(Loop::now() - at >= milliseconds{500});
+  bench.until([&] { return bench.heard(kB, "ready"); });
+}
+
 TEST_CASE("nothing new goes to a server that drains, by the list or by its own word") {
   SessionBench bench;
   SessionServer server(bench.loop);
