Mend a use after free in the session API's links that sanitizers found, and faults of tests

Cause: Links::end took the attempt's reference by reference and dropped the attempt that held it before the core read it. Found by four tests of the session API under sanitizers; without them they passed.

Change: the reference is taken by value. Tests: RapidCheck kept references to temporaries in three files, a literal was a byte short, and three names held a semicolon, at which CTest cuts them.

--- a/src/http2/links.cpp
+++ b/src/http2/links.cpp
@@ -563,13 +563,13 @@
   attempts_.erase(found);
 }
 
-void Links::end(const core::AttemptRef& ref, core::AttemptEnd what) {
+void Links::end(core::AttemptRef ref, core::AttemptEnd what) {
   if (find(ref) == nullptr) return;
   drop(ref.call);
   table_.ended(ref, what);
 }
 
-void Links::end_later(const core::AttemptRef& ref, core::AttemptEnd what) {
+void Links::end_later(core::AttemptRef ref, core::AttemptEnd what) {
   asio::post(loop_.io, [this, ref, what] { table_.ended(ref, what); });
 }
 
--- a/src/http2/links.hpp
+++ b/src/http2/links.hpp
@@ -102,8 +102,9 @@
   void take_back(Server& server);
   /// A connection that was closed from here tells nothing: what was out on it is forgotten.
   void forget_out(Server& server, const Conn& conn);
-  void end(const core::AttemptRef& ref, core::AttemptEnd what);
-  void end_later(const core::AttemptRef& ref, core::AttemptEnd what);
+  /// By value: it drops the attempt that the reference may belong to.
+  void end(core::AttemptRef ref, core::AttemptEnd what);
+  void end_later(core::AttemptRef ref, core::AttemptEnd what);
   void apply(translate::Versions::Actions actions);
   void look_at_versions();
   void drop(CallId call);
--- a/tests/iso8583_test.cpp
+++ b/tests/iso8583_test.cpp
@@ -74,7 +74,7 @@
        What::kTooLong},
       {"a length over the rest", "0200" + bytes("0000000100000000") + "11" + "1234", 32, What::kCutShort},
       {"no length", "0200" + bytes("0000000100000000") + "1", 32, What::kCutShort},
-      {"a zero byte in a text", "0200" + bytes("0000000000800000") + std::string("TERM\0001", 8), 41,
+      {"a zero byte in a text", "0200" + bytes("0000000000800000") + std::string("TERM\0001xx", 8), 41,
        What::kBadCharacter},
       {"something behind", "0200" + bytes("2000000000000000") + "310000!", 128, What::kRest},
   };
@@ -168,21 +168,21 @@
       message.set(number, texts[number]);
     }
     const auto frame = write(message);
-    RC_ASSERT(!frame.empty());
+    RC_ASSERT((!frame.empty()));
     const auto read_back = read_frame(frame, 0xffff);
-    RC_ASSERT(read_back.state == Frame::State::kWhole);
-    RC_ASSERT(read_back.size == frame.size());
+    RC_ASSERT((read_back.state == Frame::State::kWhole));
+    RC_ASSERT((read_back.size == frame.size()));
     Message back;
-    RC_ASSERT(!read(read_back.body, back).has_value());
+    RC_ASSERT((!read(read_back.body, back).has_value()));
     for (std::size_t number = 2; number <= kElements; ++number) {
-      RC_ASSERT(back.has(number) == message.has(number));
-      RC_ASSERT(back.text(number) == message.text(number));
+      RC_ASSERT((back.has(number) == message.has(number)));
+      RC_ASSERT((back.text(number) == message.text(number)));
     }
     // Any byte changed, any length: read, or a fault; and what is read is written the same.
     auto other = body_of(frame);
     other[*rc::gen::inRange<std::size_t>(0, other.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
     other.resize(*rc::gen::inRange<std::size_t>(0, other.size() + 1));
     Message odd;
-    if (!read(other, odd)) RC_ASSERT(body_of(write(odd)).size() <= other.size() + 8);
+    if (!read(other, odd)) RC_ASSERT((body_of(write(odd)).size() <= other.size() + 8));
   }));
 }
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -196,7 +196,7 @@
 }
 
 TEST_CASE(
-    "a call goes only to versions that can be told what it needs; with none left it is failed at once") {
+    "a call goes only to versions that can be told what it needs, and with none left it is failed at once") {
   SessionBench bench;
   SessionServer two(bench.loop);
   bench.ready(two, "h2");
@@ -267,7 +267,7 @@
   }
 }
 
-TEST_CASE("what never ran goes elsewhere at once; what may have run waits") {
+TEST_CASE("what never ran goes elsewhere at once, and what may have run waits") {
   SessionBench bench;
   SessionServer server(bench.loop);
   bench.ready(server, "h1");
--- a/tests/translate_state_test.cpp
+++ b/tests/translate_state_test.cpp
@@ -246,7 +246,7 @@
             const auto before = bench.speaks();
             bench.told(at, process.name, process.spoken);
             if (up == connections.end()) {
-              RC_ASSERT(bench.speaks() == before);
+              RC_ASSERT((bench.speaks() == before));
             } else {
               for (const auto one : process.spoken) said.insert(one);
             }
@@ -259,7 +259,7 @@
           if (bench.speaks() && !connections.empty()) {
             const auto was = *bench.speaks();
             bench.versions.denied(bench.now, kServer, connections.begin()->first, was, bench.actions);
-            RC_ASSERT(!bench.speaks());
+            RC_ASSERT((!bench.speaks()));
           }
           break;
         default:
@@ -269,22 +269,22 @@
       std::optional<DialectNo> last;
       for (const auto& action : bench.taken()) {
         if (action.what == VersionAction::What::kAsk) {
-          RC_ASSERT(connections.contains(action.connection));
+          RC_ASSERT((connections.contains(action.connection)));
           questions.push_back(action.connection);
         } else {
           last = action.dialect;
         }
       }
       if (const auto now = bench.speaks()) {
-        RC_ASSERT(said.contains(*now));
-        RC_ASSERT(bench.state() == VersionState::kKnown);
+        RC_ASSERT((said.contains(*now)));
+        RC_ASSERT((bench.state() == VersionState::kKnown));
       }
       // No question stays out for ever.
       if (bench.state() == VersionState::kAsking || bench.state() == VersionState::kBarred) {
-        RC_ASSERT(bench.versions.next_tick().has_value());
-        RC_ASSERT(*bench.versions.next_tick() <= bench.now + VersionRules{}.most_pause);
+        RC_ASSERT((bench.versions.next_tick().has_value()));
+        RC_ASSERT((*bench.versions.next_tick() <= bench.now + VersionRules{}.most_pause));
       }
-      if (bench.state() == VersionState::kUnknown) RC_ASSERT(connections.empty());
+      if (bench.state() == VersionState::kUnknown) RC_ASSERT((connections.empty()));
     }
   }));
 }
@@ -355,7 +355,7 @@
   CHECK(index.reverse(now, key(3)).what == What::kAgain);
 }
 
-TEST_CASE("full of open requests it refuses, and never forgets one; what is over goes first") {
+TEST_CASE("full of open requests it refuses, and never forgets one, and what is over goes first") {
   using What = DuplicateIndex::Seen::What;
   const Instant now{seconds{50}};
   DuplicateRules rules;
@@ -416,29 +416,29 @@
         const std::string answer(seen.answer);
         const auto state = index.state(key_of(n));
         if (found != model.end() && seen.what == What::kNew) {
-          RC_ASSERT(now >= found->second.due);
+          RC_ASSERT((now >= found->second.due));
           model.erase(n);
         }
         const auto there = model.find(n);
         if (there == model.end()) {
-          RC_ASSERT(seen.what == What::kNew || seen.what == What::kNoRoom);
+          RC_ASSERT((seen.what == What::kNew || seen.what == What::kNoRoom));
           if (seen.what == What::kNew) {
-            RC_ASSERT(state == RequestState::kOpen);
+            RC_ASSERT((state == RequestState::kOpen));
             model[n] = {RequestState::kOpen, call, {}, now + rules.open, order++};
           }
         } else {
-          RC_ASSERT(now < there->second.due + 2 * tick);
-          RC_ASSERT(seen.call == there->second.call);
+          RC_ASSERT((now < there->second.due + 2 * tick));
+          RC_ASSERT((seen.call == there->second.call));
           switch (there->second.state) {
             case RequestState::kOpen:
-              RC_ASSERT(seen.what == What::kSame);
+              RC_ASSERT((seen.what == What::kSame));
               break;
             case RequestState::kAnswered:
-              RC_ASSERT(seen.what == What::kAnswered || seen.what == What::kForgotten);
-              if (seen.what == What::kAnswered) RC_ASSERT(answer == there->second.answer);
+              RC_ASSERT((seen.what == What::kAnswered || seen.what == What::kForgotten));
+              if (seen.what == What::kAnswered) RC_ASSERT((answer == there->second.answer));
               break;
             case RequestState::kReversed:
-              RC_ASSERT(seen.what == What::kReversed);
+              RC_ASSERT((seen.what == What::kReversed));
               break;
           }
         }
@@ -446,30 +446,30 @@
         const std::string answer(*rc::gen::inRange<std::size_t>(0, 260), static_cast<char>('a' + n % 26));
         const bool taken = index.answered(now, key_of(n), answer);
         if (taken) {
-          RC_ASSERT(found != model.end() && found->second.state == RequestState::kOpen);
+          RC_ASSERT((found != model.end() && found->second.state == RequestState::kOpen));
           found->second = {RequestState::kAnswered, found->second.call, answer, now + rules.over, order++};
         } else if (found != model.end() && found->second.state == RequestState::kOpen) {
-          RC_ASSERT(now >= found->second.due);
+          RC_ASSERT((now >= found->second.due));
           model.erase(found);
         }
       } else if (what == 7) {
         using Reversal = DuplicateIndex::Reversal::What;
         const auto reversal = index.reverse(now, key_of(n));
         if (reversal.what == Reversal::kEarly) {
-          RC_ASSERT(found == model.end() || now >= found->second.due);
+          RC_ASSERT((found == model.end() || now >= found->second.due));
           model[n] = {RequestState::kReversed, CallId{}, {}, now + rules.over, order++};
         } else if (reversal.what != Reversal::kNoRoom) {
-          RC_ASSERT(found != model.end());
+          RC_ASSERT((found != model.end()));
           const auto state = found->second.state;
-          RC_ASSERT((reversal.what == Reversal::kEndOpen) == (state == RequestState::kOpen));
-          RC_ASSERT((reversal.what == Reversal::kRelease) == (state == RequestState::kAnswered));
+          RC_ASSERT(((reversal.what == Reversal::kEndOpen) == (state == RequestState::kOpen)));
+          RC_ASSERT(((reversal.what == Reversal::kRelease) == (state == RequestState::kAnswered)));
           if (state != RequestState::kReversed) {
             found->second = {RequestState::kReversed, found->second.call, {}, now + rules.over, order++};
           }
         }
       } else if (what == 8) {
         if (index.dropped(key_of(n))) {
-          RC_ASSERT(found != model.end() && found->second.state == RequestState::kOpen);
+          RC_ASSERT((found != model.end() && found->second.state == RequestState::kOpen));
           model.erase(found);
         }
       } else {
@@ -488,23 +488,23 @@
         if (oldest == model.end()) break;
         for (const auto& [other, plain] : model) {
           if (plain.state != RequestState::kOpen && plain.order < oldest->second.order) {
-            RC_ASSERT(!index.state(key_of(other)));
+            RC_ASSERT((!index.state(key_of(other))));
           }
         }
         model.erase(oldest);
       }
-      RC_ASSERT(index.bytes() <= rules.most_bytes + 16 * 200);
-      RC_ASSERT(index.size() <= index.most_entries());
+      RC_ASSERT((index.bytes() <= rules.most_bytes + 16 * 200));
+      RC_ASSERT((index.size() <= index.most_entries()));
     }
     index.advance(now);
     // All that is not due is there, with its state; all that is long due is not.
     for (const auto& [n, plain] : model) {
       const auto state = index.state(key_of(n));
-      if (now < plain.due) RC_ASSERT(state == plain.state);
-      if (now > plain.due + 2 * tick) RC_ASSERT(!state);
+      if (now < plain.due) RC_ASSERT((state == plain.state));
+      if (now > plain.due + 2 * tick) RC_ASSERT((!state));
     }
     now += minutes{10};
     index.advance(now);
-    RC_ASSERT(index.size() == 0u);
+    RC_ASSERT((index.size() == 0u));
   }));
 }
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -305,16 +305,16 @@
           const bool agree = rc::check(from.name + "-" + to.name, [&] {
             const auto values = any_fields(from.of(kind));
             fill(in, from.of(kind), values);
-            RC_ASSERT(!fault_in(from.of(kind), in));
+            RC_ASSERT((!fault_in(from.of(kind), in)));
             const auto said = program->run(in, out);
             std::string bar;
             const auto expected = slow.run(values, bar);
-            RC_ASSERT(static_cast<bool>(said) == expected.has_value());
+            RC_ASSERT((static_cast<bool>(said) == expected.has_value()));
             if (said) {
-              RC_ASSERT(read(out, to.of(kind)) == *expected);
-              RC_ASSERT(!fault_in(to.of(kind), out));
+              RC_ASSERT((read(out, to.of(kind)) == *expected));
+              RC_ASSERT((!fault_in(to.of(kind), out)));
             } else {
-              RC_ASSERT(to.of(kind)[said.field].name == bar);
+              RC_ASSERT((to.of(kind)[said.field].name == bar));
             }
           });
           CHECK(agree);
