--- a/src/http2/links.cpp
+++ b/src/http2/links.cpp
@@ -35,12 +35,6 @@
 constexpr Duration kCheckEvery = milliseconds{20};
 constexpr Duration kEventsAgain = milliseconds{100};
 
-std::size_t field_of(const std::vector<translate::FieldSpec>& fields, Meaning meaning) {
-  const auto found = std::find_if(fields.begin(), fields.end(),
-                                  [meaning](const auto& one) { return one.meaning == meaning; });
-  return static_cast<std::size_t>(found - fields.begin());
-}
-
 core::AttemptEnd end_of(Outcome outcome, core::Cause cause = core::Cause::kTemporaryFailure) {
   core::AttemptEnd end;
   end.outcome = outcome;
@@ -151,14 +145,18 @@
 Links::~Links() {
   loop_.wheel.cancel(look_);
   for (auto& [id, server] : by_id_) {
-    for (const auto timer :
-         {server->retry, server->calm, server->release_timer, server->events_timer, server->check_timer}) {
-      loop_.wheel.cancel(timer);
-    }
+    stop_timers(*server);
     for (auto& conn : server->connections) conn->connection->close();
   }
 }
 
+void Links::stop_timers(const Server& server) {
+  for (const auto timer :
+       {server.retry, server.calm, server.release_timer, server.events_timer, server.check_timer}) {
+    loop_.wheel.cancel(timer);
+  }
+}
+
 Links::Server& Links::of(ServerId id) {
   auto& server = by_id_[id];
   if (!server) server = std::make_unique<Server>(id);
@@ -213,10 +211,7 @@
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   auto& server = *found->second;
-  for (const auto timer :
-       {server.retry, server.calm, server.release_timer, server.events_timer, server.check_timer}) {
-    loop_.wheel.cancel(timer);
-  }
+  stop_timers(server);
   for (auto& conn : server.connections) {
     conn->connection->close();
     forget_out(server, *conn);
@@ -241,7 +236,7 @@
   });
 }
 
-void Links::take_back(Server& server) {
+void Links::end_waiting(Server& server) {
   const auto back = std::exchange(server.waiting, {});
   for (const auto call : back) {
     const auto found = attempts_.find(call);
@@ -249,6 +244,10 @@
     ++counters_.taken_back;
     end(found->second.ref, end_of(Outcome::kMoot, core::Cause::kOutOfOrder));
   }
+}
+
+void Links::take_back(Server& server) {
+  end_waiting(server);
   // A set-up that was handed over while the socket took it whole may still wait in part: nothing can be taken
   // out of a connection's order of frames, so the connection itself is given up where that lasts.
   for (const auto& conn : server.connections) {
@@ -279,13 +278,7 @@
       // The module hears first: what is taken back is placed anew at once and must not go there again.
       on_change_(server.id, false);
       if (!action.dialect) {
-        const auto back = std::exchange(server.waiting, {});
-        for (const auto call : back) {
-          const auto attempt = attempts_.find(call);
-          if (attempt == attempts_.end()) continue;
-          ++counters_.taken_back;
-          end(attempt->second.ref, end_of(Outcome::kMoot, core::Cause::kOutOfOrder));
-        }
+        end_waiting(server);
       }
       continue;
     }
@@ -457,7 +450,7 @@
   }
   const auto& fields = translator_.server(*version).of(Kind::kSetUp);
   const auto ms = std::chrono::duration_cast<milliseconds>(set_up.wait).count();
-  said_.set(field_of(fields, Meaning::kPatience), std::max<std::int64_t>(ms, 1));
+  said_.set(translate::index_of(fields, Meaning::kPatience), std::max<std::int64_t>(ms, 1));
   Attempt attempt;
   attempt.ref = set_up.attempt;
   attempt.id = set_up.id;
@@ -674,7 +667,7 @@
   const auto* mapping = translator_.mapping(attempt.client, attempt.version);
   const auto said = mapping->answer.run(record_, said_);
   const auto& fields = dialect.of(Kind::kAnswer);
-  const bool same = record_.text(field_of(fields, Meaning::kCall)) == attempt.id;
+  const bool same = record_.text(translate::index_of(fields, Meaning::kCall)) == attempt.id;
   if (!said || !same) {
     // It stands there and cannot be told here, or is another session's: it is released, and the call is over.
     ++counters_.spoilt_answers;
@@ -685,7 +678,7 @@
     return;
   }
   const auto& client_fields = translator_.client(attempt.client).of(Kind::kAnswer);
-  const std::string description(said_.text(field_of(client_fields, Meaning::kDescription)));
+  const std::string description(said_.text(translate::index_of(client_fields, Meaning::kDescription)));
   attempt.standing = true;
   attempt.conn = nullptr;
   attempt.key = 0;
--- a/src/http2/links.hpp
+++ b/src/http2/links.hpp
@@ -100,6 +100,9 @@
   void delete_session(Server& server, const std::string& id, core::Cause cause);
   void release_out(Server& server, const std::string& id, bool confirmed);
   void take_back(Server& server);
+  /// What waits has not left: it ends as moot.
+  void end_waiting(Server& server);
+  void stop_timers(const Server& server);
   /// A connection that was closed from here tells nothing: what was out on it is forgotten.
   void forget_out(Server& server, const Conn& conn);
   /// By value: it drops the attempt that the reference may belong to.
--- a/src/translate/dialect.cpp
+++ b/src/translate/dialect.cpp
@@ -257,6 +257,13 @@
   return static_cast<std::size_t>(found - fields.begin());
 }
 
+std::size_t index_of(const std::vector<FieldSpec>& fields, Meaning meaning) {
+  if (meaning == Meaning::kNone) return fields.size();
+  const auto found = std::find_if(fields.begin(), fields.end(),
+                                  [meaning](const auto& one) { return one.meaning == meaning; });
+  return static_cast<std::size_t>(found - fields.begin());
+}
+
 bool holds(const FieldSpec& spec, std::string_view text) {
   const auto size = static_cast<std::int64_t>(text.size());
   if (spec.type == Type::kWord) {
--- a/src/translate/dialect.hpp
+++ b/src/translate/dialect.hpp
@@ -70,6 +70,8 @@
 
 /// Index of the field of that name; none: the number of fields.
 std::size_t index_of(const std::vector<FieldSpec>& fields, std::string_view name);
+/// The same by what the field means; no two fields of a message mean the same, and none is found for kNone.
+std::size_t index_of(const std::vector<FieldSpec>& fields, Meaning meaning);
 
 /// What the value of a field is checked by, at either side.
 bool holds(const FieldSpec& spec, std::string_view text);
--- a/src/translate/mapping.cpp
+++ b/src/translate/mapping.cpp
@@ -214,7 +214,7 @@
     step.optional = !spec.required;
     std::string says;
     if (row == nullptr) {
-      const auto source = spec.meaning == Meaning::kNone ? sources().size() : by_meaning(spec.meaning);
+      const auto source = index_of(sources(), spec.meaning);
       if (source == sources().size()) {
         if (spec.required) fault(spec.name, "is required and nothing says where it comes from");
         return;
@@ -241,12 +241,6 @@
     finish(step, spec, row, std::move(says));
   }
 
-  [[nodiscard]] std::size_t by_meaning(Meaning meaning) const {
-    const auto found = std::find_if(sources().begin(), sources().end(),
-                                    [meaning](const auto& field) { return field.meaning == meaning; });
-    return static_cast<std::size_t>(found - sources().begin());
-  }
-
   /// The row's source is none of this dialect's fields: it is never there.
   void without_source(Step& step, const FieldSpec& spec, const Row& row, const FieldName& name) {
     if (row.otherwise && std::holds_alternative<Constant>(*row.otherwise)) {
--- a/src/translate/message.hpp
+++ b/src/translate/message.hpp
@@ -25,7 +25,6 @@
   [[nodiscard]] std::size_t bytes() const { return sizeof(*this) + held_; }
 
  private:
-  [[nodiscard]] std::size_t field_of(Meaning meaning) const;
   std::size_t client_;
   const std::vector<FieldSpec>& fields_;
   std::deque<std::string> texts_;  // they stay where they are while more are added
--- a/src/translate/versions.cpp
+++ b/src/translate/versions.cpp
@@ -123,17 +123,24 @@
   server.due = now;
 }
 
-void Versions::told(Instant now, ServerId id, std::uint64_t connection, std::string_view process,
-                    std::span<const DialectNo> spoken, Actions& actions) {
+Versions::Server* Versions::of_live(ServerId id, std::uint64_t connection) {
   const auto found = servers_.find(id);
-  if (found == servers_.end() || found->second.state == VersionState::kConfigured) return;
+  if (found == servers_.end() || found->second.state == VersionState::kConfigured) return nullptr;
   auto& server = found->second;
   // An answer on a connection of the process before would be believed of the one that took its place.
   if (std::find(server.connections.begin(), server.connections.end(), connection) ==
       server.connections.end()) {
     ++counts_.stale;
-    return;
+    return nullptr;
   }
+  return &server;
+}
+
+void Versions::told(Instant now, ServerId id, std::uint64_t connection, std::string_view process,
+                    std::span<const DialectNo> spoken, Actions& actions) {
+  auto* believed = of_live(id, connection);
+  if (believed == nullptr) return;
+  auto& server = *believed;
   if (server.process != process) {
     if (!server.process.empty()) {
       ++counts_.forgotten;
@@ -156,14 +163,9 @@
 
 void Versions::denied(Instant now, ServerId id, std::uint64_t connection, DialectNo dialect,
                       Actions& actions) {
-  const auto found = servers_.find(id);
-  if (found == servers_.end() || found->second.state == VersionState::kConfigured) return;
-  auto& server = found->second;
-  if (std::find(server.connections.begin(), server.connections.end(), connection) ==
-      server.connections.end()) {
-    ++counts_.stale;
-    return;
-  }
+  auto* believed = of_live(id, connection);
+  if (believed == nullptr) return;
+  auto& server = *believed;
   ++counts_.denied;
   server.denied |= set_of(dialect);
   if (server.dialect != dialect) return;  // it was sent before it moved on
--- a/src/translate/versions.hpp
+++ b/src/translate/versions.hpp
@@ -112,6 +112,8 @@
     Duration pause{};
   };
 
+  /// The server that a word on this connection counts for; null: it counts for nothing.
+  Server* of_live(ServerId id, std::uint64_t connection);
   void ask(Instant now, ServerId id, Server& server, Actions& actions);
   void forget(ServerId id, Server& server, Actions& actions);
   void bar(Instant now, ServerId id, Server& server, Actions& actions);
