Open the operators' door, count the figures by class, drain on standby, share the listener

Change, design in docs/operations.md: src/control (pure reader, statsd writer, a door with its own bounded places and a 2 s deadline per connection); per-class counts in core::Counters where CallTable decides; standby closes callers' connections once they owe nothing; net/listen.hpp for SO_REUSEPORT. Way not taken: answering on the callers' address or the channel, which share a queue with calls.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -70,13 +70,19 @@
 
 }  // namespace
 
-Config read_config(std::string json, std::string_view name, std::string_view listen) {
+Config read_config(std::string json, std::string_view name, std::string_view listen,
+                   std::string_view control) {
   rapidjson::Document document;
   if (!settings::parse_in_place(json, document) || !document.IsObject())
     throw ConfigError("config: not a JSON object");
   Config config;
   config.name = name.empty() ? settings::text_in(document, "name") : name;
   config.listen = endpoint(listen.empty() ? settings::text_in(document, "listen") : listen, "listen");
+  if (!control.empty()) {
+    config.control = endpoint(control, "control");
+  } else if (const auto* door = settings::member(document, "control")) {
+    config.control = endpoint(settings::text_of(*door), "control");
+  }
   const auto seed = settings::text_of(need(document, "seed"));
   const auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (seed.empty() || bad != std::errc{} || end != seed.data() + seed.size()) {
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -24,6 +24,7 @@
 struct Config {
   std::string name;
   asio::ip::tcp::endpoint listen;
+  std::optional<asio::ip::tcp::endpoint> control;  ///< the operators' door; none: not open
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 64;
@@ -39,8 +40,9 @@
   Duration connect_limit{};
 };
 
-/// `listen` and `name` from the environment take the place of the file's where they are not empty.
-Config read_config(std::string json, std::string_view name, std::string_view listen);
+/// `listen`, `name` and `control` from the environment take the place of the file's where they are not empty.
+Config read_config(std::string json, std::string_view name, std::string_view listen,
+                   std::string_view control = {});
 
 /// The whole file. Throws ConfigError.
 std::string read_file(const std::string& path);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -27,7 +27,7 @@
 
 app::Config read_configuration() {
   return app::read_config(app::read_file(variable("RELAY_CONFIG")), variable("RELAY_NAME"),
-                          variable("RELAY_LISTEN"));
+                          variable("RELAY_LISTEN"), variable("RELAY_CONTROL"));
 }
 
 // The whole new configuration is read and checked before any of it is applied; a bad one changes nothing.
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "control/figures.hpp"
 #include "net/log.hpp"
 
 namespace amberknot::app {
@@ -61,6 +62,48 @@
   feed_ = std::make_unique<feed::Feed>(loop, counters_, config.channel, config.cursor,
                                        [this](const feed::ListNews& news) { apply(news); });
   forget_now_and_then();
+  if (config.control) {
+    // Its own places, beside the callers' and the servers': a sixteenth of the descriptors, at least eight.
+    const std::size_t most = std::max<std::size_t>(8, config.sockets / 16);
+    door_ = std::make_unique<control::Door>(loop, *config.control, most,
+                                            [this](control::Command command) { return answer(command); });
+    net::log::info("control: the operators' door is at ", net::text_of(door_->where()));
+  }
+}
+
+void Router::standby(bool on) {
+  if (standby_ == on) return;
+  standby_ = on;
+  for (const auto& front : fronts_) {
+    if (front) front->standby(on);
+  }
+}
+
+std::string Router::answer(control::Command command) {
+  switch (command) {
+    case control::Command::kStatus:
+      if (ready()) return "+OK yes";
+      return done_ ? "-ERR no: stopping" : "-ERR no: standby";
+    case control::Command::kStats: {
+      control::Gauges gauges;
+      gauges.open_requests = table_.unanswered();
+      for (const auto& [id, server] : servers_.all()) {
+        if (server.state == ListState::kGone) continue;
+        ++gauges.registry_entries;
+        if (server.state != ListState::kReady || !server.port->serves(id)) ++gauges.out_of_rotation;
+      }
+      auto lines = control::statsd_lines(counters_, names_.classes, gauges);
+      lines.pop_back();  // the door ends the reply
+      return "+OK\n" + lines;
+    }
+    case control::Command::kStandby:
+      standby(true);
+      return "+OK standby";
+    case control::Command::kActive:
+      standby(false);
+      return "+OK active";
+  }
+  return "-ERR unknown call";
 }
 
 void Router::follow_directory() {
@@ -252,6 +295,8 @@
 void Router::stop_when_answered(std::function<void()> done) {
   if (done_) return;
   done_ = std::move(done);
+  // The door says no from now on, so that the process that replaces this one is asked instead; callers'
+  // connections stay, since releases of what stands here are told on them.
   Duration longest{};
   for (const auto& cls : dispatcher_.settings().classes) longest = std::max(longest, cls.deadline);
   stop_from_ = net::Loop::now() + kStillComing;
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -8,6 +8,7 @@
 #include "app/config.hpp"
 #include "app/kinds.hpp"
 #include "app/operator_file.hpp"
+#include "control/door.hpp"
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
@@ -33,6 +34,15 @@
   void reload_failed(std::string_view why);
   /// Forgets the servers that had been gone for long by then and that nothing refers to.
   void forget_gone(Instant now);
+  /// The operators' door: standby sends callers away, active takes them again (DAYS, drain).
+  void standby(bool on);
+  /// Whether this process takes clients: it has started, and is neither in standby nor stopping.
+  [[nodiscard]] bool ready() const { return !standby_ && !done_; }
+  /// The reply to one call at the door, without its line feed.
+  [[nodiscard]] std::string answer(control::Command command);
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> control_at() const {
+    return door_ ? std::optional(door_->where()) : std::nullopt;
+  }
   /// News of the servers, as from the command channel.
   void apply(const feed::ListNews& news);
 
@@ -73,6 +83,8 @@
   std::unique_ptr<directory::Refresher> refresher_;
   std::unique_ptr<feed::Peers> peers_;
   std::unique_ptr<feed::Feed> feed_;
+  std::unique_ptr<control::Door> door_;
+  bool standby_ = false;
   std::function<void()> done_;
   Instant stop_from_{};
   Instant stop_by_{};
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -92,6 +92,7 @@
   if (!call->client->answer(attempt.call, description)) {
     // The caller is owed a final answer, and this one does not fit its side.
     ++counters_.failed;
+    ++counters_.of_class(call->set_up.facts.call_class).faulted;
     call->client->fail(attempt.call, Reason::kFieldRefused);
     forget(attempt.call);
     enact(dispatcher_.report_end(clock_(), attempt.call, attempt.server, attempt.attempt,
@@ -99,6 +100,7 @@
     return false;
   }
   ++counters_.stood;
+  ++counters_.of_class(call->set_up.facts.call_class).fulfilled;
   enact(dispatcher_.report_stood(clock_(), attempt.call, attempt.server, attempt.attempt, taken));
   return true;
 }
@@ -127,6 +129,9 @@
     forget(id);
   } else {
     ++counters_.ended[static_cast<std::size_t>(facts.outcome)];
+    // Taken back before its first byte was written: no attempt reached the server.
+    auto& relayed = counters_.of_class(call.set_up.facts.call_class).relayed;
+    if (end.outcome == Outcome::kMoot && relayed > 0) --relayed;
     call.state = State::kHeld;
   }
   enact(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt, facts));
@@ -246,6 +251,7 @@
   const auto reason = call.placement.reason(nobody ? Reason::kNoServerSpeaks : otherwise);
   if (facts_of(reason).final_answer == Final::kRefused) {
     ++counters_.refused;
+    ++counters_.of_class(call.set_up.facts.call_class).throttled;
     // The servers' wish counts where the settings allow any, and no longer than they do.
     const auto& limits = dispatcher_.settings().limits;
     const Duration asked = call.placement.stay_away().value_or(Duration::zero());
@@ -253,6 +259,7 @@
     call.client->refuse(id, reason, stay_away);
   } else {
     ++counters_.failed;
+    ++counters_.of_class(call.set_up.facts.call_class).faulted;
     call.client->fail(id, reason);
   }
   forget(id);
@@ -274,6 +281,7 @@
   call.sent = clock_();
   ++call.attempts;
   ++counters_.sent;
+  ++counters_.of_class(call.set_up.facts.call_class).relayed;
   const auto attempt = attempt_of(decision.call, call);
   auto* to = port(decision.server);
   if (to == nullptr) {
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -3,9 +3,18 @@
 
 #include <cstdint>
 #include <ostream>
+#include <vector>
 
 namespace amberknot::core {
 
+/// The outcomes of one class's requests, counted where the outcome is decided (DAYS: the figures).
+struct ClassCounts {
+  std::uint64_t fulfilled = 0;  ///< answered: the call stands
+  std::uint64_t throttled = 0;  ///< refused
+  std::uint64_t faulted = 0;    ///< failed
+  std::uint64_t relayed = 0;    ///< attempts written to a server; one taken back before its write is not
+};
+
 struct Counters {
   // taken in
   std::uint64_t taken = 0;          ///< set-ups from callers
@@ -41,6 +50,13 @@
   // how attempts ended before they stood, by Outcome
   std::uint64_t ended[8] = {};
 
+  /// By the class's number in the settings; grows as classes are seen.
+  std::vector<ClassCounts> by_class;
+
+  ClassCounts& of_class(std::size_t number) {
+    if (number >= by_class.size()) by_class.resize(number + 1);
+    return by_class[number];
+  }
   void print(std::ostream& out) const;
 };
 
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -84,6 +84,9 @@
   [[nodiscard]] virtual std::size_t connections() const = 0;
   /// The program ends: every other side is told, where its protocol has words for that.
   virtual void leave() {}
+  /// Standby (DAYS, drain): callers are told that this router is not ready, what comes is still served, and
+  /// each connection is closed once nothing on it waits for an answer. False: take clients again.
+  virtual void standby(bool /*on*/) {}
 };
 
 /// The links to all servers of one kind.
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/listen.hpp"
 #include "net/log.hpp"
 #include "settings/json_text.hpp"
 #include "translate/dialect.hpp"
@@ -40,7 +41,7 @@
       identity_(identity),
       names_(names),
       settings_(settings),
-      acceptor_(loop.io, listen, true),
+      acceptor_(net::shared_acceptor(loop.io, listen)),
       pause_(loop.io),
       most_connections_(most_connections),
       admitted_(std::move(admitted)),
--- a/src/feed/peers.cpp
+++ b/src/feed/peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/listen.hpp"
 #include "net/log.hpp"
 
 namespace amberknot::feed {
@@ -14,7 +15,7 @@
 Peers::Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen,
              std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
              OnMessage on_message)
-    : socket_(loop.io, listen),
+    : socket_(net::shared_datagrams(loop.io, listen)),
       peers_(std::move(peers)),
       everyone_(std::move(everyone)),
       on_message_(std::move(on_message)) {
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "net/listen.hpp"
 #include "settings/json_text.hpp"
 #include "translate/dialect.hpp"
 
@@ -22,6 +23,11 @@
 // A caller that has not come back by then is not told any more.
 constexpr Duration kReleaseKept = seconds{30};
 constexpr Duration kSweepEvery = milliseconds{200};
+// In standby: how often connections that owe nothing are looked for, and how long a new one has to say its
+// first line. The front keeps sending new connections for 0.2 s after the drain, and at 4 s none that is idle
+// or carried a request in the last 2 s may be left (DAYS, drain).
+constexpr Duration kStandbyEvery = milliseconds{50};
+constexpr Duration kFirstLineWithin = milliseconds{150};
 // Lines that one connection may have read before the others get their turn.
 constexpr int kMostLinesATurn = 16;
 // Of its class's deadline a caller may say to wait so many times.
@@ -53,7 +59,7 @@
       bounds_(bounds),
       translator_(translator),
       dialect_(translator != nullptr ? translator->client_no("json-lines").value() : 0),
-      acceptor_(loop.io, listen, true),
+      acceptor_(net::shared_acceptor(loop.io, listen)),
       pause_(loop.io) {
   accept();
   sweep();
@@ -181,7 +187,7 @@
       break;
     case JsonLine::Type::kProbe:
       from.useful = true;
-      from.stream->send(probed_line(read->sid, true));
+      from.stream->send(probed_line(read->sid, !standby_));
       break;
     case JsonLine::Type::kOther:
       break;
@@ -244,6 +250,29 @@
   });
 }
 
+void Front::standby(bool on) {
+  if (standby_ == on) return;
+  standby_ = on;
+  net::log::info(on ? "standby: callers are sent away" : "active: callers are taken again");
+  loop_.wheel.cancel(std::exchange(closing_, 0));
+  if (on) close_answered();
+}
+
+void Front::close_answered() {
+  if (!standby_) return;
+  const Instant now = net::Loop::now();
+  std::vector<net::Stream*> out;
+  for (const auto& [key, one] : connections_) {
+    const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
+    if (one.unanswered == 0 && !fresh) out.push_back(key);
+  }
+  for (auto* key : out) {
+    const auto found = connections_.find(key);
+    if (found != connections_.end()) leave(found->second, true);
+  }
+  closing_ = loop_.after(kStandbyEvery, [this] { close_answered(); });
+}
+
 std::shared_ptr<net::Stream> Front::any_of(const asio::ip::address& caller) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return nullptr;
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/front.hpp
@@ -35,6 +35,7 @@
 
   [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
   [[nodiscard]] std::size_t connections() const override { return connections_.size(); }
+  void standby(bool on) override;
 
  private:
   struct Connection {
@@ -76,6 +77,8 @@
   void settled(Call& call);
   std::shared_ptr<net::Stream> any_of(const asio::ip::address& caller);
   void sweep();
+  /// In standby: closes each connection on which nothing waits for an answer.
+  void close_answered();
 
   net::Loop& loop_;
   core::CallTable& table_;
@@ -97,6 +100,8 @@
   std::size_t held_ = 0;                              ///< bytes for all unanswered calls
   std::map<asio::ip::address, Waiting> undelivered_;  ///< releases for callers without a connection
   std::size_t undelivered_lines_ = 0;
+  bool standby_ = false;
+  core::TimerWheel::Handle closing_ = 0;
   net::log::Few log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
 };
 
