--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -237,6 +237,10 @@
   /// Takes one event at the batch's clock and appends the actions that follow from it.
   void handle(Instant now, const Event& event, std::vector<Action>& actions);
 
+  /// New settings of a running sender: classes (as many as before or more, the old in their places) and
+  /// limits. Calls under way keep their class; a lower count of tries binds them from their next try.
+  void retune(const std::vector<CallClass>& classes, const Limits& limits);
+
   /// How many servers it remembers, those that have gone lately included.
   [[nodiscard]] std::size_t known_servers() const;
 
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "control/figures.hpp"
+#include "core/retune.hpp"
 #include "net/log.hpp"
 
 namespace amberknot::app {
@@ -269,7 +270,15 @@
   if (fresh.name != config_.name) refuse("name");
   if (fresh.listen != config_.listen) refuse("listen");
   if (fresh.peer_listen != config_.peer_listen) refuse("peer_listen");
-  if (fresh.settings_text != config_.settings_text) refuse("settings");
+  if (fresh.settings_text != config_.settings_text) {
+    // Checked whole when it was read; what the router cannot change at run time stays and is said.
+    auto retuned = core::retune(names_, dispatcher_.settings(), fresh.names, fresh.settings);
+    names_ = std::move(retuned.names);
+    dispatcher_.retune(retuned.classes, retuned.limits);
+    config_.settings_text = fresh.settings_text;
+    for (const auto& note : retuned.notes) net::log::info("reload: ", note);
+    for (const auto& kept : retuned.kept) refuse(kept.c_str());
+  }
   if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) refuse("limits");
   if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
     if (peers_ && fresh.peers_all) {
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -71,6 +71,12 @@
   [[nodiscard]] std::optional<Instant> next_tick() const;
 
   [[nodiscard]] const Settings& settings() const { return settings_; }
+  /// Classes and limits of new settings; see Admission::retune.
+  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
+    admission_.retune(classes, limits);
+    settings_.classes = classes;
+    settings_.limits = limits;
+  }
 
  private:
   struct Due {
--- a/src/core/names.hpp
+++ b/src/core/names.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,17 @@
   std::vector<std::string> classes;
   std::vector<std::string> tenants;
   std::vector<double> widths = {};  ///< by class; empty: not told
+  /// By class: taken away by new settings. Its number stays, so that calls under way keep their class, but
+  /// no new call is of it.
+  std::vector<bool> retired = {};
+
+  /// The number of a class that new calls may be of.
+  [[nodiscard]] std::optional<std::size_t> class_no(std::string_view name) const {
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+      if (classes[i] == name && !(i < retired.size() && retired[i])) return i;
+    }
+    return std::nullopt;
+  }
 };
 
 /// A number called may stand in a request line: digits, letters and a few marks.
--- /dev/null
+++ b/src/core/retune.cpp
@@ -0,0 +1,54 @@
+#include "core/retune.hpp"
+
+#include <algorithm>
+
+namespace amberknot::core {
+namespace {
+
+std::size_t index_in(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+double width_of(const Names& names, std::size_t i) {
+  return i < names.widths.size() ? names.widths[i] : 1.0;
+}
+
+}  // namespace
+
+Retuned retune(const Names& names, const Settings& now, const Names& fresh_names, const Settings& fresh) {
+  Retuned out;
+  out.names.tenants = names.tenants;
+  const bool widths = !names.widths.empty() || !fresh_names.widths.empty();
+  for (std::size_t i = 0; i < names.classes.size(); ++i) {
+    const auto& name = names.classes[i];
+    const std::size_t there = index_in(fresh_names.classes, name);
+    const bool named = there < fresh_names.classes.size() && there < fresh.classes.size();
+    const bool was_retired = i < names.retired.size() && names.retired[i];
+    out.names.classes.push_back(name);
+    out.names.retired.push_back(!named);
+    out.classes.push_back(named ? fresh.classes[there] : now.classes.at(i));
+    if (widths) out.names.widths.push_back(named ? width_of(fresh_names, there) : width_of(names, i));
+    if (!named && !was_retired) out.notes.push_back("class " + name + " taken away");
+    if (named && was_retired) out.notes.push_back("class " + name + " taken again");
+  }
+  for (std::size_t j = 0; j < fresh_names.classes.size() && j < fresh.classes.size(); ++j) {
+    const auto& name = fresh_names.classes[j];
+    if (index_in(names.classes, name) < names.classes.size()) continue;
+    out.names.classes.push_back(name);
+    out.names.retired.push_back(false);
+    out.classes.push_back(fresh.classes[j]);
+    if (widths) out.names.widths.push_back(width_of(fresh_names, j));
+    out.notes.push_back("class " + name + " added");
+  }
+  out.limits = fresh.limits;
+  if (fresh.limits.most_tries != now.limits.most_tries) {
+    out.notes.push_back("tries " + std::to_string(now.limits.most_tries) + " -> " +
+                        std::to_string(fresh.limits.most_tries));
+  }
+  if (fresh_names.tenants != names.tenants || fresh.tenants.size() != now.tenants.size())
+    out.kept.push_back("tenants");
+  if (fresh.resend != now.resend || fresh.round != now.round) out.kept.push_back("timing");
+  return out;
+}
+
+}  // namespace amberknot::core
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -130,8 +130,7 @@
     return;
   }
   const auto context = message.text(Code::kServiceContextId);
-  const auto cls =
-      std::find(names_.classes.begin(), names_.classes.end(), context.substr(0, context.find('@')));
+  const auto cls = names_.class_no(context.substr(0, context.find('@')));
   std::string_view number;
   if (const auto* subscription = message.find(Code::kSubscriptionId)) {
     Message inner;
@@ -145,7 +144,7 @@
   const auto wait_text = message.parameter(Parameter::kWaitMs);
   const double wait_ms = wait_text ? settings::number_of(*wait_text).value_or(-1.0) : -1.0;
   Fault fault;
-  if (cls == names_.classes.end()) {
+  if (!cls) {
     fault = {Result::kInvalidAvpValue, failed(message, Code::kServiceContextId)};
   } else if (message.find(Code::kSubscriptionId) == nullptr) {
     fault = {Result::kMissingAvp, missing(Code::kSubscriptionId)};
@@ -168,10 +167,10 @@
   char call_id[17];
   std::snprintf(call_id, sizeof call_id, "%08x%08x", identity_.state_id, next_id_++);
   set_up.id = call_id;
-  set_up.call_class = *cls;
+  set_up.call_class = names_.classes[*cls];
   set_up.number = number;
   set_up.description = message.parameter(Parameter::kDescription).value_or(std::string_view());
-  set_up.facts.call_class = static_cast<std::size_t>(cls - names_.classes.begin());
+  set_up.facts.call_class = *cls;
   set_up.facts.tenant = static_cast<std::size_t>(tenant - names_.tenants.begin());
   // A client that does not say how long it waits is taken to wait as long as its class does.
   const Duration patience = wait_text ? Duration{static_cast<std::int64_t>(wait_ms * 1000.0)}
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -291,7 +291,7 @@
 // ---- what callers say -----------------------------------------------------------------------------------
 
 const char* Front::check(const JsonLine& line, core::NewSetUp& to) const {
-  const auto cls = index_of(names_.classes, line.call_class);
+  const auto cls = names_.class_no(line.call_class);
   if (!cls) return "class";
   const auto tenant =
       names_.tenants.empty() ? std::optional<std::size_t>(0) : index_of(names_.tenants, line.tenant);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -160,7 +160,17 @@
 
 class Admission::Impl {
  public:
-  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) {
+  explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) { take_classes(); }
+
+  // Classes only grow, so that calls under way keep their number; tokens and servers stay as they are.
+  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
+    if (classes.size() < set_.classes.size()) throw std::invalid_argument("a class was taken away");
+    set_.classes = classes;
+    set_.limits = limits;
+    take_classes();
+  }
+
+  void take_classes() {
     if (set_.classes.empty()) throw std::invalid_argument("settings hold no class of call");
     least_aim_ = set_.classes.front().aim;
     for (const auto& one : set_.classes) {
@@ -913,5 +923,8 @@
 void Admission::handle(Instant now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
+void Admission::retune(const std::vector<CallClass>& classes, const Limits& limits) {
+  impl_->retune(classes, limits);
+}
 
 }  // namespace amberknot
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -97,6 +97,9 @@
     auto& one = classes[i];
     one.aim = pairs.need_duration(prefix + "aim_us");
     one.deadline = pairs.need_duration(prefix + "deadline_us");
+    // A call with no time to wait, or a router with no try, cannot be: such a file is defective (DAYS).
+    if (one.deadline <= Duration::zero())
+      throw SettingsError("setting not above zero: " + prefix + "deadline_us");
     one.worth = pairs.need_positive(prefix + "value");
     one.late_worth = pairs.find_number(prefix + "late_worth").value_or(0.0);
     one.repeatable = pairs.need(prefix + "repeat") == "idempotent";
@@ -130,6 +133,7 @@
   limits.peers = pairs.need_flag("limits.peers");
   limits.retry_advice = pairs.need_flag("limits.retry_after");
   limits.most_tries = pairs.need_count("limits.most_tries", kMost);
+  if (limits.most_tries == 0) throw SettingsError("setting not above zero: limits.most_tries");
   if (limits.retry_advice) limits.max_retry_advice = pairs.need_duration("limits.max_retry_after_us");
   return limits;
 }
