In standby keep a connection while calls that came by it stand; count them as open

Cause: Front::close_answered closed every connection with no unanswered call, so releases of standing calls found no connection of their caller and waited in undelivered_ (jsonl/front.cpp, the test one.unanswered == 0). open_requests counted unanswered calls only.

Change: close in standby only when no call that came by the connection is still known; open_requests counts standing calls too.

Test: the standby timeline keeps the connection until the release is told.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -87,7 +87,7 @@
       return done_ ? "-ERR no: stopping" : "-ERR no: standby";
     case control::Command::kStats: {
       control::Gauges gauges;
-      gauges.open_requests = table_.unanswered();
+      gauges.open_requests = table_.unanswered() + table_.standing();
       for (const auto& [id, server] : servers_.all()) {
         if (server.state == ListState::kGone) continue;
         ++gauges.registry_entries;
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -264,7 +264,7 @@
   std::vector<net::Stream*> out;
   for (const auto& [key, one] : connections_) {
     const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
-    if (one.unanswered == 0 && !fresh) out.push_back(key);
+    if (one.calls.empty() && !fresh) out.push_back(key);
   }
   for (auto* key : out) {
     const auto found = connections_.find(key);
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -110,7 +110,7 @@
   CHECK(stats.ends_with("\n.\n"));
   CHECK(stats.find("router.fulfilled.voice:1|c\n") != std::string::npos);
   CHECK(stats.find("router.relayed.voice:") != std::string::npos);
-  CHECK(stats.find("router.open_requests:") != std::string::npos);
+  CHECK(stats.find("router.open_requests:1|g\n") != std::string::npos);  // the call that stands
   CHECK(stats.find("router.registry_entries:1|g\n") != std::string::npos);
   CHECK(stats.find("router.cfg_accepted:0|g\n") != std::string::npos);
 }
@@ -125,11 +125,16 @@
   bench.say("{\"msg\":\"probe\",\"sid\":\"00000000000000ff\",\"attrs\":{},\"code\":0}\n");
   bench.until(
       [&] { return bench.caller->has("\"probed\",\"sid\":\"00000000000000ff\",\"attrs\":{},\"code\":0}"); });
-  // The connection owes an answer: it stays until that is written, and is closed after it.
+  // The connection owes an answer, and then the release of the call that stands: it stays until that is
+  // written, and is closed after it. Closed earlier, the release would find no connection of its caller.
   CHECK_FALSE(bench.caller->closed);
   bench.answer(end, kA);
   bench.until([&] { return bench.caller->has("\"ready\",\"sid\":\"" + kA); });
+  bench.settle();
+  CHECK_FALSE(bench.caller->closed);
+  end.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
   bench.until([&] { return bench.caller->closed; });
+  CHECK(bench.caller->has("\"close\",\"sid\":\"" + kA));
   // A connection that comes meanwhile is served too.
   auto late = bench.connect(bench.router->callers_at());
   late->stream->send("{\"msg\":\"probe\",\"sid\":\"00000000000000fe\",\"attrs\":{},\"code\":0}\n");
