Forget a door's connection in one place: closed by its caller or dropped by the door

Door::on_closed and Door::drop each found the connection, cancelled its deadline and erased it; both now call Door::take_out.

--- a/src/control/door.cpp
+++ b/src/control/door.cpp
@@ -75,23 +75,26 @@
 }
 
 void Door::on_closed(net::Stream& stream, net::Closed /*why*/) {
-  const auto found = open_.find(&stream);
-  if (found == open_.end()) return;
-  loop_.wheel.cancel(found->second.deadline);
-  open_.erase(found);
+  take_out(&stream);
 }
 
-void Door::drop(net::Stream* stream, bool with_what_is_queued) {
+std::optional<Door::Open> Door::take_out(net::Stream* stream) {
   const auto found = open_.find(stream);
-  if (found == open_.end()) return;
+  if (found == open_.end()) return std::nullopt;
   auto one = std::move(found->second);
   open_.erase(found);
   loop_.wheel.cancel(one.deadline);
+  return one;
+}
+
+void Door::drop(net::Stream* stream, bool with_what_is_queued) {
+  auto one = take_out(stream);
+  if (!one) return;
   if (with_what_is_queued) {
-    one.stream->finish();
-    finishing_.push_back(one.stream);
+    one->stream->finish();
+    finishing_.push_back(one->stream);
   } else {
-    one.stream->close();
+    one->stream->close();
   }
 }
 
--- a/src/control/door.hpp
+++ b/src/control/door.hpp
@@ -6,6 +6,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -40,6 +41,8 @@
   void accept();
   std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
   void on_closed(net::Stream& stream, net::Closed why) override;
+  /// Forgets a connection and its deadline; empty: it was not open here.
+  std::optional<Open> take_out(net::Stream* stream);
   void drop(net::Stream* stream, bool with_what_is_queued);
 
   net::Loop& loop_;
