--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -13,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// After SIGTERM callers go on connecting and asking for a while.
-constexpr Duration kStillComing = milliseconds{700};
 constexpr Duration kLookWhetherDone = milliseconds{20};
 // What has gone is remembered for a while, since some of its calls may still want their release.
 constexpr Duration kGoneKept = std::chrono::seconds{20};
@@ -301,24 +299,28 @@
   net::log::error("reload: not taken, the configuration in force stays: ", why);
 }
 
-void Router::stop_when_answered(std::function<void()> done) {
+void Router::stop_when_answered(bool replaced, std::function<void()> done) {
   if (done_) return;
   done_ = std::move(done);
-  // The door says no from now on, so that the process that replaces this one is asked instead; callers'
-  // connections stay, since releases of what stands here are told on them.
+  // The door says no from now on. Where nobody has taken over, the callers' connections stay and what comes
+  // is answered; else callers are to go to the other process at once.
   Duration longest{};
   for (const auto& cls : dispatcher_.settings().classes) longest = std::max(longest, cls.deadline);
-  stop_from_ = net::Loop::now() + kStillComing;
-  stop_by_ = stop_from_ + std::min<Duration>(longest, std::chrono::seconds{3});
-  net::log::info("stopping: ", table_.unanswered(), " unanswered, ", table_.standing(), " standing");
+  leaving_ = core::Leaving::plan(net::Loop::now(), longest, replaced);
+  net::log::info("stopping: ", table_.unanswered(), " unanswered, ", table_.standing(), " standing",
+                 replaced ? ", replaced" : "");
+  if (replaced) {
+    for (const auto& front : fronts_) {
+      if (front) front->hand_over();
+    }
+  }
   look_whether_done();
 }
 
 void Router::look_whether_done() {
   const Instant now = net::Loop::now();
-  const bool answered = now >= stop_from_ && table_.unanswered() == 0;
-  // What stands may come to its own end for as long as no one is kept waiting by it.
-  if (answered && (table_.standing() == 0 || now >= stop_by_)) {
+  if (now >= leaving_.callers_until) table_.answer_by(leaving_.answer_by);
+  if (leaving_.may_leave(now, table_.unanswered(), table_.standing())) {
     table_.release_all();
     for (const auto& front : fronts_) {
       if (front) front->leave();
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -12,6 +12,7 @@
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
+#include "core/leaving.hpp"
 #include "core/names.hpp"
 #include "core/server_list.hpp"
 #include "directory/tenants.hpp"
@@ -26,7 +27,8 @@
   Router(net::Loop& loop, const Config& config, const OperatorFile& setup = {});
 
   /// Goes on serving until all that was taken is answered, then releases what stands and calls `done`.
-  void stop_when_answered(std::function<void()> done);
+  /// `replaced`: another process serves the same callers, so they are sent there.
+  void stop_when_answered(bool replaced, std::function<void()> done);
   /// Takes over a new configuration, read and checked whole. What a running program cannot change is refused
   /// aloud and stays as it was.
   void reload(const Config& fresh);
@@ -86,8 +88,7 @@
   std::unique_ptr<control::Door> door_;
   bool standby_ = false;
   std::function<void()> done_;
-  Instant stop_from_{};
-  Instant stop_by_{};
+  core::Leaving leaving_;
 };
 
 }  // namespace amberknot::app
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -29,6 +29,7 @@
 CallId CallTable::take(ClientPort& client, NewSetUp set_up) {
   while (calls_.contains(CallId{next_id_})) ++next_id_;
   const CallId id{next_id_++};
+  if (answer_by_) set_up.facts.expires = std::min(set_up.facts.expires, *answer_by_);
   set_up.facts.expires -= kAnswerMargin;
   auto& call = calls_[id];
   call.client = &client;
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -56,6 +56,8 @@
   // From the callers' side.
   /// Enters the call; the front then notes its id and lets it be decided.
   CallId take(ClientPort& client, NewSetUp set_up);
+  /// The program ends: what is taken from now on has its final answer by then.
+  void answer_by(Instant moment) { answer_by_ = moment; }
   void decide(CallId call);
   void give_up(CallId call);  ///< of no effect after the answer
   /// Before the answer the set-up is given up, after it the call is released.
@@ -124,6 +126,7 @@
   Note note_;
   std::unordered_map<CallId, Call> calls_;
   std::size_t standing_ = 0;
+  std::optional<Instant> answer_by_;
   std::uint32_t next_id_ = 0;
   std::deque<Decision> to_do_;
   bool enacting_ = false;
--- /dev/null
+++ b/src/core/leaving.cpp
@@ -0,0 +1,38 @@
+#include "core/leaving.hpp"
+
+#include <algorithm>
+
+namespace amberknot::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// After SIGTERM new connections come for 0.4 s at most and set-ups for 0.2 s more (PROTOCOL, planned
+// restart); SIGKILL comes 0.7 s after the longest deadline, which counts as these at most: PROTOCOL's in a
+// plain restart, DAYS' where another process has taken over.
+constexpr Duration kStillComing = milliseconds{700};
+constexpr Duration kMostPlain = seconds{3};
+constexpr Duration kMostReplaced = seconds{5};
+// The answer's way: it is written this much before SIGKILL may come.
+constexpr Duration kAnswerOnItsWay = milliseconds{100};
+
+}  // namespace
+
+bool replaced_by_any(const ServingRecord& self, const std::vector<ServingRecord>& alive) {
+  return std::any_of(alive.begin(), alive.end(), [&](const ServingRecord& one) {
+    return one.name == self.name && one.listen == self.listen && one.started_unix_us > self.started_unix_us;
+  });
+}
+
+Leaving Leaving::plan(Instant now, Duration longest, bool replaced) {
+  const Instant until = now + kStillComing;
+  const Instant killed = until + std::min(longest, replaced ? kMostReplaced : kMostPlain);
+  return {until, std::max(until, killed - kAnswerOnItsWay), killed};
+}
+
+bool Leaving::may_leave(Instant now, std::size_t unanswered, std::size_t standing) const {
+  return now >= callers_until && unanswered == 0 && (standing == 0 || now >= leave_by);
+}
+
+}  // namespace amberknot::core
--- /dev/null
+++ b/src/core/leaving.hpp
@@ -0,0 +1,37 @@
+// How a process leaves after SIGTERM: until when it waits for what, and whether another has taken its place.
+// No I/O: what the disk says comes in as records, the time as an argument.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "amberknot/admission.hpp"
+
+namespace amberknot::core {
+
+/// A process that serves, as it says in the folder that it shares with the one it replaces.
+struct ServingRecord {
+  std::string name;    ///< of the router
+  std::string listen;  ///< the callers' address
+  std::int64_t started_unix_us = 0;
+  friend bool operator==(const ServingRecord&, const ServingRecord&) = default;
+};
+
+/// Whether one of the processes that are alive beside `self` serves the same callers and started later.
+bool replaced_by_any(const ServingRecord& self, const std::vector<ServingRecord>& alive);
+
+/// The times of a process that SIGTERM reached.
+struct Leaving {
+  Instant callers_until{};  ///< callers go on connecting and asking until then
+  Instant answer_by{};      ///< what is taken after `callers_until` has its answer by then
+  Instant leave_by{};       ///< what stands is not waited for any longer
+
+  /// `longest` is the longest deadline of a class. SIGKILL comes no sooner than that, or its bound, plus the
+  /// time in which callers still come.
+  static Leaving plan(Instant now, Duration longest, bool replaced);
+
+  [[nodiscard]] bool may_leave(Instant now, std::size_t unanswered, std::size_t standing) const;
+};
+
+}  // namespace amberknot::core
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -87,6 +87,9 @@
   /// Standby (DAYS, drain): callers are told that this router is not ready, what comes is still served, and
   /// each connection is closed once nothing on it waits for an answer. False: take clients again.
   virtual void standby(bool /*on*/) {}
+  /// Another process serves the same callers: no new connection is taken here, and each is closed once no
+  /// set-up on it waits for an answer. What stands goes on.
+  virtual void hand_over() {}
 };
 
 /// The links to all servers of one kind.
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -61,6 +61,7 @@
       dialect_(translator != nullptr ? translator->client_no("json-lines").value() : 0),
       acceptor_(net::shared_acceptor(loop.io, listen)),
       pause_(loop.io) {
+  where_ = net::text_of(acceptor_.local_endpoint());
   accept();
   sweep();
 }
@@ -71,6 +72,7 @@
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
+      if (!acceptor_.is_open()) return;  // handed over
       // Out of descriptors, most likely: accepting again at once would spin.
       net::log::warn("accept failed: ", error.message());
       pause_.expires_after(milliseconds{20});
@@ -79,16 +81,20 @@
       });
       return;
     }
-    if (make_room()) {
-      take(std::move(socket));
-    } else {
-      ++counters_.turned_away;
-      net::log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
-    }
-    accept();
+    take_or_turn_away(std::move(socket));
+    if (acceptor_.is_open()) accept();
   });
 }
 
+void Front::take_or_turn_away(asio::ip::tcp::socket socket) {
+  if (make_room()) {
+    take(std::move(socket));
+  } else {
+    ++counters_.turned_away;
+    net::log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
+  }
+}
+
 void Front::take(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::Stream>(loop_, *this);
   auto& connection = connections_[stream.get()];
@@ -254,23 +260,49 @@
   if (standby_ == on) return;
   standby_ = on;
   net::log::info(on ? "standby: callers are sent away" : "active: callers are taken again");
+  if (handing_over_) return;
+  loop_.wheel.cancel(std::exchange(closing_, 0));
+  if (on) close_what_owes_nothing_now_and_then();
+}
+
+void Front::hand_over() {
+  if (std::exchange(handing_over_, true)) return;
+  // The kernel deals new connections out among all that listen, and resets those that wait at a listener that
+  // closes: what waits is taken first.
+  acceptor_.non_blocking(true);
+  for (;;) {
+    asio::error_code none;
+    auto socket = acceptor_.accept(none);
+    if (none) break;
+    take_or_turn_away(std::move(socket));
+  }
+  acceptor_.close();
+  net::log::info("handing over: ", connections_.size(), " callers' connections, each closed once answered");
   loop_.wheel.cancel(std::exchange(closing_, 0));
-  if (on) close_answered();
+  close_what_owes_nothing_now_and_then();
+}
+
+bool Front::owes_nothing(const Connection& one, Instant now) const {
+  const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
+  return !fresh && (handing_over_ ? one.unanswered == 0 : one.calls.empty());
 }
 
 void Front::close_answered() {
-  if (!standby_) return;
   const Instant now = net::Loop::now();
   std::vector<net::Stream*> out;
   for (const auto& [key, one] : connections_) {
-    const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
-    if (one.calls.empty() && !fresh) out.push_back(key);
+    if (owes_nothing(one, now)) out.push_back(key);
   }
   for (auto* key : out) {
     const auto found = connections_.find(key);
     if (found != connections_.end()) leave(found->second, true);
   }
-  closing_ = loop_.after(kStandbyEvery, [this] { close_answered(); });
+}
+
+void Front::close_what_owes_nothing_now_and_then() {
+  if (!standby_ && !handing_over_) return;
+  close_answered();
+  closing_ = loop_.after(kStandbyEvery, [this] { close_what_owes_nothing_now_and_then(); });
 }
 
 std::shared_ptr<net::Stream> Front::any_of(const asio::ip::address& caller) {
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/front.hpp
@@ -33,9 +33,10 @@
   void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
-  [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
+  [[nodiscard]] std::string where() const override { return where_; }
   [[nodiscard]] std::size_t connections() const override { return connections_.size(); }
   void standby(bool on) override;
+  void hand_over() override;
 
  private:
   struct Connection {
@@ -60,6 +61,7 @@
   };
 
   void accept();
+  void take_or_turn_away(asio::ip::tcp::socket socket);
   void take(asio::ip::tcp::socket socket);
   bool make_room();
   std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
@@ -77,8 +79,12 @@
   void settled(Call& call);
   std::shared_ptr<net::Stream> any_of(const asio::ip::address& caller);
   void sweep();
-  /// In standby: closes each connection on which nothing waits for an answer.
+  /// Whether a connection may be closed: in standby nothing waits or stands on it, and it had time for its
+  /// first line; handing over nothing waits on it.
+  [[nodiscard]] bool owes_nothing(const Connection& one, Instant now) const;
+  /// In standby and handing over: closes each connection that owes nothing.
   void close_answered();
+  void close_what_owes_nothing_now_and_then();
 
   net::Loop& loop_;
   core::CallTable& table_;
@@ -100,7 +106,9 @@
   std::size_t held_ = 0;                              ///< bytes for all unanswered calls
   std::map<asio::ip::address, Waiting> undelivered_;  ///< releases for callers without a connection
   std::size_t undelivered_lines_ = 0;
+  std::string where_;
   bool standby_ = false;
+  bool handing_over_ = false;
   core::TimerWheel::Handle closing_ = 0;
   net::log::Few log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
 };
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -29,11 +29,12 @@
     return Instant{std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())};
   }
   /// The clock that the outside speaks of.
-  static std::int64_t unix_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
+  static std::int64_t unix_us() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
                std::chrono::system_clock::now().time_since_epoch())
         .count();
   }
+  static std::int64_t unix_ms() { return unix_us() / 1000; }
   core::TimerWheel::Handle after(Duration wait, std::function<void()> what) {
     return wheel.at(now() + wait, std::move(what));
   }
