--- /dev/null
+++ b/tests/leaving_test.cpp
@@ -0,0 +1,237 @@
+// Leaving after SIGTERM: the times, who has taken over, and what a caller sees of it.
+#include "core/leaving.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "net_bench.hpp"
+#include "store/presence.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+using core::Leaving;
+using core::ServingRecord;
+using std::chrono::seconds;
+
+const std::string kA = "00000000000000a1";
+const std::string kB = "00000000000000b2";
+
+struct Folder {
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "amberknot-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    path = pattern;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  [[nodiscard]] std::size_t files() const {
+    return static_cast<std::size_t>(std::distance(std::filesystem::directory_iterator(path), {}));
+  }
+  std::string path;
+};
+
+store::Presence declare(const Folder& folder, const ServingRecord& self) {
+  std::string error;
+  auto made = store::Presence::declare(folder.path, self, error);
+  REQUIRE_MESSAGE(made, error);
+  return std::move(*made);
+}
+
+}  // namespace
+
+TEST_CASE("the times of leaving: callers come for 0.7 s, SIGKILL no sooner than the longest deadline more") {
+  const Instant at{seconds{100}};
+  const struct {
+    Duration longest;
+    bool replaced;
+    Duration answer_by, leave_by;
+  } rows[] = {
+      {seconds{2}, false, milliseconds{2600}, milliseconds{2700}},
+      {seconds{9}, false, milliseconds{3600}, milliseconds{3700}},  // counts as 3 s
+      {seconds{4}, true, milliseconds{4600}, milliseconds{4700}},
+      {seconds{9}, true, milliseconds{5600}, milliseconds{5700}},  // counts as 5 s
+      {milliseconds{50}, false, milliseconds{700}, milliseconds{750}},
+  };
+  for (const auto& row : rows) {
+    const auto plan = Leaving::plan(at, row.longest, row.replaced);
+    CHECK(plan.callers_until == at + milliseconds{700});
+    CHECK(plan.answer_by == at + row.answer_by);
+    CHECK(plan.leave_by == at + row.leave_by);
+    // What is owed is waited for without end, what stands until `leave_by`.
+    CHECK_FALSE(plan.may_leave(plan.callers_until - milliseconds{1}, 0, 0));
+    CHECK(plan.may_leave(plan.callers_until, 0, 0));
+    CHECK_FALSE(plan.may_leave(plan.leave_by - milliseconds{1}, 0, 1));
+    CHECK(plan.may_leave(plan.leave_by, 0, 1));
+    CHECK_FALSE(plan.may_leave(plan.leave_by + seconds{60}, 1, 0));
+  }
+}
+
+TEST_CASE("replaced is who is followed by a younger process of the same name at the same address") {
+  const ServingRecord self{"n1", "127.0.0.1:5070", 1000};
+  CHECK_FALSE(core::replaced_by_any(self, {}));
+  CHECK_FALSE(core::replaced_by_any(self, {{"n1", "127.0.0.1:5070", 999}}));  // the one it replaced itself
+  CHECK_FALSE(core::replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}}));
+  CHECK_FALSE(core::replaced_by_any(self, {{"n1", "127.0.0.1:5071", 2000}}));
+  CHECK(core::replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}, {"n1", "127.0.0.1:5070", 1001}}));
+}
+
+TEST_CASE("a record is read back as written, and nothing is made of a bad one") {
+  const ServingRecord record{"n1", "127.0.0.1:5070", 1764633600000000};
+  const auto text = store::text_of(record);
+  CHECK(store::read_record(text) == record);
+  for (std::size_t cut = 0; cut + 2 < text.size(); ++cut)
+    CHECK_FALSE(store::read_record(text.substr(0, cut)));
+  for (const char* bad : {R"({"version":2,"name":"n","listen":"l","started_unix_us":1})", "[1]", "null",
+                          R"({"version":1,"name":7,"listen":"l","started_unix_us":1})",
+                          R"({"version":1,"name":"n","started_unix_us":1})",
+                          R"({"version":1,"name":"n","listen":"l","started_unix_us":"1"})"}) {
+    CHECK_FALSE(store::read_record(bad));
+  }
+}
+
+TEST_CASE("the living are seen in the shared folder, the dead are cleared away, the unreadable are counted") {
+  const Folder folder;
+  std::size_t unreadable = 0;
+  const auto first = declare(folder, {"n1", "127.0.0.1:5070", 1});
+  {
+    const auto second = declare(folder, {"n1", "127.0.0.1:5070", 2});
+    const auto others = first.others(unreadable);
+    REQUIRE(others.size() == 1);
+    CHECK(others.front() == second.self());
+    CHECK(core::replaced_by_any(first.self(), others));
+    CHECK_FALSE(core::replaced_by_any(second.self(), second.others(unreadable)));
+  }
+  CHECK(first.others(unreadable).empty());
+  // A file that its process left behind when it was killed: nobody holds its lock.
+  std::ofstream(folder.path + "/amberknot-serving-dead00") << store::text_of({"n1", "127.0.0.1:5070", 9});
+  CHECK(first.others(unreadable).empty());
+  CHECK(folder.files() == 1);
+  CHECK(unreadable == 0);
+  const auto torn = folder.path + "/amberknot-serving-torn00";
+  std::ofstream(torn) << R"({"version":1,"na)";
+  const int held = ::open(torn.c_str(), O_RDONLY | O_CLOEXEC);
+  REQUIRE(::flock(held, LOCK_EX) == 0);
+  CHECK(first.others(unreadable).empty());
+  CHECK(unreadable == 1);
+  ::close(held);
+  std::string error;
+  CHECK_FALSE(store::Presence::declare("", first.self(), error));
+  CHECK_FALSE(store::Presence::declare(folder.path + "/none", first.self(), error));
+  CHECK(error.find("No such file") != std::string::npos);
+}
+
+TEST_CASE(
+    "a replaced router takes no new connection, answers what is out and lets go of all that owe nothing") {
+  Bench bench;
+  bench.list();
+  auto idle = bench.connect(bench.router->callers_at());
+  idle->stream->send("{\"msg\":\"probe\",\"sid\":\"" + kB + "\",\"attrs\":{},\"code\":0}\n");
+  bench.until([&] { return idle->has("\"probed\""); });
+  bench.standing(kB);
+  bench.open(kA);
+  auto& server = bench.invited(kA);
+  auto config = bench.config;
+  config.listen = bench.router->callers_at();
+  app::Router next(bench.loop, config);
+  bool done = false;
+  bench.router->stop_when_answered(true, [&] { done = true; });
+  CHECK(bench.router->callers_at() == config.listen);
+  // Every new connection reaches the new process: with both listening, one in two would not.
+  std::vector<std::unique_ptr<End>> callers;
+  for (int i = 0; i < 16; ++i) {
+    callers.push_back(bench.connect(config.listen));
+    callers.back()->stream->send("{\"msg\":\"probe\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":0}\n");
+  }
+  bench.until([&] { return next.callers() == 16; });
+  bench.until([&] { return idle->closed; });
+  CHECK_FALSE(bench.caller->closed);  // a set-up on it is unanswered
+  bench.answer(server, kA);
+  bench.until([&] { return bench.caller->closed; });  // though two calls that came by it stand
+  CHECK(bench.caller->has("\"ready\",\"sid\":\"" + kA));
+  CHECK(bench.router->callers() == 0);
+  CHECK_FALSE(done);
+}
+
+TEST_CASE("a replaced router takes what waited at its listener before it closes it") {
+  Bench bench;
+  std::vector<std::unique_ptr<End>> callers;
+  for (int i = 0; i < 8; ++i) callers.push_back(bench.connect(bench.router->callers_at()));
+  // Up in the kernel, and the router's loop has not run since.
+  asio::ip::tcp::socket plain(bench.loop.io);
+  plain.connect(bench.router->callers_at());
+  bench.router->stop_when_answered(true, [] {});
+  const std::string probe = "{\"msg\":\"probe\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":0}\n";
+  asio::write(plain, asio::buffer(probe));
+  for (auto& caller : callers) caller->stream->send(probe);
+  bench.until([&] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const auto& end) { return end->has("\"probed\""); });
+  });
+  std::array<char, 8> reply{};
+  CHECK(asio::read(plain, asio::buffer(reply)) == reply.size());
+}
+
+// In simulated time: the wheel is led by hand, and no server ever answers.
+TEST_CASE("no call that is taken late stands unanswered when SIGKILL may come") {
+  struct Caller : core::ClientPort {
+    bool answer(CallId, std::string_view) override { return true; }
+    void refuse(CallId call, core::Reason, Duration) override { refused.push_back(call); }
+    void fail(CallId call, core::Reason) override { refused.push_back(call); }
+    void release(CallId, core::Cause) override {}
+    std::vector<CallId> refused;
+  };
+  struct Silent : core::Links {
+    void server_changed(const core::ListedServer&) override {}
+    void forget_server(ServerId) override {}
+    void set_up(const core::SetUp&) override { ++sent; }
+    void cancel(const core::AttemptRef&) override { ++cancelled; }
+    void release(const core::AttemptRef&, core::Cause) override {}
+    void forget(const core::AttemptRef&) override {}
+    void probe(ServerId) override {}
+    int sent = 0, cancelled = 0;
+  };
+  Instant now{seconds{50}};
+  const auto config = bench_config();
+  core::Dispatcher dispatcher(config.settings, now);
+  core::ServerList servers;
+  core::TimerWheel wheel(now);
+  core::Counters counters;
+  core::CallTable table(dispatcher, servers, wheel, counters, [&] { return now; });
+  Silent port;
+  auto& server = servers.of("s1");
+  server.port = &port;
+  server.state = ListState::kReady;
+  table.list_changed(true, {{server.id, CellNo{0}, ListState::kReady, {}, core::kNotKnown}});
+  Caller caller;
+  const auto open = [&](Duration left) {
+    core::NewSetUp set_up;
+    set_up.id = kA;
+    set_up.call_class = "voice";
+    set_up.facts.expires = now + left;
+    table.decide(table.take(caller, std::move(set_up)));
+  };
+  const auto plan = Leaving::plan(now, seconds{3}, true);
+  const auto go_to = [&](Instant to) {
+    while (now < to) {
+      now += milliseconds{1};
+      wheel.advance(now);
+    }
+  };
+  go_to(plan.callers_until);
+  table.answer_by(plan.answer_by);
+  for (int i = 0; i < 25; ++i) {
+    open(seconds{9});
+    go_to(now + milliseconds{100});
+  }
+  CHECK(port.sent > 0);
+  go_to(plan.leave_by);
+  CHECK(caller.refused.size() == 25);
+  CHECK(table.unanswered() == 0);
+}
+
+}  // namespace amberknot::tests
