Start the fleet rig: schedule, fault relay, real router processes, history and checker

Not taken: faults by the kernel's traffic control (needs rights this machine's users lack), and proxies of others (not ours to bring). A rule that had nothing to look at, or whose calls were mostly excused, makes the run void, not held.

--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,102 @@
+// The lab's command line: runs fleets and ends with one JSON line and a non-zero exit on a broken rule.
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include "app/config.hpp"
+#include "lab/fleet/runner.hpp"
+
+using namespace amberknot;
+using namespace amberknot::lab::fleet;
+
+namespace {
+
+struct Words {
+  std::uint64_t seed = 1;
+  std::size_t nodes = 5, servers = 3;
+  double seconds = 10, calls_per_s = 20;
+  std::string schedule, folder, program, write;
+  bool calm = false;
+};
+
+Schedule schedule_of(const Words& words) {
+  if (!words.schedule.empty()) {
+    auto read = read_schedule(app::read_file(words.schedule));
+    return read;
+  }
+  const Duration length{static_cast<std::int64_t>(words.seconds * 1e6)};
+  if (words.calm) return {words.seed, length, {}, {}};
+  return draw_schedule(words.seed, words.nodes, words.servers, length);
+}
+
+std::string router_beside(const char* self) {
+  return (std::filesystem::weakly_canonical(self).parent_path() / "amberknot_router").string();
+}
+
+int fleet(const Words& words, const char* self) {
+  FleetOptions options;
+  options.program = words.program.empty() ? router_beside(self) : words.program;
+  options.routers = words.nodes;
+  options.servers = words.servers;
+  options.calls_per_s = words.calls_per_s;
+  options.schedule = schedule_of(words);
+  std::string made = words.folder;
+  if (made.empty()) {
+    made = (std::filesystem::temp_directory_path() / "amberknot-fleet-XXXXXX").string();
+    if (mkdtemp(made.data()) == nullptr) throw std::runtime_error("no temporary folder");
+  }
+  options.folder = made;
+  const auto result = run_fleet(options);
+  std::cout << text_of(result.verdict);
+  std::cout << summary_of(options.schedule.seed, options.routers, result.history, result.verdict,
+                          "\"restarts\":" + std::to_string(result.restarts) +
+                              ",\"relayed_bytes\":" + std::to_string(result.relay.bytes) +
+                              ",\"relay_resets\":" + std::to_string(result.relay.reset) +
+                              ",\"relay_held\":" + std::to_string(result.relay.held) + ",\"worst_late_us\":" +
+                              std::to_string(result.worst_late.count()) + ",\"folder\":\"" +
+                              (words.folder.empty() && result.verdict.held() ? "" : made) + "\"")
+            << std::endl;
+  // What shows a broken rule is kept.
+  if (words.folder.empty() && result.verdict.held()) std::filesystem::remove_all(made);
+  return result.verdict.held() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int count, char** values) {
+  CLI::App program("amberknot_lab: fleets of routers on this machine, with faults between them");
+  program.require_subcommand(1);
+  Words words;
+  int status = 0;
+  const auto common = [&words](CLI::App* to) {
+    to->add_option("--seed", words.seed, "draws the schedule and all that is random");
+    to->add_option("--nodes", words.nodes, "routers")->check(CLI::Range(1, 2000));
+    to->add_option("--servers", words.servers, "session servers")->check(CLI::Range(1, 200));
+    to->add_option("--seconds", words.seconds, "length of a drawn schedule")->check(CLI::Range(0.5, 600.0));
+    to->add_option("--rate", words.calls_per_s, "calls a second at each router")
+        ->check(CLI::Range(0.1, 1000.0));
+    to->add_option("--schedule", words.schedule, "a file instead of a drawn schedule")
+        ->check(CLI::ExistingFile);
+    to->add_flag("--calm", words.calm, "no faults");
+  };
+  auto* real = program.add_subcommand("fleet", "real processes, with the relay between them");
+  common(real);
+  real->add_option("--program", words.program, "the router; else the one beside this program");
+  real->add_option("--folder", words.folder, "keeps all that the run writes there");
+  real->callback([&] { status = fleet(words, values[0]); });
+
+  auto* draw = program.add_subcommand("draw", "prints the schedule that a seed draws");
+  common(draw);
+  draw->callback([&] { std::cout << text_of(schedule_of(words)) << std::endl; });
+
+  try {
+    program.parse(count, values);
+  } catch (const CLI::ParseError& error) {
+    return program.exit(error);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << std::endl;
+    return 2;
+  }
+  return status;
+}
