--- a/lab/fleet/schedule.cpp
+++ b/lab/fleet/schedule.cpp
@@ -45,7 +45,10 @@
   if (validator.validate(schema, RapidJsonAdapter(document), &results)) return;
   valijson::ValidationResults::Error error;
   std::string fault;
-  while (results.popError(error)) {  // the last one is the innermost
+  std::size_t depth = 0;
+  while (results.popError(error)) {  // the innermost names the field
+    if (error.context.size() < depth) continue;
+    depth = error.context.size();
     fault.clear();
     for (const auto& part : error.context) fault += part;
     fault += ": " + error.description;
@@ -124,7 +127,7 @@
 
 Schedule read_schedule(std::string_view json) {
   rapidjson::Document document;
-  document.Parse(json.data(), json.size());
+  document.Parse<rapidjson::kParseFullPrecisionFlag>(json.data(), json.size());
   if (document.HasParseError()) {
     throw ScheduleError("schedule: at byte " + std::to_string(document.GetErrorOffset()) + ": " +
                         rapidjson::GetParseError_En(document.GetParseError()));
