--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -41,10 +41,11 @@
 };
 
 enum class NodeFaultKind : std::uint8_t {
-  kCrash,   ///< SIGKILL
-  kFreeze,  ///< SIGSTOP, and SIGCONT after `back_after`
-  kStop,    ///< SIGTERM
-  kDrain,   ///< of a server: the list says that it drains; `back_after`: it is ready again
+  kCrash,    ///< SIGKILL
+  kFreeze,   ///< SIGSTOP, and SIGCONT after `back_after`
+  kStop,     ///< SIGTERM
+  kReplace,  ///< a second process starts beside it; once that serves, the first gets SIGTERM
+  kDrain,    ///< of a server: the list says that it drains; `back_after`: it is ready again
 };
 std::string_view name_of(NodeFaultKind kind);
 
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -287,6 +287,27 @@
   CHECK(back > 50);
 }
 
+// Before callers were handed over, requests written to the old process when it ended were lost.
+TEST_CASE("each of three processes is replaced under load, twice, and no request is lost") {
+  const Folder folder;
+  auto options = options_of(folder.path);
+  options.routers = 3;
+  options.calls_per_s = 80;
+  // At every moment some calls are out: a process that goes on taking calls never comes to its end.
+  options.traits.work = milliseconds{300};
+  options.schedule.length = seconds{11};
+  for (const auto moment : {milliseconds{500}, milliseconds{4700}}) {
+    options.schedule.nodes.push_back({NodeFaultKind::kReplace, {"n*"}, moment, {}});
+  }
+  const auto result = run_fleet(options);
+  CHECK_MESSAGE(result.verdict.held(), text_of(result.verdict));
+  CHECK(result.verdict.rules[0].excused == 0);
+  CHECK(result.verdict.rules[0].looked_at > 1500);
+  CHECK(result.restarts == 6);
+  CHECK(std::none_of(result.history.begin(), result.history.end(),
+                     [](const Event& one) { return one.what == What::kLost || one.what == What::kGaveUp; }));
+}
+
 // The router itself is made to break a rule: its server is told to drain in the rig's history, and not in the
 // channel that the router hears.
 TEST_CASE("a fleet that breaks a rule is caught by its history") {
