Open a new link after one broke while calls stand: releases caught in it are told there

Checked: PROTOCOL has a server tell a release again "on the next one opened"; sip/links.cpp, keep_warm, opens none while two are left of up to four, so a release in the cut link is never told. Change: a link that broke with a reset while calls stand at its server has one more opened, once. The rig also grew: faults that strike a share of a link's connections, servers that tell releases as PROTOCOL says.

--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -57,8 +57,15 @@
   /// direction, at some time between the two moments.
   [[nodiscard]] bool troubled(const std::string& one, const std::string& other, Duration from,
                               Duration until) const {
-    return any(one, from, until) || any(other, from, until) || any(one + ">" + other, from, until) ||
-           any(other + ">" + one, from, until);
+    return process_troubled(one, from, until) || process_troubled(other, from, until) ||
+           link_troubled(one, other, from, until);
+  }
+  [[nodiscard]] bool process_troubled(const std::string& who, Duration from, Duration until) const {
+    return any(who, from, until);
+  }
+  [[nodiscard]] bool link_troubled(const std::string& one, const std::string& other, Duration from,
+                                   Duration until) const {
+    return any(one + ">" + other, from, until) || any(other + ">" + one, from, until);
   }
   [[nodiscard]] const std::map<std::string, Marks>& calls() const { return calls_; }
   [[nodiscard]] const History& history() const { return history_; }
@@ -228,6 +235,32 @@
   return verdict;
 }
 
+RuleVerdict releases_told(const View& view, const RuleTimes& times) {
+  RuleVerdict verdict{"a call that is over is told to its caller", 0, 0, {}};
+  const Duration last = view.history().empty() ? Duration{} : view.history().back().at;
+  for (const auto& [id, marks] : view.calls()) {
+    const auto* answer = first_of(marks, What::kAnswer);
+    const auto* over = first_of(marks, What::kHungUp);
+    if (answer == nullptr || over == nullptr) continue;
+    const auto* told = first_of(marks, What::kReleased);
+    Duration due = over->at + times.release_within + times.slack;
+    // Where a link left the two ends unsure the release may not have been sent at all.
+    if (view.link_troubled(over->who, over->peer, answer->at, due))
+      due = over->at + times.release_late + times.slack;
+    if (due > last && told == nullptr) continue;  // the run ended before
+    ++verdict.looked_at;
+    if (told != nullptr && told->at <= due) continue;
+    // A router that was killed knows nothing of it, nor does one that is frozen tell.
+    if (view.process_troubled(over->peer, answer->at, due)) {
+      ++verdict.excused;
+    } else {
+      verdict.violations.push_back(
+          {told == nullptr ? "never told" : "told too late", slice_of({answer, over, told})});
+    }
+  }
+  return verdict;
+}
+
 RuleVerdict processes_live(const View& view) {
   RuleVerdict verdict{"no process ends that was not asked to", 0, 0, {}};
   std::map<std::string, const Event*> asked;
@@ -261,7 +294,8 @@
   Verdict verdict;
   verdict.rules = {one_final_answer(view, times),       true_answers(view),
                    attempts_apart(view, times),         four_tries(view, times),
-                   nothing_to_the_drained(view, times), processes_live(view)};
+                   nothing_to_the_drained(view, times), processes_live(view),
+                   releases_told(view, times)};
   const auto count = [&](What what) {
     return std::count_if(history.begin(), history.end(),
                          [what](const Event& one) { return one.what == what; });
--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -16,6 +16,8 @@
   Duration drain_grace = std::chrono::milliseconds{500};
   Duration release_wait = std::chrono::milliseconds{500};
   std::size_t most_tries = 4;
+  Duration release_within = std::chrono::seconds{1};
+  Duration release_late = std::chrono::seconds{8};  ///< where it could not be sent before
   /// The relay's own lateness beyond which a run proves nothing.
   Duration most_late = std::chrono::milliseconds{50};
 };
--- a/lab/fleet/faults.cpp
+++ b/lab/fleet/faults.cpp
@@ -5,7 +5,7 @@
 namespace amberknot::lab::fleet {
 
 LinkFaults::LinkFaults(const Schedule& schedule, const std::string& from, const std::string& to)
-    : random_(schedule.seed, from + ">" + to) {
+    : seed_(schedule.seed), name_(from + ">" + to), random_(seed_, name_) {
   for (const auto& fault : schedule.links) {
     const bool forth = covers(fault.from, from) && covers(fault.to, to);
     const bool back = fault.both_ways && covers(fault.from, to) && covers(fault.to, from);
@@ -20,6 +20,15 @@
   return nullptr;
 }
 
+const LinkFault* LinkFaults::strikes(LinkFaultKind kind, Duration at, std::uint64_t connection) const {
+  const auto* fault = on(kind, at);
+  if (fault == nullptr || fault->share >= 1) return fault;
+  // The same connection draws the same all through one fault.
+  Random draw(seed_ ^ (connection * 0x9e3779b97f4a7c15ULL) ^ static_cast<std::uint64_t>(fault->at.count()),
+              name_);
+  return draw.chance(fault->share) ? fault : nullptr;
+}
+
 Deliveries LinkFaults::datagram(Duration at) {
   using K = LinkFaultKind;
   for (const auto kind : {K::kPartition, K::kHalfOpen, K::kStall}) {
@@ -46,14 +55,14 @@
   return to;
 }
 
-StreamVerdict LinkFaults::stream(Duration at) {
+StreamVerdict LinkFaults::stream(Duration at, std::uint64_t connection) {
   using K = LinkFaultKind;
   using V = StreamVerdict::Kind;
-  if (on(K::kReset, at) != nullptr) return {V::kReset, {}, {}};
-  if (on(K::kFinish, at) != nullptr) return {V::kFinish, {}, {}};
-  if (on(K::kHalfOpen, at) != nullptr) return {V::kVanish, {}, {}};
-  if (const auto* stall = on(K::kStall, at)) return {V::kStop, {}, stall->until};
-  if (const auto* apart = on(K::kPartition, at)) return {V::kHold, {}, apart->until};
+  if (strikes(K::kReset, at, connection) != nullptr) return {V::kReset, {}, {}};
+  if (strikes(K::kFinish, at, connection) != nullptr) return {V::kFinish, {}, {}};
+  if (strikes(K::kHalfOpen, at, connection) != nullptr) return {V::kVanish, {}, {}};
+  if (const auto* stall = strikes(K::kStall, at, connection)) return {V::kStop, {}, stall->until};
+  if (const auto* apart = strikes(K::kPartition, at, connection)) return {V::kHold, {}, apart->until};
   StreamVerdict verdict;
   if (const auto* delay = on(K::kDelay, at)) {
     verdict.wait += delay->fixed;
--- a/lab/fleet/faults.hpp
+++ b/lab/fleet/faults.hpp
@@ -40,7 +40,8 @@
   LinkFaults(const Schedule& schedule, const std::string& from, const std::string& to);
 
   Deliveries datagram(Duration at);
-  StreamVerdict stream(Duration at);
+  /// `connection` counts a link's connections: a fault of connections strikes a share of them.
+  StreamVerdict stream(Duration at, std::uint64_t connection = 0);
   /// Whether a fault of that kind is on at some time between the two.
   [[nodiscard]] bool any_between(Duration from, Duration until) const;
   /// When a fault begins that ends connections; the relay looks at its open ones then.
@@ -49,7 +50,10 @@
 
  private:
   [[nodiscard]] const LinkFault* on(LinkFaultKind kind, Duration at) const;
+  [[nodiscard]] const LinkFault* strikes(LinkFaultKind kind, Duration at, std::uint64_t connection) const;
   std::vector<LinkFault> faults_;  ///< of this direction
+  std::uint64_t seed_;
+  std::string name_;
   Random random_;
 };
 
--- a/lab/fleet/history.cpp
+++ b/lab/fleet/history.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(What::kCount)> kNames = {
-    "set-up", "answer",    "refused",  "failed", "gave-up",  "lost",      "released", "invite", "answered",
-    "denied", "cancelled", "broken",   "ended",  "drained",  "resumed",   "started",  "ready",  "killed",
-    "frozen", "thawed",    "stopping", "exited", "fault-on", "fault-off", "late"};
+    "set-up", "answer",    "refused", "failed",   "gave-up", "lost",     "released",  "invite",  "answered",
+    "denied", "cancelled", "broken",  "hung-up",  "ended",   "drained",  "resumed",   "started", "ready",
+    "killed", "frozen",    "thawed",  "stopping", "exited",  "fault-on", "fault-off", "late"};
 
 }  // namespace
 
--- a/lab/fleet/history.hpp
+++ b/lab/fleet/history.hpp
@@ -27,6 +27,7 @@
   kDenied,     ///< `number`: the status
   kCancelled,  ///< the router gave the attempt up
   kBroken,     ///< the connection of an attempt that was out ended
+  kHungUp,     ///< what stood is over, by the server's word
   kEnded,      ///< what stood is over, by the router's word
   kDrained,    ///< the list has said that it drains
   kResumed,    ///< the list has said that it is ready
--- a/lab/fleet/relay.cpp
+++ b/lab/fleet/relay.cpp
@@ -26,8 +26,9 @@
 
 class StreamRelay::Pipe : public std::enable_shared_from_this<Pipe> {
  public:
-  Pipe(StreamRelay& relay, tcp::socket near)
+  Pipe(StreamRelay& relay, tcp::socket near, std::uint64_t number)
       : relay_(&relay),
+        number_(number),
         near_(std::move(near), relay.forth_),
         far_(tcp::socket(relay.scene_.io), relay.back_) {
     near_.other = &far_;
@@ -57,6 +58,7 @@
     });
   }
   void swallow() { read(near_); }
+  [[nodiscard]] std::uint64_t number() const { return number_; }
 
   void end(StreamVerdict::Kind how) {
     if (std::exchange(over_, true)) return;
@@ -116,7 +118,7 @@
   void took(Side& side, std::size_t got, bool finished) {
     auto& counts = relay_->counts_;
     const Duration now = relay_->scene_.now();
-    const auto verdict = side.faults.stream(now);
+    const auto verdict = side.faults.stream(now, number_);
     ++counts.chunks;
     counts.bytes += got;
     Duration due = now + verdict.wait;
@@ -198,6 +200,7 @@
   }
 
   StreamRelay* relay_;
+  std::uint64_t number_;
   Side near_, far_;
   std::optional<asio::steady_timer> timer_;
   bool over_ = false;
@@ -232,19 +235,19 @@
 void StreamRelay::watch_cuts(const LinkFaults& faults) {
   for (const auto moment : faults.cuts()) {
     auto& timer = timers_.emplace_back(scene_.io, moment - scene_.now());
-    timer.async_wait([this, &faults](const asio::error_code& error) {
-      if (error) return;
-      for (const auto& one : faults.faults()) {
-        if (one.at > scene_.now() || scene_.now() >= one.until) continue;
-        if (one.kind == LinkFaultKind::kReset) cut(StreamVerdict::Kind::kReset);
-        if (one.kind == LinkFaultKind::kFinish) cut(StreamVerdict::Kind::kFinish);
-      }
+    timer.async_wait([this](const asio::error_code& error) {
+      if (!error) cut_struck();
     });
   }
 }
 
-void StreamRelay::cut(StreamVerdict::Kind how) {
-  for (const auto& pipe : std::list(pipes_)) pipe->end(how);
+void StreamRelay::cut_struck() {
+  for (const auto& pipe : std::list(pipes_)) {
+    for (auto* faults : {&forth_, &back_}) {
+      const auto kind = faults->stream(scene_.now(), pipe->number()).kind;
+      if (kind == StreamVerdict::Kind::kReset || kind == StreamVerdict::Kind::kFinish) pipe->end(kind);
+    }
+  }
 }
 
 void StreamRelay::accept() {
@@ -259,8 +262,9 @@
   ++counts_.connections;
   const Duration now = scene_.now();
   // Both directions are needed to come up.
-  auto verdict = forth_.stream(now);
-  if (const auto back = back_.stream(now); back.kind > verdict.kind) verdict = back;
+  const auto number = ++connections_;
+  auto verdict = forth_.stream(now, number);
+  if (const auto back = back_.stream(now, number); back.kind > verdict.kind) verdict = back;
   if (verdict.kind == StreamVerdict::Kind::kReset) {
     ++counts_.reset;
     reset(socket);
@@ -270,7 +274,7 @@
     ++counts_.finished;
     return;
   }
-  auto pipe = std::make_shared<Pipe>(*this, std::move(socket));
+  auto pipe = std::make_shared<Pipe>(*this, std::move(socket), number);
   pipes_.push_back(pipe);
   switch (verdict.kind) {
     case StreamVerdict::Kind::kVanish:
--- a/lab/fleet/relay.hpp
+++ b/lab/fleet/relay.hpp
@@ -54,13 +54,14 @@
   class Pipe;
   void accept();
   void admit(asio::ip::tcp::socket socket);
-  void cut(StreamVerdict::Kind how);
+  void cut_struck();
   void watch_cuts(const LinkFaults& faults);
 
   Scene& scene_;
   LinkFaults forth_, back_;
   asio::ip::tcp::endpoint target_;
   RelayCounts& counts_;
+  std::uint64_t connections_ = 0;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::endpoint where_;
   std::list<std::shared_ptr<Pipe>> pipes_;
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -115,7 +115,7 @@
       std::filesystem::create_directories(router.folder + "/tmp");
       for (const auto& server : servers_) {
         router.to_servers.push_back(std::make_unique<StreamRelay>(scene_, moved_, router.name, server->name(),
-                                                                  server->where(), counts_));
+                                                                  server->listen_for(router.name), counts_));
       }
       router.channel = std::make_unique<Channel>(loop_, nodes_text(router, "ready", {}, true));
     }
--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -36,7 +36,7 @@
   std::vector<std::string> from, to;  ///< nodes by name; a name that ends in `*` covers all that begin so
   bool both_ways = false;
   Duration at{}, until{};
-  double share = 1;  ///< of messages, where the kind has one
+  double share = 1;  ///< of messages, or of a link's connections for what happens to connections
   Duration fixed{}, jitter{};
 };
 
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -472,6 +472,7 @@
       if (over == nullptr) return;
       const auto who = over->from;
       at_end.calls.erase(id);
+      note({now_, at_end.name, What::kHungUp, id, nodes_[who.router].name, 0, ""});
       to_router(who, number, [who](Life& life) { life.table.ended(who.ref, {}); });
     });
   }
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Duration kReleaseKept = std::chrono::seconds{8};
 constexpr Duration kCrossing = milliseconds{50};
 constexpr Duration kReconnect = milliseconds{30};
 const asio::ip::tcp::endpoint kAnyPort{asio::ip::address_v4::loopback(), 0};
@@ -35,30 +36,46 @@
 // ---- session servers ------------------------------------------------------------------------------------
 
 SipServer::SipServer(net::Loop& loop, Scene& scene, std::string name, ServerTraits traits, std::uint64_t seed)
-    : loop_(loop),
-      scene_(scene),
-      name_(std::move(name)),
-      traits_(traits),
-      random_(seed, name_),
-      acceptor_(loop.io, kAnyPort) {
-  accept();
-}
+    : loop_(loop), scene_(scene), name_(std::move(name)), traits_(traits), random_(seed, name_) {}
 
 SipServer::~SipServer() {
   for (auto& [id, call] : calls_) loop_.wheel.cancel(call.timer);
-  for (auto& [key, stream] : open_) stream->close();
-}
-
-void SipServer::accept() {
-  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (!error) {
-      auto stream = std::make_shared<net::Stream>(loop_, *this);
-      open_[stream.get()] = stream;
-      stream->adopt(std::move(socket));
-    }
-    accept();
-  });
+  for (auto& [key, one] : open_) one.stream->close();
+}
+
+asio::ip::tcp::endpoint SipServer::listen_for(const std::string& router) {
+  auto& acceptor = acceptors_.emplace_back(loop_.io, kAnyPort);
+  accept(acceptor, router);
+  return acceptor.local_endpoint();
+}
+
+void SipServer::accept(asio::ip::tcp::acceptor& acceptor, const std::string& router) {
+  acceptor.async_accept(
+      [this, &acceptor, router](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (!error) {
+          auto stream = std::make_shared<net::Stream>(loop_, *this);
+          auto* key = stream.get();
+          open_[key] = {std::move(stream), router};
+          open_[key].stream->adopt(std::move(socket));
+          // What concerned this router and was not heard is said again on the next connection (PROTOCOL).
+          std::erase_if(releases_,
+                        [this](const Release& one) { return scene_.now() - one.since > kReleaseKept; });
+          for (const auto& one : releases_) {
+            if (one.router == router) tell(one, key);
+          }
+        }
+        accept(acceptor, router);
+      });
+}
+
+void SipServer::tell(const Release& release, net::Stream* by) {
+  auto found = open_.find(by);
+  if (found == open_.end()) {  // otherwise on any that is open
+    found = std::find_if(open_.begin(), open_.end(),
+                         [&](const auto& item) { return item.second.router == release.router; });
+  }
+  if (found != open_.end()) found->second.stream->send(release.text);
 }
 
 void SipServer::note(What what, const std::string& call, const std::string& router, std::int64_t number,
@@ -75,7 +92,11 @@
       stream.fail(net::Closed::kReset);
       return bytes.size();
     }
-    if (read.head.status == 0) on_request(stream, read);
+    if (read.head.status == 0) {
+      on_request(stream, read);
+    } else if (read.head.method == "BYE") {
+      std::erase_if(releases_, [&](const Release& one) { return one.id == read.head.call_id; });
+    }
     if (stream.is_closed()) return bytes.size();
     taken += read.size();
   }
@@ -138,16 +159,18 @@
   const auto found = open_.find(call.on);
   if (found == open_.end()) return;
   note(What::kAnswered, id, call.router, 0, call.description);
-  found->second->send(status_line(200, id, call.cseq, call.via, "", call.description));
+  found->second.stream->send(status_line(200, id, call.cseq, call.via, "", call.description));
 }
 
 void SipServer::hang_up(const std::string& id) {
   const auto call = std::move(calls_.at(id));
   calls_.erase(id);
-  const auto found = open_.find(call.on);
-  if (found == open_.end()) return;
-  found->second->send("BYE sip:router@net SIP/2.0\r\nVia: SIP/2.0/TCP " + name_ + "\r\nCall-ID: " + id +
-                      "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n");
+  note(What::kHungUp, id, call.router);
+  releases_.push_back({id, call.router,
+                       "BYE sip:router@net SIP/2.0\r\nVia: SIP/2.0/TCP " + name_ + "\r\nCall-ID: " + id +
+                           "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n",
+                       scene_.now()});
+  tell(releases_.back(), call.on);
 }
 
 void SipServer::on_closed(net::Stream& stream, net::Closed /*why*/) {
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -30,7 +31,8 @@
  public:
   SipServer(net::Loop& loop, Scene& scene, std::string name, ServerTraits traits, std::uint64_t seed);
   ~SipServer() override;
-  [[nodiscard]] asio::ip::tcp::endpoint where() const { return acceptor_.local_endpoint(); }
+  /// An address for one router, so that its connections are known as its own.
+  asio::ip::tcp::endpoint listen_for(const std::string& router);
   [[nodiscard]] const std::string& name() const { return name_; }
 
  private:
@@ -41,7 +43,17 @@
     core::TimerWheel::Handle timer = 0;
   };
   using Calls = std::unordered_map<std::string, Call>;
-  void accept();
+  struct Open {
+    std::shared_ptr<net::Stream> stream;
+    std::string router;
+  };
+  /// A release that the router has not confirmed.
+  struct Release {
+    std::string id, router, text;
+    Duration since{};
+  };
+  void accept(asio::ip::tcp::acceptor& acceptor, const std::string& router);
+  void tell(const Release& release, net::Stream* by);
   std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
   void on_closed(net::Stream& stream, net::Closed why) override;
   void on_request(net::Stream& stream, const sip::SipRead& read);
@@ -59,8 +71,9 @@
   std::string name_;
   ServerTraits traits_;
   Random random_;
-  asio::ip::tcp::acceptor acceptor_;
-  std::unordered_map<net::Stream*, std::shared_ptr<net::Stream>> open_;
+  std::list<asio::ip::tcp::acceptor> acceptors_;
+  std::unordered_map<net::Stream*, Open> open_;
+  std::list<Release> releases_;
   Calls calls_;
   std::size_t working_ = 0;
   std::uint64_t answers_ = 0;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -17,11 +17,18 @@
 struct Words {
   std::uint64_t seed = 1;
   std::size_t nodes = 5, servers = 3;
-  double seconds = 10, calls_per_s = 20;
+  double seconds = 10, calls_per_s = 20, work_ms = 20, hold_ms = 800;
   std::string schedule, folder, program, write;
   bool calm = false;
 };
 
+ServerTraits traits_of(const Words& words) {
+  ServerTraits traits;
+  traits.work = Duration{static_cast<std::int64_t>(words.work_ms * 1000)};
+  traits.hold = Duration{static_cast<std::int64_t>(words.hold_ms * 1000)};
+  return traits;
+}
+
 Schedule schedule_of(const Words& words) {
   if (!words.schedule.empty()) {
     auto read = read_schedule(app::read_file(words.schedule));
@@ -42,6 +49,7 @@
   options.routers = words.nodes;
   options.servers = words.servers;
   options.calls_per_s = words.calls_per_s;
+  options.traits = traits_of(words);
   options.schedule = schedule_of(words);
   std::string made = words.folder;
   if (made.empty()) {
@@ -70,6 +78,7 @@
   options.routers = words.nodes;
   options.servers = words.servers;
   options.calls_per_s = words.calls_per_s;
+  options.traits = traits_of(words);
   // As much room for each router's calls at the servers, however many routers there are.
   options.traits.most_out = std::max<std::size_t>(options.traits.most_out, words.nodes * 16 / words.servers);
   options.schedule = schedule_of(words);
@@ -95,6 +104,8 @@
     to->add_option("--seconds", words.seconds, "length of a drawn schedule")->check(CLI::Range(0.5, 600.0));
     to->add_option("--rate", words.calls_per_s, "calls a second at each router")
         ->check(CLI::Range(0.1, 1000.0));
+    to->add_option("--work-ms", words.work_ms, "a server's mean time to the answer")->check(CLI::Range(1.0, 5000.0));
+    to->add_option("--hold-ms", words.hold_ms, "a call's mean time")->check(CLI::Range(1.0, 60000.0));
     to->add_option("--schedule", words.schedule, "a file instead of a drawn schedule")
         ->check(CLI::ExistingFile);
     to->add_flag("--calm", words.calm, "no faults");
--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kProbeLimit = milliseconds{250};
 // A release not confirmed when its link is lost is told again, up to this age.
 constexpr Duration kByeDoubt = seconds{3};
+// So long a server's release counts as told if it could not be sent before (PROTOCOL).
+constexpr Duration kUntold = seconds{8};
 constexpr std::size_t kMostByes = 256;
 // The start of a message whose rest does not come: the link is cut.
 constexpr Duration kHalfMessage = milliseconds{400};
@@ -84,6 +86,9 @@
   Instant answered_sent{};  // when the latest set-up that has been answered was sent
   Instant answered_at{};    // and since when that is known
   std::deque<std::pair<std::string, std::string>> pending;  // releases that no link could take
+  /// When a link broke while calls stood: releases in it are told again on the next link that opens, and only
+  /// there (PROTOCOL). Empty: one has opened since.
+  std::optional<Instant> untold_since;
 
   [[nodiscard]] std::size_t open_links() const {
     return static_cast<std::size_t>(
@@ -169,7 +174,12 @@
 
 void Links::keep_warm(Server& server) {
   if (!server.wanted || server.retry != 0) return;
-  while (server.links.size() < kWarmLinks) {
+  const auto one_more = [&server] {
+    if (server.links.size() < kWarmLinks) return true;
+    if (!server.untold_since || server.links.size() >= kMostLinks) return false;
+    return server.open_links() == server.links.size();  // else one is coming up already
+  };
+  while (one_more()) {
     const auto had = server.links.size();
     connect(server);
     if (server.links.size() == had) return;
@@ -219,6 +229,7 @@
   auto& server = link.server;
   link.up = net::Loop::now();
   server.refusals = 0;
+  server.untold_since.reset();
   net::log::debug("link up: ", servers_.find(server.id)->name);
   for (auto& [id, bye] : std::exchange(server.pending, {})) send_bye(server, std::move(id), std::move(bye));
 }
@@ -281,6 +292,8 @@
   if (server.refusals >= kRefusalsOfDeath && server.open_links() == 0) {
     table_.cut_all(server.id, "connection refused");
   }
+  if (was_up && why == net::Closed::kReset && stands_at(server.id)) server.untold_since = now;
+  if (server.untold_since && now - *server.untold_since > kUntold) server.untold_since.reset();
   if (!server.wanted || server.retry != 0) return;
   if (was_up && now - link->up >= kShortLife) {
     server.backoff = kLeastBackoff;
@@ -294,6 +307,12 @@
   server.backoff = std::min(server.backoff * 2, kMostBackoff);
 }
 
+bool Links::stands_at(ServerId server) const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [server](const auto& item) {
+    return item.first.first == server && item.second.standing;
+  });
+}
+
 void Links::end_on(Link& link, Outcome outcome) {
   const auto over = std::exchange(link.out, {});
   std::vector<std::string> probes;
--- a/src/sip/links.hpp
+++ b/src/sip/links.hpp
@@ -70,6 +70,7 @@
   void on_invite_answer(Link& link, const SipRead& read);
   void on_bye(Link& link, const SipHead& head);
   void send_bye(Server& server, std::string id, std::string bye);
+  [[nodiscard]] bool stands_at(ServerId server) const;
   void end_on(Link& link, Outcome outcome);
   void end_probe(const std::string& id, Outcome outcome, const Report& load);
   void watch_links();
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -8,6 +8,8 @@
 namespace {
 const std::string kA = "00000000000000a1";
 const std::string kB = "00000000000000b2";
+const std::string kC = "00000000000000c3";
+const std::string kD = "00000000000000d4";
 
 /// Resets its connection as soon as it is up.
 struct Resetting : End {
@@ -126,6 +128,32 @@
   CHECK(Loop::now() - sent >= milliseconds{500});
 }
 
+// Guards against callers who are never told that their call is over: its release was in the link that is cut,
+// and the server tells it again on the next one that opens (PROTOCOL), not on those that are open already.
+TEST_CASE("after a stuck link is cut a new one is opened, though others are there, while calls stand") {
+  Bench bench;
+  bench.list();
+  bench.open(kA);
+  auto& mute = bench.invited(kA);
+  const Instant sent = Loop::now();
+  bench.open(kB);
+  bench.open(kC);  // with some out on both links a third is opened
+  auto& other = bench.invited(kB);
+  REQUIRE(&other != &mute);
+  bench.until([&] { return bench.server.ends.size() == 3; });
+  bench.answer(other, kB);  // it stands
+  if (auto& third = bench.invited(kC); &third != &mute) bench.answer(third, kC);
+  bench.until([&] { return Loop::now() - sent > milliseconds{80}; });
+  bench.open(kD);
+  auto& later = bench.invited(kD);
+  REQUIRE(&later != &mute);
+  bench.answer(later, kD);
+  bench.until([&] { return mute.closed; });
+  CHECK(bench.router->counters().stuck_links == 1);
+  bench.until([&] { return bench.server.ends.size() == 4; });
+  CHECK(Loop::now() - sent < milliseconds{450});  // not for a call that is placed again
+}
+
 // Guards against feeding a stalled link: with all that was out on it called off, it has the fewest out.
 TEST_CASE("a link whose set-up was called off unanswered is not chosen while others answer, and cut late") {
   Bench bench;
