--- a/src/core/leaving.cpp
+++ b/src/core/leaving.cpp
@@ -14,8 +14,9 @@
 constexpr Duration kStillComing = milliseconds{700};
 constexpr Duration kMostPlain = seconds{3};
 constexpr Duration kMostReplaced = seconds{5};
-// Before SIGKILL may come: what is late is answered, then connections without a pause in their calls can be closed
-// too (within 50 ms, and what crosses a close is sent again for 50 ms more), then the process releases what stands.
+// Before SIGKILL may come: what is late is answered, then connections without a pause in their calls can be
+// closed too (within 50 ms, and what crosses a close is sent again for 50 ms more), then the process releases
+// what stands.
 constexpr Duration kAnsweredAhead = milliseconds{250};
 constexpr Duration kLeftAhead = milliseconds{50};
 
