--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -104,7 +104,8 @@
     to->add_option("--seconds", words.seconds, "length of a drawn schedule")->check(CLI::Range(0.5, 600.0));
     to->add_option("--rate", words.calls_per_s, "calls a second at each router")
         ->check(CLI::Range(0.1, 1000.0));
-    to->add_option("--work-ms", words.work_ms, "a server's mean time to the answer")->check(CLI::Range(1.0, 5000.0));
+    to->add_option("--work-ms", words.work_ms, "a server's mean time to the answer")
+        ->check(CLI::Range(1.0, 5000.0));
     to->add_option("--hold-ms", words.hold_ms, "a call's mean time")->check(CLI::Range(1.0, 60000.0));
     to->add_option("--schedule", words.schedule, "a file instead of a drawn schedule")
         ->check(CLI::ExistingFile);
