--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -73,6 +73,35 @@
   return result.verdict.held() ? 0 : 1;
 }
 
+/// One router through a calm day, told in words.
+int day(const Words& words, const char* self) {
+  FleetOptions options;
+  options.program = words.program.empty() ? router_beside(self) : words.program;
+  options.routers = 1;
+  options.servers = 2;
+  options.calls_per_s = words.calls_per_s;
+  options.schedule = {words.seed, Duration{static_cast<std::int64_t>(words.seconds * 1e6)}, {}, {}};
+  options.folder = (std::filesystem::temp_directory_path() / "amberknot-day-XXXXXX").string();
+  if (mkdtemp(options.folder.data()) == nullptr) throw std::runtime_error("no temporary folder");
+  std::cout << "One router, two session servers and a caller on loopback, " << words.seconds << " s ..."
+            << std::endl;
+  const auto result = run_fleet(options);
+  const auto count = [&](What what) {
+    return std::count_if(result.history.begin(), result.history.end(),
+                         [what](const auto& one) { return one.what == what; });
+  };
+  std::cout << count(What::kSetUp) << " calls: " << count(What::kAnswer) << " answered, "
+            << count(What::kRefused) << " refused, " << count(What::kFailed) << " failed, "
+            << count(What::kLost) << " lost; " << count(What::kReleased) << " came to their end" << std::endl;
+  if (!result.verdict.held()) {
+    std::cout << text_of(result.verdict) << "what was written is in " << options.folder << std::endl;
+    return 1;
+  }
+  std::filesystem::remove_all(options.folder);
+  std::cout << "every rule held" << std::endl;
+  return 0;
+}
+
 int simulated(const Words& words) {
   SimulationOptions options;
   options.routers = words.nodes;
@@ -117,6 +146,13 @@
   real->add_option("--folder", words.folder, "keeps all that the run writes there");
   real->callback([&] { status = fleet(words, values[0]); });
 
+  auto* calm = program.add_subcommand("day", "one router through a short calm day, with a summary in words");
+  calm->add_option("--seconds", words.seconds, "its length")->default_val(5)->check(CLI::Range(3.0, 600.0));
+  calm->add_option("--rate", words.calls_per_s, "calls a second")->check(CLI::Range(0.1, 1000.0));
+  calm->add_option("--seed", words.seed, "draws all that is random");
+  calm->add_option("--program", words.program, "the router; else the one beside this program");
+  calm->callback([&] { status = day(words, values[0]); });
+
   auto* simulation =
       program.add_subcommand("simulate", "the same fleet in simulated time, without processes");
   common(simulation);
