--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -13,6 +13,7 @@
 /// A time in which a process or a link was not itself.
 struct Trouble {
   Duration from{}, until = Duration::max();
+  bool unsure = true;  ///< false: a connection was ended, and both ends know
 };
 
 /// Whether a fault of that kind leaves the two ends with different knowledge of what arrived when. A
@@ -30,7 +31,6 @@
     for (const auto& event : history) {
       if (!event.call.empty()) calls_[event.call].push_back(&event);
       const bool link = event.what == What::kFaultOn || event.what == What::kFaultOff;
-      if (link && !leaves_unsure(event.text)) continue;
       const auto key = link ? event.who + ">" + event.peer : event.who;
       const auto opened = open.find(key + event.text);
       switch (event.what) {
@@ -38,7 +38,7 @@
         case What::kFrozen:
         case What::kFaultOn:
           open[key + event.text].push_back(troubles_[key].size());
-          troubles_[key].push_back({event.at});
+          troubles_[key].push_back({event.at, Duration::max(), !link || leaves_unsure(event.text)});
           break;
         case What::kReady:  // of a process that was started again
         case What::kThawed:
@@ -57,25 +57,27 @@
   /// direction, at some time between the two moments.
   [[nodiscard]] bool troubled(const std::string& one, const std::string& other, Duration from,
                               Duration until) const {
-    return process_troubled(one, from, until) || process_troubled(other, from, until) ||
-           link_troubled(one, other, from, until);
+    return any(one, from, until, true) || any(other, from, until, true) ||
+           any(one + ">" + other, from, until, true) || any(other + ">" + one, from, until, true);
   }
   [[nodiscard]] bool process_troubled(const std::string& who, Duration from, Duration until) const {
-    return any(who, from, until);
+    return any(who, from, until, true);
   }
+  /// Whether anything was the matter with the link between the two, ended connections included.
   [[nodiscard]] bool link_troubled(const std::string& one, const std::string& other, Duration from,
                                    Duration until) const {
-    return any(one + ">" + other, from, until) || any(other + ">" + one, from, until);
+    return any(one + ">" + other, from, until, false) || any(other + ">" + one, from, until, false);
   }
   [[nodiscard]] const std::map<std::string, Marks>& calls() const { return calls_; }
   [[nodiscard]] const History& history() const { return history_; }
 
  private:
-  [[nodiscard]] bool any(const std::string& key, Duration from, Duration until) const {
+  [[nodiscard]] bool any(const std::string& key, Duration from, Duration until, bool unsure_only) const {
     const auto found = troubles_.find(key);
     return found != troubles_.end() &&
-           std::any_of(found->second.begin(), found->second.end(),
-                       [&](const Trouble& one) { return one.from <= until && from <= one.until; });
+           std::any_of(found->second.begin(), found->second.end(), [&](const Trouble& one) {
+             return one.from <= until && from <= one.until && (one.unsure || !unsure_only);
+           });
   }
   const History& history_;
   std::map<std::string, Marks> calls_;
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -18,6 +18,7 @@
 
 // A process is up so long after its start, as on a machine at rest.
 constexpr Duration kStartTakes = milliseconds{20};
+constexpr Duration kToldAgain = milliseconds{200};
 // The module takes an instant of zero for none at all.
 constexpr Instant kOrigin{std::chrono::seconds{1000}};
 
@@ -473,10 +474,21 @@
       const auto who = over->from;
       at_end.calls.erase(id);
       note({now_, at_end.name, What::kHungUp, id, nodes_[who.router].name, 0, ""});
-      to_router(who, number, [who](Life& life) { life.table.ended(who.ref, {}); });
+      tell_release(who, number, now_ + options_.times.release_late, std::make_shared<bool>(false));
     });
   }
 
+  /// Told again until it has arrived, as on the connections that are opened after a lost one (PROTOCOL).
+  void tell_release(const Travelling& one, std::size_t number, Duration until,
+                    const std::shared_ptr<bool>& heard) {
+    if (*heard || now_ >= until) return;
+    to_router(one, number, [one, heard](Life& life) {
+      *heard = true;
+      life.table.ended(one.ref, {});
+    });
+    after(kToldAgain, [this, one, number, until, heard] { tell_release(one, number, until, heard); });
+  }
+
   void ended(const Travelling& one, std::size_t number, bool cancelled) {
     auto& server = servers_[number];
     const auto found = server.calls.find(one.id);
