--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -242,8 +242,16 @@
   const Duration last = view.history().empty() ? Duration{} : view.history().back().at;
   for (const auto& [id, marks] : view.calls()) {
     const auto* answer = first_of(marks, What::kAnswer);
-    const auto* over = first_of(marks, What::kHungUp);
-    if (answer == nullptr || over == nullptr) continue;
+    if (answer == nullptr) continue;
+    // The end of that very session: an earlier attempt may have stood at a server that could not say so.
+    const auto given = std::find_if(marks.begin(), marks.end(), [answer](const auto* one) {
+      return one->what == What::kAnswered && one->text == answer->text;
+    });
+    const auto ended = std::find_if(given, marks.end(), [&](const auto* one) {
+      return one->what == What::kHungUp && one->who == (*given)->who;
+    });
+    if (ended == marks.end()) continue;
+    const auto* over = *ended;
     const auto* told = first_of(marks, What::kReleased);
     Duration due = over->at + times.release_within + times.slack;
     // Where a link left the two ends unsure the release may not have been sent at all.
