--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -19,7 +19,7 @@
       [] {
         return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
       },
-      [](Event) {}};
+      [](const lab::fleet::Event&) {}};
   RelayCounts counts;
   tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
   StreamRelay relay(scene, {}, "n0", "s0", acceptor.local_endpoint(), counts);
