Read over the rig and the shared folder: one way for each thing that was written twice

The record's head (version, name, address) is written and read by store/record_head for both kinds of file; whether a fault strikes a direction is covers(fault, from, to) for the relay, runner and simulation; callers' ids come from Random::call_id. Taken out, since nothing used it: any_between, asked_to_end, waiting(), connections(), a parameter.

--- a/lab/fleet/faults.cpp
+++ b/lab/fleet/faults.cpp
@@ -7,9 +7,7 @@
 LinkFaults::LinkFaults(const Schedule& schedule, const std::string& from, const std::string& to)
     : seed_(schedule.seed), name_(from + ">" + to), random_(seed_, name_) {
   for (const auto& fault : schedule.links) {
-    const bool forth = covers(fault.from, from) && covers(fault.to, to);
-    const bool back = fault.both_ways && covers(fault.from, to) && covers(fault.to, from);
-    if (forth || back) faults_.push_back(fault);
+    if (covers(fault, from, to)) faults_.push_back(fault);
   }
 }
 
@@ -76,11 +74,6 @@
   return verdict;
 }
 
-bool LinkFaults::any_between(Duration from, Duration until) const {
-  return std::any_of(faults_.begin(), faults_.end(),
-                     [&](const LinkFault& fault) { return fault.at < until && from < fault.until; });
-}
-
 std::vector<Duration> LinkFaults::cuts() const {
   std::vector<Duration> moments;
   for (const auto& fault : faults_) {
--- a/lab/fleet/faults.hpp
+++ b/lab/fleet/faults.hpp
@@ -42,8 +42,6 @@
   Deliveries datagram(Duration at);
   /// `connection` counts a link's connections: a fault of connections strikes a share of them.
   StreamVerdict stream(Duration at, std::uint64_t connection = 0);
-  /// Whether a fault of that kind is on at some time between the two.
-  [[nodiscard]] bool any_between(Duration from, Duration until) const;
   /// When a fault begins that ends connections; the relay looks at its open ones then.
   [[nodiscard]] std::vector<Duration> cuts() const;
   [[nodiscard]] const std::vector<LinkFault>& faults() const { return faults_; }
--- a/lab/fleet/random.hpp
+++ b/lab/fleet/random.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace amberknot::lab::fleet {
@@ -19,6 +20,13 @@
   /// Below `most`, which is above zero.
   std::uint64_t below(std::uint64_t most) { return next() % most; }
   bool chance(double share_of_all) { return share() < share_of_all; }
+  /// 16 hex digits.
+  std::string call_id() {
+    static constexpr char kHex[] = "0123456789abcdef";
+    std::string id(16, '0');
+    for (auto& digit : id) digit = kHex[below(16)];
+    return id;
+  }
 
  private:
   static std::uint64_t mixed(std::uint64_t z) {
--- a/lab/fleet/relay.hpp
+++ b/lab/fleet/relay.hpp
@@ -46,7 +46,6 @@
   StreamRelay& operator=(const StreamRelay&) = delete;
 
   [[nodiscard]] asio::ip::tcp::endpoint where() const { return where_; }
-  [[nodiscard]] std::size_t connections() const { return pipes_.size(); }
   /// Another schedule from now on: a fleet's faults begin once it is up.
   void follow(const Schedule& schedule, const std::string& from, const std::string& to);
 
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -53,7 +53,6 @@
   std::unique_ptr<Process> leaving;  ///< the one that `process` replaces
   std::size_t starts = 0;
   std::string folder;
-  bool asked_to_end = false;
   bool awaited = false;  ///< started, not yet ready
 };
 
@@ -73,7 +72,7 @@
   Fleet& operator=(const Fleet&) = delete;
 
   FleetResult run() {
-    // The schedule's clock starts when all are ready: links are made with it moved on by what that may take.
+    // The schedule's clock starts when all are ready: until then the links know no faults.
     set_up();
     for (auto& router : routers_) start(router);
     wait_until([this] { return all_ready(); }, kReadyWithin, "a router was never ready");
@@ -146,7 +145,6 @@
 
   void start(Router& router) {
     write_config(router);
-    router.asked_to_end = false;
     router.awaited = true;
     note(router.name, What::kStarted);
     router.process = spawn(router);
@@ -240,8 +238,7 @@
       at(moved.until, [this, moved] { note_fault(moved, What::kFaultOff); });
     }
     moved_.seed = options_.schedule.seed;
-    // Links of before the start knew no faults: they are made anew, at the same addresses, by taking the
-    // schedule over.
+    // Until now the links knew no faults.
     for (auto& router : routers_) {
       for (std::size_t i = 0; i < servers_.size(); ++i) {
         router.to_servers[i]->follow(moved_, router.name, servers_[i]->name());
@@ -262,10 +259,8 @@
     };
     for (const auto& router : routers_) {
       for (const auto& server : servers_) {
-        const bool forth = covers(fault.from, router.name) && covers(fault.to, server->name());
-        const bool back = covers(fault.from, server->name()) && covers(fault.to, router.name);
-        if (forth || (back && fault.both_ways)) pair(router.name, server->name());
-        if (back || (forth && fault.both_ways)) pair(server->name(), router.name);
+        if (covers(fault, router.name, server->name())) pair(router.name, server->name());
+        if (covers(fault, server->name(), router.name)) pair(server->name(), router.name);
       }
     }
   }
@@ -286,7 +281,6 @@
         continue;
       }
       const bool ends = fault.kind != NodeFaultKind::kFreeze;
-      if (ends) router.asked_to_end = true;
       note(router.name, fault.kind == NodeFaultKind::kCrash    ? What::kKilled
                         : fault.kind == NodeFaultKind::kFreeze ? What::kFrozen
                                                                : What::kStopping);
--- a/lab/fleet/schedule.cpp
+++ b/lab/fleet/schedule.cpp
@@ -125,6 +125,13 @@
   });
 }
 
+bool covers(const LinkFault& fault, std::string_view from, std::string_view to) {
+  const auto goes = [&fault](std::string_view a, std::string_view b) {
+    return covers(fault.from, a) && covers(fault.to, b);
+  };
+  return goes(from, to) || (fault.both_ways && goes(to, from));
+}
+
 Schedule read_schedule(std::string_view json) {
   rapidjson::Document document;
   document.Parse<rapidjson::kParseFullPrecisionFlag>(json.data(), json.size());
--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -65,6 +65,8 @@
 
 /// Whether one of `patterns` covers `node`.
 bool covers(const std::vector<std::string>& patterns, std::string_view node);
+/// Whether the fault is one of what goes from the one node to the other.
+bool covers(const LinkFault& fault, std::string_view from, std::string_view to);
 
 /// Throws ScheduleError with the field at fault.
 Schedule read_schedule(std::string_view json);
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -290,11 +290,11 @@
     for (auto& node : nodes_) {
       for (std::size_t i = 0; i < servers_.size(); ++i) {
         const auto& server = servers_[i].name;
-        const bool forth = covers(fault.from, node.name) && covers(fault.to, server);
-        const bool back = covers(fault.from, server) && covers(fault.to, node.name);
+        const bool forth = covers(fault, node.name, server);
+        const bool back = covers(fault, server, node.name);
         const auto kind = std::string(name_of(fault.kind));
-        if (forth || (back && fault.both_ways)) note({now_, node.name, what, "", server, 0, kind});
-        if (back || (forth && fault.both_ways)) note({now_, server, what, "", node.name, 0, kind});
+        if (forth) note({now_, node.name, what, "", server, 0, kind});
+        if (back) note({now_, server, what, "", node.name, 0, kind});
         const bool cuts = fault.kind == LinkFaultKind::kReset || fault.kind == LinkFaultKind::kFinish;
         if (cuts && what == What::kFaultOn && (forth || back)) cut(node.number, i);
       }
@@ -396,9 +396,7 @@
   }
 
   void call(Node& node) {
-    static constexpr char kHex[] = "0123456789abcdef";
-    std::string id(16, '0');
-    for (auto& digit : id) digit = kHex[node.random.below(16)];
+    const auto id = node.random.call_id();
     const auto left = std::chrono::duration_cast<milliseconds>(options_.patience).count();
     note({now_, node.caller, What::kSetUp, id, node.name, left, ""});
     const Instant expires = instant() + options_.patience;
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -243,9 +243,7 @@
   const double gap = -std::log(1.0 - random_.share()) / calls_per_s_;
   next_ = loop_.after(Duration{static_cast<std::int64_t>(gap * 1e6)}, [this] { call(); });
   if (!open_) return;
-  static constexpr char kHex[] = "0123456789abcdef";
-  std::string id(16, '0');
-  for (auto& digit : id) digit = kHex[random_.below(16)];
+  const auto id = random_.call_id();
   const auto left = std::chrono::duration_cast<milliseconds>(patience_).count();
   note(What::kSetUp, id, left);
   auto& one = waiting_[id];
@@ -271,12 +269,12 @@
     const auto end = std::find(rest.begin(), rest.end(), '\n');
     if (end == rest.end()) return taken;
     const auto size = static_cast<std::size_t>(end - rest.begin());
-    on_line(rest.first(size), &*end);
+    on_line(rest.first(size));
     taken += size + 1;
   }
 }
 
-void Callers::on_line(std::span<char> line, char* /*end*/) {
+void Callers::on_line(std::span<char> line) {
   rapidjson::Document read;
   if (read.Parse(line.data(), line.size()).HasParseError() || !read.IsObject()) return;
   const auto text = [&read](const char* key) -> std::string {
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -90,13 +90,12 @@
   /// Whether the router has said that it takes calls since this was last asked for.
   [[nodiscard]] bool ready() const { return ready_; }
   void ask_ready();
-  [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
 
  private:
   void connect();
   void call();
   void give_up(const std::string& id);
-  void on_line(std::span<char> line, char* end);
+  void on_line(std::span<char> line);
   void on_open(net::Stream& stream) override;
   std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
   void on_closed(net::Stream& stream, net::Closed why) override;
--- a/src/store/handover.cpp
+++ b/src/store/handover.cpp
@@ -12,10 +12,11 @@
 #include <fstream>
 #include <iterator>
 
+#include "store/record_head.hpp"
+
 namespace amberknot::store {
 namespace {
 
-constexpr int kVersion = 1;
 constexpr std::string_view kPrefix = "amberknot-releases-";
 // Some 10,000 releases: far more than a process leaves between two writes.
 constexpr std::uintmax_t kMostText = 1024 * 1024;
@@ -35,12 +36,7 @@
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> to(text);
   to.StartObject();
-  to.Key("version");
-  to.Int(kVersion);
-  to.Key("name");
-  to.String(self.name.c_str());
-  to.Key("listen");
-  to.String(self.listen.c_str());
+  write_head(to, self);
   to.Key("releases");
   to.StartArray();
   for (const auto& one : releases) {
@@ -61,18 +57,11 @@
 std::optional<std::vector<core::HandedRelease>> read_releases(std::string_view text,
                                                               const core::ServingRecord& self) {
   rapidjson::Document read;
-  if (read.Parse(text.data(), text.size()).HasParseError() || !read.IsObject()) return std::nullopt;
-  const auto is = [&](const char* key, const std::string& value) {
-    const auto at = read.FindMember(key);
-    return at != read.MemberEnd() && at->value.IsString() && value == at->value.GetString();
-  };
-  const auto version = read.FindMember("version");
+  if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
+  const auto head = read_head(read);
+  if (!head || head->name != self.name || head->listen != self.listen) return std::nullopt;
   const auto list = read.FindMember("releases");
-  if (version == read.MemberEnd() || !version->value.IsInt() || version->value.GetInt() != kVersion ||
-      !is("name", self.name) || !is("listen", self.listen) || list == read.MemberEnd() ||
-      !list->value.IsArray()) {
-    return std::nullopt;
-  }
+  if (list == read.MemberEnd() || !list->value.IsArray()) return std::nullopt;
   std::vector<core::HandedRelease> releases;
   for (const auto& item : list->value.GetArray()) {
     if (!item.IsObject() || !item.HasMember("caller") || !item["caller"].IsString() ||
--- a/src/store/presence.cpp
+++ b/src/store/presence.cpp
@@ -13,10 +13,11 @@
 #include <filesystem>
 #include <utility>
 
+#include "store/record_head.hpp"
+
 namespace amberknot::store {
 namespace {
 
-constexpr int kVersion = 1;
 constexpr std::string_view kPrefix = "amberknot-serving-";
 constexpr std::size_t kMostText = 1024;
 
@@ -47,12 +48,7 @@
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> to(text);
   to.StartObject();
-  to.Key("version");
-  to.Int(kVersion);
-  to.Key("name");
-  to.String(record.name.c_str());
-  to.Key("listen");
-  to.String(record.listen.c_str());
+  write_head(to, record);
   to.Key("started_unix_us");
   to.Int64(record.started_unix_us);
   to.EndObject();
@@ -61,21 +57,13 @@
 
 std::optional<core::ServingRecord> read_record(std::string_view text) {
   rapidjson::Document read;
-  if (read.Parse(text.data(), text.size()).HasParseError() || !read.IsObject()) return std::nullopt;
-  const auto field = [&](const char* name) -> const rapidjson::Value* {
-    const auto at = read.FindMember(name);
-    return at == read.MemberEnd() ? nullptr : &at->value;
-  };
-  const auto* version = field("version");
-  const auto* name = field("name");
-  const auto* listen = field("listen");
-  const auto* started = field("started_unix_us");
-  if (version == nullptr || !version->IsInt() || version->GetInt() != kVersion || name == nullptr ||
-      !name->IsString() || listen == nullptr || !listen->IsString() || started == nullptr ||
-      !started->IsInt64()) {
-    return std::nullopt;
-  }
-  return core::ServingRecord{name->GetString(), listen->GetString(), started->GetInt64()};
+  if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
+  auto record = read_head(read);
+  if (!record) return std::nullopt;
+  const auto started = read.FindMember("started_unix_us");
+  if (started == read.MemberEnd() || !started->value.IsInt64()) return std::nullopt;
+  record->started_unix_us = started->value.GetInt64();
+  return record;
 }
 
 std::optional<Presence> Presence::declare(const std::string& folder, const core::ServingRecord& self,
