Look at held calls of one kind once a pass: full routers answered too late on Tbilisi

Ruled out: the deadline's timer (core, time_out answers whatever is undecided; tests hold), bounds (no "connection refused" nor "set-up refused" line in any log), links (0 attempts made), restarts (the calls came after).

Cause: Impl::place_held tries every held call at every event, and Impl::choose looks at every server for each. With classes that only some pools take and deadlines of 15 s, hundreds are held: 500 calls and 24 servers are 12,000 looks an event. The router runs out of processor, reads its callers late and counts their time from when it reads.

Change: in one pass room only shrinks, so what had no room for one call has none for another of the same class, width, versions and lateness that has no more time (stand_by). It is remembered for the pass. Decisions are the same.

Cost.ACallWithMoreTime… holds the limit of the short cut.

--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -243,6 +243,8 @@
 
   /// How many servers it remembers, those that have gone lately included.
   [[nodiscard]] std::size_t known_servers() const;
+  /// How often a server was looked at for a call, since the start: what the decisions cost.
+  [[nodiscard]] std::uint64_t looks() const;
 
  private:
   class Impl;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -190,10 +190,13 @@
   void handle(Instant now, const Event& event, std::vector<Action>& actions) {
     out_ = &actions;
     now_ = now;
+    if (!std::holds_alternative<NewCall>(event)) no_room_.clear();
     std::visit([this](const auto& one) { on(one); }, event);
     look_around();
   }
 
+  [[nodiscard]] std::uint64_t looks() const { return looks_; }
+
   [[nodiscard]] std::size_t known_servers() const { return servers_.size(); }
 
  private:
@@ -443,6 +446,7 @@
   }
 
   [[nodiscard]] bool has_room(Server& server, const Call& call) {
+    ++looks_;
     if (!may_take(server, call) || server.suspect) return false;
     if (server.free_lines && *server.free_lines < call.facts.width) return false;
     if (!has_token(server) || !cold_budget_left(server)) return false;
@@ -452,13 +456,24 @@
       return delay(server) - calm_delay(server) < scaled(span_, kAimedShare * kCalmShare) &&
              free_tokens(server) >= static_cast<double>(server.out.size()) + kLateTokens;
     }
-    // Nor may the caller hang up first: callers of little patience would leave dead work behind.
-    return now_ + delay(server) <=
-           std::min(call.arrived + set_.classes[call.facts.call_class].aim, call.facts.expires);
+    return now_ + delay(server) <= stand_by(call);
+  }
+
+  // Nor may the caller hang up first: callers of little patience would leave dead work behind.
+  [[nodiscard]] Instant stand_by(const Call& call) const {
+    if (call.late) return {};  // all that are late are alike
+    return std::min(call.arrived + set_.classes[call.facts.call_class].aim, call.facts.expires);
   }
 
   // First choice while it has room; otherwise a draw among those with room, weighted by own set-up delay.
+  // While many calls are held, all are tried at each event: in one pass room only shrinks, so that what had
+  // none for one call has none for its like that has no more time, and is not looked at again.
   Server* choose(const Call& call) {
+    const auto [refused, fresh] = no_room_.try_emplace(
+        Wish{call.facts.call_class, call.late, call.facts.ruled_out, call.facts.width,
+             call.facts.in_transit ? std::optional(call.facts.destination) : std::nullopt},
+        Instant::min());
+    if (!fresh && stand_by(call) <= refused->second) return nullptr;
     std::vector<std::pair<Server*, double>> others;
     double total = 0;
     for (auto& [id, server] : servers_) {
@@ -468,7 +483,10 @@
       total += weight;
       others.emplace_back(&server, weight);
     }
-    if (others.empty()) return nullptr;
+    if (others.empty()) {
+      refused->second = stand_by(call);
+      return nullptr;
+    }
     double at = std::uniform_real_distribution<double>(0.0, total)(random_);
     for (const auto& [server, weight] : others) {
       if ((at -= weight) <= 0) return server;
@@ -672,6 +690,7 @@
   void place_held() {
     tried_at_ = now_;
     freed_ = false;
+    no_room_.clear();
     next_look_ = now_ + set_.round * kLookRounds;
     mark_late();
     for (auto at = held_.begin(); at != held_.end();) {
@@ -896,8 +915,11 @@
   std::optional<Instant> timer_at_;
   Instant pressed_until_{};  // some server has a queue or is lost
   Instant next_look_{};
-  Instant tried_at_{};           // held calls were last tried then
-  bool freed_ = true;            // a token came back since
+  Instant tried_at_{};  // held calls were last tried then
+  bool freed_ = true;   // a token came back since
+  using Wish = std::tuple<std::size_t, bool, VersionSet, double, std::optional<CellNo>>;
+  std::map<Wish, Instant> no_room_;  // calls of which kind found none since, and what they had left
+  std::uint64_t looks_ = 0;
   Rate arrivals_;                // own calls
   std::vector<Rate> by_tenant_;  // own calls, by tenant
   Rate served_;                  // own calls that stood, for each warm server
@@ -917,6 +939,9 @@
 void Admission::start(Instant now, std::vector<Action>& actions) {
   impl_->start(now, actions);
 }
+std::uint64_t Admission::looks() const {
+  return impl_->looks();
+}
 std::size_t Admission::known_servers() const {
   return impl_->known_servers();
 }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -48,6 +48,42 @@
   EXPECT_EQ(of<Send>(actions)[0].call, CallId{9});
 }
 
+// A router that runs out of processor reads its callers late and answers them late: seen on a day with many
+// held calls, each of which was tried at every server at each event.
+TEST(Cost, HeldCallsOfOneKindAreLookedAtOnce) {
+  constexpr std::uint32_t kServers = 24;
+  constexpr std::uint32_t kHeld = 500;
+  Scenario play;
+  std::vector<ListEntry> servers;
+  for (std::uint32_t id = 0; id < kServers; ++id) servers.push_back(ready(id));
+  play.list(servers);
+  for (std::uint32_t id = 0; id < 4 * kServers; ++id) {
+    ASSERT_EQ(of<Send>(play.call(id, id % kServers)).size(), 1U);
+  }
+  // Each comes at its own moment, so that none has exactly the time of another.
+  for (std::uint32_t id = 0; id < kHeld; ++id) {
+    play.at(100us * id);
+    ASSERT_TRUE(of<Send>(play.call(1000 + id, id % kServers, id % 2)).empty());
+  }
+  const auto before = play.looks();
+  play.at(60ms).look();
+  EXPECT_LE(play.looks() - before, 4U * kServers);  // two classes, each perhaps also late
+  // A token that comes back is seen all the same, and goes to the dearest.
+  const auto actions = play.stands(5, 5, 60ms);
+  EXPECT_GE(sends_to(actions, 5), 1U);
+  for (const auto& send : of<Send>(actions)) EXPECT_EQ(static_cast<std::uint32_t>(send.call) % 2, 1U);
+}
+
+// In one pass a call that has more time is looked at for itself: what was too late for one may not be for it.
+TEST(Cost, ACallWithMoreTimeIsNotTakenForOneWithLess) {
+  Scenario play;
+  play.list({ready(1)});
+  ASSERT_EQ(sends_to(play.call(0, 1), 1), 1U);
+  play.at(700ms).stands(0, 1, 700ms);                         // it answers in 700 ms now
+  EXPECT_TRUE(of<Send>(play.call(10, 1, 0, 400ms)).empty());  // its caller would have gone
+  EXPECT_EQ(sends_to(play.call(11, 1, 0, 5s), 1), 1U);
+}
+
 class TokenReturn : public ::testing::TestWithParam<Outcome> {};
 
 TEST_P(TokenReturn, OnEveryOutcome) {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -85,6 +85,7 @@
     return seen;
   }
   [[nodiscard]] const std::vector<Action>& all() const { return all_; }
+  [[nodiscard]] std::uint64_t looks() const { return admission_.looks(); }
 
  private:
   Admission admission_;
