Check in the fleet rig that nothing is sent on for a client that left 0.3 s before

Change: an eighth rule, nothing_for_who_left: after a caller gave up or lost its connection no set-up of that call may come to a server later than 300 ms and PROTOCOL's 50 ms; excused where the router was frozen or killed, or a link of the two was in a fault that leaves its ends unsure.

--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -271,6 +271,30 @@
   return verdict;
 }
 
+RuleVerdict nothing_for_who_left(const View& view, const RuleTimes& times) {
+  RuleVerdict verdict{"nothing sent on for a client that left 300 ms before", 0, 0, {}};
+  for (const auto& [id, marks] : view.calls()) {
+    const auto left = std::find_if(marks.begin(), marks.end(), [](const auto* one) {
+      return one->what == What::kGaveUp || one->what == What::kLost;
+    });
+    if (left == marks.end()) continue;
+    ++verdict.looked_at;
+    for (auto at = left; at != marks.end(); ++at) {
+      const auto* sent = *at;
+      if (sent->what != What::kInvite || sent->at <= (*left)->at + times.left_grace + times.slack) continue;
+      // A router that was frozen or cut off from its caller did not know; one cut off from the server had
+      // sent before.
+      if (view.troubled((*left)->who, sent->peer, (*left)->at, sent->at) ||
+          view.troubled(sent->who, sent->peer, (*left)->at, sent->at)) {
+        ++verdict.excused;
+      } else {
+        verdict.violations.push_back({"a set-up came", slice_of({*left, sent})});
+      }
+    }
+  }
+  return verdict;
+}
+
 RuleVerdict processes_live(const View& view) {
   RuleVerdict verdict{"no process ends that was not asked to", 0, 0, {}};
   std::map<std::string, const Event*> asked;
@@ -305,7 +329,7 @@
   verdict.rules = {one_final_answer(view, times),       true_answers(view),
                    attempts_apart(view, times),         four_tries(view, times),
                    nothing_to_the_drained(view, times), processes_live(view),
-                   releases_told(view, times)};
+                   releases_told(view, times),          nothing_for_who_left(view, times)};
   const auto count = [&](What what) {
     return std::count_if(history.begin(), history.end(),
                          [what](const Event& one) { return one.what == what; });
--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -16,6 +16,7 @@
   Duration drain_grace = std::chrono::milliseconds{500};
   Duration release_wait = std::chrono::milliseconds{500};
   std::size_t most_tries = 4;
+  Duration left_grace = std::chrono::milliseconds{300};  ///< STANDING: a client that has left
   Duration release_within = std::chrono::seconds{1};
   Duration release_late = std::chrono::seconds{8};  ///< where it could not be sent before
   /// The relay's own lateness beyond which a run proves nothing.
