Keep a call's class over a reload; tell releases again that were not confirmed on a lost connection

Faults, cause, fix: - rules.cpp looked classes up by number at each decision: a reload that changed a class (repeatable, pools, aim) changed it for calls under way, one that might have run was sent again or failed by settings that were not its own. Each call now keeps its class as it was; fewer tries still bind at once. - jsonl::Front forgot a release once it was written, though the caller may close that connection at that moment. What is not confirmed and younger than 3 s is told again on another or the next connection. Not done where we close, since all has left then.

--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -22,6 +22,11 @@
 constexpr Duration kIdle = seconds{30};
 // A caller that has not come back by then is not told any more.
 constexpr Duration kReleaseKept = seconds{30};
+// A release that its caller has not confirmed (`closed`) when the connection is lost is told again, up to
+// this age; so many are remembered for a connection. Callers need not confirm: one that never does hears some
+// twice.
+constexpr Duration kHeardWithin = seconds{3};
+constexpr std::size_t kMostTold = 256;
 constexpr Duration kSweepEvery = milliseconds{200};
 // In standby: how often connections that owe nothing are looked for, and how long a new one has to say its
 // first line. The front keeps sending new connections for 0.2 s after the drain, and at 4 s none that is idle
@@ -208,7 +213,8 @@
       from.useful = true;
       from.stream->send(probed_line(read->sid, !standby_));
       break;
-    case JsonLine::Type::kOther:
+    case JsonLine::Type::kOther:  // `closed` among them: that release is heard
+      std::erase_if(from.told, [&](const Told& one) { return one.release.id == read->sid; });
       break;
   }
   return true;
@@ -245,9 +251,12 @@
   // Its caller cannot have heard that the call stands, and will never end it.
   counters_.unheard += unwritten.size();
   for (const CallId id : unwritten) table_.close_by_client(id, core::Cause::kNormal);
-  if (was_written) return;
-  for (const auto& [tag, release] : gone.told) {
-    if (stream.is_unsent(tag)) tell_release(release);
+  if (was_written) return;  // closed from here, once all has left
+  // What was told on it and not confirmed may be lost with it: told again elsewhere, as servers' releases
+  // are.
+  const Instant now = net::Loop::now();
+  for (const auto& one : gone.told) {
+    if (stream.is_unsent(one.tag) || now - one.at <= kHeardWithin) tell_release(one.release);
   }
 }
 
@@ -563,10 +572,12 @@
 
 void Front::send_release(net::Stream& stream, core::HandedRelease release) {
   auto& told = connections_.at(&stream).told;
-  if (stream.queued() == 0) told.clear();
+  const Instant now = net::Loop::now();
+  while (!told.empty() && (told.size() >= kMostTold || now - told.front().at > kHeardWithin))
+    told.pop_front();
   const auto tag = kReleaseTags + next_release_++;
   stream.send(close_line(release.id, static_cast<core::Cause>(release.cause)), {}, tag);
-  if (stream.is_unsent(tag)) told.emplace_back(tag, std::move(release));
+  told.push_back({tag, std::move(release), now});
 }
 
 void Front::tell_release(core::HandedRelease release) {
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/front.hpp
@@ -43,6 +43,11 @@
   void take_over(const core::HandedRelease& release) override;
 
  private:
+  struct Told {
+    net::Stream::Tag tag = 0;
+    core::HandedRelease release;
+    Instant at{};
+  };
   struct Connection {
     std::shared_ptr<net::Stream> stream;
     Instant accepted{};
@@ -51,8 +56,8 @@
     std::unordered_set<CallId> calls;  ///< that came by it
     std::size_t unanswered = 0;        ///< of these
     std::size_t held = 0;              ///< bytes for the unanswered ones
-    /// Releases that were queued on it and may not have been written whole.
-    std::vector<std::pair<net::Stream::Tag, core::HandedRelease>> told;
+    /// Releases told on it that its caller has not said it has heard.
+    std::deque<Told> told;
   };
   struct Call {
     std::string sid;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -142,6 +143,7 @@
 
 struct Call {
   NewCall facts;
+  std::shared_ptr<const CallClass> cls;  // as it was when the call came
   Instant arrived{};
   Instant give_up{};    // held no longer than this
   Instant late_from{};  // set-ups that begin later would stand after the aim
@@ -162,7 +164,7 @@
  public:
   explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) { take_classes(); }
 
-  // Classes only grow, so that calls under way keep their number; tokens and servers stay as they are.
+  // Classes only grow, and calls under way keep theirs as it was; tokens and servers stay as they are.
   void retune(const std::vector<CallClass>& classes, const Limits& limits) {
     if (classes.size() < set_.classes.size()) throw std::invalid_argument("a class was taken away");
     set_.classes = classes;
@@ -173,8 +175,10 @@
   void take_classes() {
     if (set_.classes.empty()) throw std::invalid_argument("settings hold no class of call");
     least_aim_ = set_.classes.front().aim;
+    classes_.clear();
     for (const auto& one : set_.classes) {
       least_aim_ = std::min(least_aim_, one.aim);
+      classes_.push_back(std::make_shared<const CallClass>(one));
     }
     span_ = set_.resend ? std::min(*set_.resend, least_aim_) : least_aim_;
   }
@@ -441,7 +445,7 @@
     if (!server.usable_state() || !speaks_to(server, call)) return false;
     if (set_.own_cell && server.cell == *set_.own_cell) return false;
     if (call.facts.in_transit) return server.cell == call.facts.destination;
-    const auto& pools = set_.classes[call.facts.call_class].pools;
+    const auto& pools = call.cls->pools;
     return pools.empty() || std::find(pools.begin(), pools.end(), server.cell) != pools.end();
   }
 
@@ -462,7 +466,7 @@
   // Nor may the caller hang up first: callers of little patience would leave dead work behind.
   [[nodiscard]] Instant stand_by(const Call& call) const {
     if (call.late) return {};  // all that are late are alike
-    return std::min(call.arrived + set_.classes[call.facts.call_class].aim, call.facts.expires);
+    return std::min(call.arrived + call.cls->aim, call.facts.expires);
   }
 
   // First choice while it has room; otherwise a draw among those with room, weighted by own set-up delay.
@@ -470,7 +474,7 @@
   // none for one call has none for its like that has no more time, and is not looked at again.
   Server* choose(const Call& call) {
     const auto [refused, fresh] = no_room_.try_emplace(
-        Wish{call.facts.call_class, call.late, call.facts.ruled_out, call.facts.width,
+        Wish{call.cls.get(), call.late, call.facts.ruled_out, call.facts.width,
              call.facts.in_transit ? std::optional(call.facts.destination) : std::nullopt},
         Instant::min());
     if (!fresh && stand_by(call) <= refused->second) return nullptr;
@@ -504,7 +508,8 @@
     Call call;
     call.facts = news;
     call.arrived = call.not_before = now_;
-    const auto& cls = set_.classes[news.call_class];
+    call.cls = classes_[news.call_class];
+    const auto& cls = *call.cls;
     call.give_up = news.expires - 2 * set_.round;
     // A marked redial belongs to a first try whose aim has most likely gone by.
     call.late_from = news.redialled && !news.was_cut ? now_ : now_ + scaled(cls.aim, 1.0 - kHoldMargin);
@@ -578,7 +583,7 @@
         news.outcome == Outcome::kCancelled) {
       call->not_before = now_ + set_.invariants.release_wait;
     }
-    const bool may_repeat = !call->may_have_run || set_.classes[call->facts.call_class].repeatable;
+    const bool may_repeat = !call->may_have_run || call->cls->repeatable;
     const bool tries_left = call->tries < set_.limits.most_tries;
     if (may_repeat && tries_left && call->not_before < call->give_up) {
       hold(news.call);
@@ -681,7 +686,7 @@
       unhold(id);
       auto& call = calls_.at(id);
       call.late = true;
-      call.worth *= set_.classes[call.facts.call_class].late_worth;
+      call.worth *= call.cls->late_worth;
       hold(id);
     }
   }
@@ -746,7 +751,7 @@
     const auto* call = find_call(id);
     if (call == nullptr || call->late || held_.empty()) return;
     const bool in_time_waits = !calls_.at(std::get<CallId>(*held_.begin())).late;
-    if (in_time_waits && now_ - call->arrived > set_.classes[call->facts.call_class].aim) cancel(id);
+    if (in_time_waits && now_ - call->arrived > call->cls->aim) cancel(id);
   }
 
   // A long queue is silent too: where a probe is allowed it decides.
@@ -846,7 +851,7 @@
   void answer(CallId id) {
     const auto* call = find_call(id);
     if (call == nullptr || call->at) return;
-    if (call->may_have_run && !set_.classes[call->facts.call_class].repeatable) {
+    if (call->may_have_run && !call->cls->repeatable) {
       act(Fail{id});
     } else {
       // A redial now would meet the same shortage, and be worth no more than late.
@@ -906,6 +911,7 @@
 
   Settings set_;
   std::mt19937_64 random_;
+  std::vector<std::shared_ptr<const CallClass>> classes_;
   Duration least_aim_{};
   Duration span_{};  // time in which a set-up must be answered before it feeds a jam
   std::map<ServerId, Server> servers_;
@@ -917,7 +923,7 @@
   Instant next_look_{};
   Instant tried_at_{};  // held calls were last tried then
   bool freed_ = true;   // a token came back since
-  using Wish = std::tuple<std::size_t, bool, VersionSet, double, std::optional<CellNo>>;
+  using Wish = std::tuple<const CallClass*, bool, VersionSet, double, std::optional<CellNo>>;
   std::map<Wish, Instant> no_room_;  // calls of which kind found none since, and what they had left
   std::uint64_t looks_ = 0;
   Rate arrivals_;                // own calls
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -74,6 +74,39 @@
   for (const auto& send : of<Send>(actions)) EXPECT_EQ(static_cast<std::uint32_t>(send.call) % 2, 1U);
 }
 
+// DAYS, new settings: a call under way keeps its class. Only what comes later has the new one.
+TEST(Retune, ACallUnderWayKeepsItsClassAsItWas) {
+  for (const bool was_repeatable : {false, true}) {
+    auto settings = usual_settings();
+    settings.classes[0].repeatable = was_repeatable;
+    Scenario play(settings);
+    play.list({ready(1), ready(2)});
+    ASSERT_EQ(sends_to(play.call(0, 1), 1), 1U);
+    settings.classes[0].repeatable = !was_repeatable;
+    settings.classes[0].pools = {CellNo{2}};
+    play.retune(settings.classes, settings.limits);
+    ASSERT_EQ(sends_to(play.call(1, 1), 2), 1U);  // the new class goes to pool 2 only
+    play.ends(0, 1, Outcome::kReset);
+    play.ends(1, 2, Outcome::kReset);
+    const auto later = play.look_until(5s);
+    EXPECT_EQ(of<Fail>(play.all()).size(), 1U);
+    EXPECT_EQ(of<Fail>(play.all())[0].call, CallId{was_repeatable ? 1U : 0U});
+    ASSERT_EQ(of<Send>(later).size(), 1U);
+    EXPECT_EQ(of<Send>(later)[0].call, CallId{was_repeatable ? 0U : 1U});
+  }
+}
+
+// Fewer tries bind every call from its next one: never more than either settings allow.
+TEST(Retune, FewerTriesBindACallUnderWay) {
+  auto settings = usual_settings();
+  Scenario play(settings);
+  play.list({ready(1)});
+  play.call(0, 1);
+  settings.limits.most_tries = 1;
+  play.retune(settings.classes, settings.limits);
+  EXPECT_EQ(answers(play.ends(0, 1, Outcome::kMoot)), 1U);
+}
+
 // In one pass a call that has more time is looked at for itself: what was too late for one may not be for it.
 TEST(Cost, ACallWithMoreTimeIsNotTakenForOneWithLess) {
   Scenario play;
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -217,6 +217,26 @@
   CHECK(count() == 1);
 }
 
+TEST_CASE("a release that waits for its caller when the process is replaced is told by the new one") {
+  Bench bench;
+  bench.list();
+  auto& server = bench.standing(kA);
+  bench.caller->stream->close();
+  bench.until([&] { return bench.router->callers() == 0; });
+  server.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.router->table().standing() == 0; });
+  auto config = bench.config;
+  config.listen = bench.router->callers_at();
+  const Folder folder;
+  bench.router->declare(folder.path);
+  app::Router next(bench.loop, config);
+  next.declare(folder.path);
+  bench.router->stop_when_answered([] {});
+  bench.caller = bench.connect(config.listen);
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+  CHECK(next.callers() == 1);
+}
+
 TEST_CASE("a replaced router takes what waited at its listener before it closes it") {
   Bench bench;
   std::vector<std::unique_ptr<End>> callers;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -85,6 +85,9 @@
     return seen;
   }
   [[nodiscard]] const std::vector<Action>& all() const { return all_; }
+  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
+    admission_.retune(classes, limits);
+  }
   [[nodiscard]] std::uint64_t looks() const { return admission_.looks(); }
 
  private:
