Leave unread bytes in the kernel until they are delivered; test the crossings that had no test

Seen by a test that forces the order (SIGTERM, the end due, a connection in the accept queue with a set-up written): the router ended and the set-up was lost; its log has only «stopping: 0 unanswered, 0 standing». A probe printed callers=0, taken=0, over=1. Cause: Stream::read used async_read_some, which reads at once where bytes are there (a speculative read) and delivers them by a later handler. Ruled out: the accept queue itself (take_waiting had taken the connection) and the bound on callers. Now the stream waits until it is readable and reads and delivers in one step.

Also: releases left for another process went into one file, and the reader refuses one over 1 MiB (some 11,000 releases): several files now, and what is left stays with the process.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -347,10 +347,8 @@
 void Router::leave_untold() {
   if (untold_.empty()) return;
   std::string error;
-  if (store::leave_releases(shared_folder_, presence_->self(), untold_, error)) {
-    untold_.clear();
-  } else {
-    // Kept, and tried again at the next look: a full folder may have room by then.
+  if (!store::leave_releases(shared_folder_, presence_->self(), untold_, error)) {
+    // What is left is kept, and tried again at the next look: a full folder may have room by then.
     net::log::warn(log_untold_, "releases not left for the other process: ", error);
   }
 }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -77,23 +77,41 @@
   if (!is_closed()) read();
 }
 
+// Waited for and then read in one step: what has come is either in the kernel, where has_unread() sees it, or
+// with the owner. An asynchronous read would take it at once and deliver it later, and a close in between
+// would lose it unseen.
 void Stream::read() {
   reading_ = true;
-  socket_.async_read_some(asio::buffer(in_.data() + filled_, in_.size() - kPad - filled_),
-                          [self = shared_from_this()](const asio::error_code& error, std::size_t got) {
-                            self->reading_ = false;
-                            if (self->is_closed()) {
-                              self->drop_input();
-                              return;
-                            }
-                            if (error) {
-                              self->fail(reason(error));
-                              return;
-                            }
-                            self->used_at_ = Loop::now();
-                            self->filled_ += got;
-                            self->deliver();
-                          });
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const asio::error_code& failed) {
+                       self->reading_ = false;
+                       if (self->is_closed()) {
+                         self->drop_input();
+                         return;
+                       }
+                       if (failed) {
+                         self->fail(reason(failed));
+                       } else {
+                         self->read_now();
+                       }
+                     });
+}
+
+void Stream::read_now() {
+  asio::error_code error;
+  const std::size_t got =
+      socket_.read_some(asio::buffer(in_.data() + filled_, in_.size() - kPad - filled_), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    read();
+    return;
+  }
+  if (error) {
+    fail(reason(error));
+    return;
+  }
+  used_at_ = Loop::now();
+  filled_ += got;
+  deliver();
 }
 
 void Stream::deliver() {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -84,6 +84,7 @@
  private:
   void begin();
   void read();
+  void read_now();
   void deliver();
   void drop_input();
   void flush();
--- a/src/store/handover.cpp
+++ b/src/store/handover.cpp
@@ -18,8 +18,10 @@
 namespace {
 
 constexpr std::string_view kPrefix = "amberknot-releases-";
-// Some 10,000 releases: far more than a process leaves between two writes.
 constexpr std::uintmax_t kMostText = 1024 * 1024;
+// More go into several files, so that each can be read: an id and a caller's address, quoted, are far below
+// 200 bytes.
+constexpr std::size_t kMostInOne = kMostText / 256;
 
 /// Names sort in the order of their making.
 std::string next_name() {
@@ -75,16 +77,22 @@
 }
 
 bool leave_releases(const std::string& folder, const core::ServingRecord& self,
-                    const std::vector<core::HandedRelease>& releases, std::string& error) {
-  const auto place = folder + "/" + next_name();
-  const auto draft = folder + "/.draft-" + place.substr(folder.size() + 1);
-  std::ofstream file(draft, std::ios::binary);
-  file << text_of(self, releases);
-  file.close();
-  if (file && std::rename(draft.c_str(), place.c_str()) == 0) return true;
-  error = draft + ": " + std::strerror(errno);
-  std::remove(draft.c_str());
-  return false;
+                    std::vector<core::HandedRelease>& releases, std::string& error) {
+  while (!releases.empty()) {
+    const auto end = releases.begin() + static_cast<std::ptrdiff_t>(std::min(releases.size(), kMostInOne));
+    const auto place = folder + "/" + next_name();
+    const auto draft = folder + "/.draft-" + place.substr(folder.size() + 1);
+    std::ofstream file(draft, std::ios::binary);
+    file << text_of(self, {releases.begin(), end});
+    file.close();
+    if (!file || std::rename(draft.c_str(), place.c_str()) != 0) {
+      error = draft + ": " + std::strerror(errno);
+      std::remove(draft.c_str());
+      return false;
+    }
+    releases.erase(releases.begin(), end);
+  }
+  return true;
 }
 
 std::vector<core::HandedRelease> take_releases(const std::string& folder, const core::ServingRecord& self,
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -3,6 +3,8 @@
 // sleeps as proof; what must not happen is looked for after exchanges that are behind it on every socket.
 #include <sys/socket.h>
 
+#include <thread>
+
 #include "net_bench.hpp"
 
 using namespace amberknot;
@@ -573,3 +575,112 @@
   CHECK(plan.end_by(Instant{milliseconds{700}}) == Instant{milliseconds{750}});
   CHECK(plan.end_by(Instant{milliseconds{3650}}) < Instant{milliseconds{3700}});
 }
+
+/// Time in which the router's loop does not run, as on a machine that is late; its timers are due at once
+/// then.
+void stall(Bench& bench, Duration time) {
+  std::this_thread::sleep_for(time);
+  bench.loop.wheel.advance(Loop::now());
+}
+
+TEST_CASE("SIGTERM: what is in the accept queue, or unread in the kernel, when the end is due is answered") {
+  for (const bool queued : {true, false}) {
+    Bench bench;
+    bench.list();
+    bench.settle();
+    int over = 0;
+    bench.router->stop_when_answered([&] { ++over; });
+    bench.router->stop_when_answered([&] { over += 100; });  // a second SIGTERM changes nothing
+    std::this_thread::sleep_for(milliseconds{750});
+    asio::ip::tcp::socket plain(bench.loop.io);
+    if (queued) {
+      plain.connect(bench.router->callers_at());
+      asio::write(plain, asio::buffer(open_line(kA)));
+    } else {
+      bench.say(open_line(kA));
+    }
+    // Due now: the time in which callers still come is over, and nothing that the router has read is open.
+    stall(bench, Duration::zero());
+    CHECK(over == 0);
+    bench.answer(bench.invited(kA), kA);
+    const auto heard = [&] {
+      return queued ? plain.available() > 0 : bench.caller->has("\"ready\",\"sid\":\"" + kA);
+    };
+    bench.until(heard);
+    queued ? static_cast<void>(asio::write(plain, asio::buffer(close_line(kA)))) : bench.say(close_line(kA));
+    bench.until([&] { return over == 1; });
+  }
+}
+
+TEST_CASE("a silent connection is due to be closed, and a set-up has come on it: read and answered") {
+  Bench bench;
+  bench.list();
+  asio::ip::tcp::socket plain(bench.loop.io);
+  plain.connect(bench.router->callers_at());
+  bench.until([&] { return bench.router->callers() == 2; });
+  // More than 2.4 s without a word: the look that would close it runs before the set-up is read.
+  std::this_thread::sleep_for(milliseconds{2500});
+  asio::write(plain, asio::buffer(open_line(kA)));
+  stall(bench, Duration::zero());
+  bench.answer(bench.invited(kA), kA);
+  bench.until([&] { return plain.available() > 0; });
+  CHECK(bench.router->counters().stood == 1);
+}
+
+TEST_CASE("at the bound of descriptors a connection in the middle of a set-up does not give way") {
+  auto config = bench_config();
+  config.sockets = 16;
+  Bench bench({}, config);
+  bench.list();
+  bench.settle();
+  auto half = bench.connect(bench.router->callers_at());
+  const auto line = open_line(kA);
+  half->stream->send(line.substr(0, 40));
+  bench.until([&] { return bench.router->callers() == 2; });
+  std::vector<std::unique_ptr<End>> more;
+  for (std::size_t i = 3; i <= 8; ++i) {
+    more.push_back(bench.connect(bench.router->callers_at()));
+    bench.until([&] { return bench.router->callers() == i; });
+  }
+  more.push_back(bench.connect(bench.router->callers_at()));
+  bench.until([&] { return bench.router->counters().evicted == 1; });
+  half->stream->send(line.substr(40));
+  bench.answer(bench.invited(kA), kA);
+  bench.until([&] { return half->has("\"ready\",\"sid\":\"" + kA); });
+}
+
+TEST_CASE(
+    "at the bound an answer that is not yet written goes with its connection, and its call is released") {
+  auto config = roomy();
+  config.sockets = 4;
+  Bench bench({}, config);
+  bench.list();
+  bench.open(kB, 100'000);  // unanswered: that connection cannot give way
+  bench.invited(kB);
+  Unheard call(bench);
+  auto newcomer = bench.connect(bench.router->callers_at());
+  bench.until([&] { return bench.router->counters().evicted == 1; });
+  bench.until([&] { return bench.server.count("BYE sip:") == 1; });
+  CHECK(bench.router->counters().unheard == 1);
+  CHECK(bench.router->table().standing() == 0);
+  CHECK(bench.router->table().unanswered() == 1);
+}
+
+TEST_CASE(
+    "another server at the address of one that has gone: other links, and a stray release cuts nothing") {
+  Bench bench;
+  bench.list();
+  auto& old = bench.standing(kA);
+  bench.list(ListState::kGone);
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+  bench.until([&] { return old.closed; });
+  bench.router->apply(news_of("s2", bench.server.address));
+  auto& fresh = bench.standing(kB);
+  CHECK(&fresh != &old);
+  // The one that has gone comes back to tell its release, after all, on the newcomer's link.
+  fresh.stream->send(Bench::sip("BYE sip:77aa@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.router->counters().unknown_ids == 1; });
+  bench.settle();
+  CHECK(bench.caller->count("\"close\",\"sid\":\"" + kA) == 1);
+  CHECK(bench.router->table().standing() == 1);
+}
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -3,8 +3,10 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -150,15 +152,18 @@
   CHECK(store::take_releases(folder.path, self, unreadable).empty());
   std::vector<core::HandedRelease> all;
   for (int i = 0; i < 20; ++i) {
-    const std::vector<core::HandedRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
-    REQUIRE(store::leave_releases(folder.path, self, some, error));
+    std::vector<core::HandedRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
     all.insert(all.end(), some.begin(), some.end());
+    REQUIRE(store::leave_releases(folder.path, self, some, error));
+    CHECK(some.empty());
   }
   // The other process has another start: it is the same router.
   CHECK(store::take_releases(folder.path, {"n1", "127.0.0.1:5070", 2}, unreadable) == all);
   CHECK(unreadable == 0);
   CHECK(folder.files() == 0);
+  const auto had = all.size();
   CHECK_FALSE(store::leave_releases(folder.path + "/none", self, all, error));
+  CHECK(all.size() == had);
   CHECK(error.find("No such file") != std::string::npos);
   const auto good = store::text_of(self, {{"127.0.0.1", kA, 16}});
   const std::string bad[] = {
@@ -180,6 +185,19 @@
   }
 }
 
+TEST_CASE("however many releases there are, each file can be read again") {
+  const Folder folder;
+  const ServingRecord self{"n1", "127.0.0.1:5070", 1};
+  std::vector<core::HandedRelease> all;
+  for (int i = 0; i < 20'000; ++i) all.push_back({"127.100.100.100", kA, i});
+  auto left = all;
+  std::string error;
+  REQUIRE(store::leave_releases(folder.path, self, left, error));
+  std::size_t unreadable = 0;
+  CHECK(store::take_releases(folder.path, self, unreadable) == all);
+  CHECK(unreadable == 0);
+}
+
 TEST_CASE(
     "a replaced router takes no new connection, answers what is out and lets go of all that owe nothing") {
   Bench bench;
@@ -241,6 +259,71 @@
   CHECK(by.next->callers() == 1);
 }
 
+TEST_CASE("a folder that is full for a while: releases are kept, and left once there is room") {
+  Bench bench;
+  bench.list();
+  auto& server = bench.standing(kA);
+  const Replacement by(bench);
+  bench.router->stop_when_answered([] {});
+  bench.until([&] { return bench.caller->closed; });
+  bench.caller = bench.connect(by.listen);
+  bench.settle();
+  // No file of this process may hold a byte: what it leaves fails as on a full disk.
+  const auto no_signal = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit usual{};
+  REQUIRE(::getrlimit(RLIMIT_FSIZE, &usual) == 0);
+  const rlimit none{0, usual.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_FSIZE, &none) == 0);
+  server.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.router->table().standing() == 0; });
+  std::size_t looks = 0;  // the router looks every 20 ms
+  const auto look = [&](auto&& self) -> void {
+    if (++looks < 3) bench.loop.after(milliseconds{20}, [&self] { self(self); });
+  };
+  look(look);
+  bench.until([&] { return looks == 3; });
+  CHECK_FALSE(bench.caller->has("\"close\""));
+  REQUIRE(::setrlimit(RLIMIT_FSIZE, &usual) == 0);
+  std::signal(SIGXFSZ, no_signal);
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+}
+
+TEST_CASE(
+    "the new process dies before SIGTERM: a plain restart; after it: what was left is told by the next") {
+  for (const bool before : {true, false}) {
+    Bench bench;
+    bench.list();
+    auto& server = bench.standing(kA);
+    const Folder folder;
+    bench.router->declare(folder.path);
+    auto config = bench.config;
+    config.listen = bench.router->callers_at();
+    // The new process, as far as the old one sees it; it dies with its lock.
+    auto next = std::make_optional(declare(folder, {"n0", net::text_of(config.listen), Loop::unix_us() + 1}));
+    if (before) next.reset();
+    bench.router->stop_when_answered([] {});
+    next.reset();
+    const auto bye = Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n");
+    if (before) {
+      // It serves on: a new connection reaches it, and the release of what stands is told by it.
+      auto late = bench.connect(config.listen);
+      late->stream->send("{\"msg\":\"probe\",\"sid\":\"" + kB + "\",\"attrs\":{},\"code\":0}\n");
+      bench.until([&] { return late->has("\"probed\""); });
+      CHECK_FALSE(bench.caller->closed);
+      server.stream->send(bye);
+      bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+      continue;
+    }
+    bench.until([&] { return bench.caller->closed; });
+    server.stream->send(bye);
+    bench.until([&] { return folder.files() == 2; });  // the old one's presence, and what it left
+    app::Router third(bench.loop, config);
+    third.declare(folder.path);
+    bench.caller = bench.connect(config.listen);
+    bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
+  }
+}
+
 TEST_CASE("a replaced router takes what waited at its listener before it closes it") {
   Bench bench;
   std::vector<std::unique_ptr<End>> callers;
