--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -298,9 +298,14 @@
     bench.router->declare(folder.path);
     auto config = bench.config;
     config.listen = bench.router->callers_at();
-    // The new process, as far as the old one sees it; it dies with its lock.
-    auto next = std::make_optional(declare(folder, {"n0", net::text_of(config.listen), Loop::unix_us() + 1}));
-    if (before) next.reset();
+    // The new process, as far as the old one sees it. Killed: its file stays, and nobody holds its lock.
+    const ServingRecord younger{"n0", net::text_of(config.listen), Loop::unix_us() + 1};
+    std::optional<store::Presence> next;
+    if (before) {
+      std::ofstream(folder.path + "/amberknot-serving-dead00") << store::text_of(younger);
+    } else {
+      next.emplace(declare(folder, younger));
+    }
     bench.router->stop_when_answered([] {});
     next.reset();
     const auto bye = Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n");
