Read how long a full processor asks to wait, and tell the module

Cause: the module takes an asked wait (AttemptEnded::asked_wait, rules.cpp shut()) and the adapter gives it, but no line of the network code did: read_sip skipped the header, and Dispatcher::report_end left the field empty. So a full server was tried again after the module's own pause, which costs it work. Ruled out that the module ignores it: Full.AnAskedWaitIsKept.

sip::read_lag takes whole milliseconds with `acc` only; anything else is as if it were not there. No call waits longer than its deadline, so that the longest deadline of the settings bounds it: a spoilt value must not shut a server for good.

Tests: a table for the reader, and one on real sockets with two waits.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -132,6 +132,13 @@
   const auto attempt = attempt_of(id, call);
   EndFacts facts{end.outcome, clock_() - call.sent, call.state == State::kStanding, end.of_the_call, 0,
                  end.load};
+  if (end.outcome == Outcome::kFull && !end.error && end.stay_away) {
+    // No call waits longer than its deadline: what asks for more is spoilt, and must not shut the server for
+    // good.
+    Duration most{};
+    for (const auto& cls : dispatcher_.settings().classes) most = std::max(most, cls.deadline);
+    facts.asked_wait = std::min(*end.stay_away, most);
+  }
   if (end.error && call.state == State::kOut) {
     const auto verdict = call.placement.ended(call.version, *end.error, end.stay_away);
     facts.outcome = verdict.outcome;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -101,6 +101,7 @@
   news.call_ended = facts.call_ended;
   news.of_the_call = facts.of_the_call;
   news.rules_out = facts.rules_out;
+  news.asked_wait = facts.asked_wait;
   news.report = facts.load;
   return run(now, news);
 }
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -41,6 +41,7 @@
   bool of_the_call = false;
   VersionSet rules_out = 0;
   Report load;
+  std::optional<Duration> asked_wait = {};  ///< by a full server, of everybody
 };
 
 struct ServerFacts {
--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -89,6 +89,7 @@
     if (same(name, "Reason")) head.reason = value;
     if (same(name, "X-Diagnosis")) head.diagnosis = value;
     if (same(name, "X-Occupancy")) head.occupancy = value;
+    if (same(name, "X-Lag")) head.lag = value;
     if (same(name, "Content-Length") || same(name, "l")) {
       const auto size = whole<std::size_t>(value);
       if (!size || *size > most || (has_length && *size != head.body_size)) return read;
@@ -145,6 +146,13 @@
   return whole<int>(digits);
 }
 
+std::optional<Duration> read_lag(std::string_view diagnosis, std::string_view lag) {
+  if (diagnosis != "acc") return std::nullopt;
+  const auto wait = whole<std::uint32_t>(lag);
+  if (!wait || *wait == 0) return std::nullopt;
+  return std::chrono::milliseconds{*wait};
+}
+
 Report read_report(std::string_view text) {
   Report report;
   while (!text.empty()) {
--- a/src/sip/codec.hpp
+++ b/src/sip/codec.hpp
@@ -16,7 +16,7 @@
   std::string_view method;  ///< of a request in its first line, of an answer in CSeq
   std::uint32_t sequence = 0;
   std::string_view call_id;
-  std::string_view via, cseq, reason, diagnosis, occupancy;
+  std::string_view via, cseq, reason, diagnosis, occupancy, lag;
   std::size_t head_size = 0;
   std::size_t body_size = 0;
 };
@@ -37,6 +37,8 @@
 
 /// `Q.850;cause=16`; empty: names no cause.
 std::optional<int> read_reason(std::string_view reason);
+/// How long a full processor (`acc`) asks us to wait: whole milliseconds. Nothing where it does not say so.
+std::optional<Duration> read_lag(std::string_view diagnosis, std::string_view lag);
 /// `x0:12;x1:40;queue:3`, also under the settings' names. What cannot be read is left out.
 Report read_report(std::string_view text);
 
--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -672,6 +672,7 @@
   switch (head.status) {
     case 503:
       end.outcome = Outcome::kFull;
+      end.stay_away = read_lag(head.diagnosis, head.lag);
       break;
     case 480:
       end.outcome = Outcome::kMoot;
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -151,6 +151,35 @@
   CHECK(read_sip(std::string(net::kMostMessage + 1, 'a'), net::kMostMessage).state == State::kBad);
 }
 
+TEST_CASE("the wait of a full processor, and what is none") {
+  const struct {
+    const char* diagnosis;
+    const char* lag;
+    std::optional<Duration> wait;
+  } rows[] = {
+      {"acc", "250", std::chrono::milliseconds{250}},
+      {"acc", "4294967295", std::chrono::milliseconds{4294967295}},
+      {"acc", "4294967296", std::nullopt},
+      {"acc", "0", std::nullopt},
+      {"acc", "-5", std::nullopt},
+      {"acc", "2.5", std::nullopt},
+      {"acc", "soon", std::nullopt},
+      {"acc", "", std::nullopt},
+      {"atb", "250", std::nullopt},
+      {"sub", "250", std::nullopt},
+      {"", "250", std::nullopt},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.lag);
+    CHECK(read_lag(row.diagnosis, row.lag) == row.wait);
+  }
+  const auto read = read_sip(
+      "SIP/2.0 503 Full\r\nCall-ID: a\r\nCSeq: 1 INVITE\r\nX-Diagnosis: acc\r\nx-lag: 1700\r\n"
+      "Content-Length: 0\r\n\r\n",
+      net::kMostMessage);
+  CHECK(read.head.lag == "1700");
+}
+
 TEST_CASE("causes and load reports") {
   CHECK(read_reason("Q.850;cause=16") == 16);
   CHECK(read_reason("Q.850\r\n ;cause=41;text=\"x\"") == 41);
--- a/tests/net_rules_test.cpp
+++ b/tests/net_rules_test.cpp
@@ -102,6 +102,25 @@
 }
 
 // Guards against taking the answer to a second attempt for a late one: servers number all answers 1.
+TEST_CASE("a full server that says how long to wait gets nothing before, and none shuts itself for good") {
+  // Alone it is shut for 0.2 s; it asks for 0.8 s, and for 49 days, which counts as the longest deadline.
+  for (const char* lag : {"800", "4294967295"}) {
+    auto config = bench_config();
+    for (auto& cls : config.settings.classes) cls.deadline = milliseconds{1000};
+    Bench bench({}, config);
+    bench.list();
+    bench.open(kA, 1900);
+    bench.invited(kA).stream->send(Bench::sip("SIP/2.0 503 Full", kA, "1 INVITE",
+                                              std::string("X-Diagnosis: acc\r\nX-Lag: ") + lag + "\r\n"));
+    bench.until([&] { return bench.router->counters().ended[static_cast<int>(Outcome::kFull)] == 1; });
+    bool half = false;
+    bench.loop.after(milliseconds{500}, [&] { half = true; });
+    bench.until([&] { return half; });
+    CHECK(bench.router->counters().sent == 1);
+    bench.until([&] { return bench.server.count("CSeq: 2 INVITE") == 1; });
+  }
+}
+
 TEST_CASE("a second attempt stands by its Call-ID, whatever number the answer repeats") {
   Bench bench;
   bench.list();
