Refuse senseless settings by name, and say at a reload what it cannot change

Cause: the reader took misspelt words for others (`repeat` not «idempotent» meant not repeatable, `discovery` anything meant asked for), an index that no sibling has, a cold start above the whole, and two classes or tenants of one name, of which the second would have been served by the first one's settings. A reload dropped changed `invariants`, `over_share_worth` and `siblings` in silence, so that an operator could take the new ones for in force.

Tests: SenselessValuesAreNamed for two forms of settings (with and without tenants, reports, advice), names of one's own, what is kept.

--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -64,6 +64,7 @@
   double cold_from = 0;
   Duration ramp_time{};
   Duration release_wait{};
+  friend bool operator==(const Invariants&, const Invariants&) = default;
 };
 
 struct Settings {
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -1,5 +1,6 @@
 #include "app/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -63,7 +64,16 @@
 std::vector<std::string> names_in(const rapidjson::Value& settings, const char* list) {
   std::vector<std::string> names;
   if (const auto* items = settings::member(settings, list); items != nullptr && items->IsArray()) {
-    for (const auto& item : items->GetArray()) names.emplace_back(settings::text_in(item, "name"));
+    for (const auto& item : items->GetArray()) {
+      const auto key =
+          std::string("config: settings: ") + list + "." + std::to_string(names.size()) + ".name";
+      const auto name = settings::text_in(item, "name");
+      // Callers name them; a name that two share would give one of them the other's settings.
+      if (name.empty()) throw ConfigError(key + " is missing");
+      if (std::find(names.begin(), names.end(), name) != names.end())
+        throw ConfigError(key + " is there twice");
+      names.emplace_back(name);
+    }
   }
   return names;
 }
--- a/src/core/retune.cpp
+++ b/src/core/retune.cpp
@@ -48,6 +48,9 @@
   if (fresh_names.tenants != names.tenants || fresh.tenants.size() != now.tenants.size())
     out.kept.push_back("tenants");
   if (fresh.resend != now.resend || fresh.round != now.round) out.kept.push_back("timing");
+  if (!(fresh.invariants == now.invariants)) out.kept.push_back("invariants");
+  if (fresh.over_share_worth != now.over_share_worth) out.kept.push_back("over_share_worth");
+  if (fresh.siblings != now.siblings || fresh.self != now.self) out.kept.push_back("siblings");
   return out;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,7 +1,9 @@
 #include "settings/settings.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <initializer_list>
 #include <map>
 #include <optional>
 
@@ -76,6 +78,19 @@
     if (value > kMost) throw SettingsError("setting out of range: " + key);
     return Duration{static_cast<std::int64_t>(value)};
   }
+  [[nodiscard]] double need_above_zero(const std::string& key) const {
+    const double value = need_number(key);
+    if (value <= 0) throw SettingsError("setting not above zero: " + key);
+    return value;
+  }
+  /// One of the words that the interface names; a misspelt one must not pass for another.
+  [[nodiscard]] std::string need_word(const std::string& key,
+                                      std::initializer_list<std::string_view> words) const {
+    const auto value = need(key);
+    if (std::find(words.begin(), words.end(), value) == words.end())
+      throw SettingsError("setting is none of its words: " + key);
+    return value;
+  }
   [[nodiscard]] bool need_flag(const std::string& key) const {
     const auto value = need(key);
     if (value == "true") return true;
@@ -102,7 +117,9 @@
       throw SettingsError("setting not above zero: " + prefix + "deadline_us");
     one.worth = pairs.need_positive(prefix + "value");
     one.late_worth = pairs.find_number(prefix + "late_worth").value_or(0.0);
-    one.repeatable = pairs.need(prefix + "repeat") == "idempotent";
+    if (one.late_worth < 0) throw SettingsError("setting below zero: " + prefix + "late_worth");
+    one.repeatable =
+        pairs.need_word(prefix + "repeat", {"idempotent", "deduplicated", "at_most_once"}) == "idempotent";
     if (i < holds.size()) {
       if (const auto hold = number(holds[i])) one.hold = Duration{static_cast<std::int64_t>(*hold)};
     }
@@ -120,7 +137,9 @@
   if (!pairs.find("tenants.count")) return {};
   std::vector<Tenant> tenants(pairs.need_count("tenants.count", kMostItems));
   for (std::size_t i = 0; i < tenants.size(); ++i) {
-    tenants[i].quota_per_s = pairs.find_number("tenants." + std::to_string(i) + ".quota_per_s");
+    const auto key = "tenants." + std::to_string(i) + ".quota_per_s";
+    tenants[i].quota_per_s = pairs.find_number(key);
+    if (tenants[i].quota_per_s.value_or(0) < 0) throw SettingsError("setting below zero: " + key);
   }
   return tenants;
 }
@@ -142,9 +161,11 @@
   Invariants invariants;
   invariants.answer_slack = pairs.need_duration("invariants.answer_slack_us");
   invariants.drain_grace = pairs.need_duration("invariants.drain_grace_us");
-  invariants.fall_multiple = pairs.need_positive("invariants.fall_multiple");
+  invariants.fall_multiple = pairs.need_above_zero("invariants.fall_multiple");
   invariants.fall_span = pairs.need_duration("invariants.fall_us");
-  invariants.cold_from = pairs.need_positive("invariants.cold_from");
+  // A share: more than the whole cannot be what a cold server starts at.
+  invariants.cold_from = pairs.need_above_zero("invariants.cold_from");
+  if (invariants.cold_from > 1) throw SettingsError("setting out of range: invariants.cold_from");
   invariants.ramp_time = pairs.need_duration("invariants.ramp_time_us");
   invariants.release_wait = pairs.need_duration("family_info.clear_wait_us");
   return invariants;
@@ -158,8 +179,11 @@
   auto& settings = parsed.settings;
   settings.seed = seed;
   settings.siblings = pairs.need_count("siblings", kMostItems);
+  if (settings.siblings == 0) throw SettingsError("setting not above zero: siblings");
   settings.self = PeerId{pairs.need_count("self_index", kMostItems)};
-  settings.list_is_pushed = pairs.need("discovery") == "pushed";
+  if (static_cast<std::uint32_t>(settings.self) >= settings.siblings)
+    throw SettingsError("setting out of range: self_index");
+  settings.list_is_pushed = pairs.need_word("discovery", {"pushed", "on_request"}) == "pushed";
   settings.round = pairs.need_duration("round_us");
   settings.classes = read_classes(pairs);
   settings.tenants = read_tenants(pairs);
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -37,8 +37,55 @@
   return text + R"(,"limits":{"connect_timeout_us":"500000"}})";
 }
 
+/// The same with two classes and two tenants of those names.
+std::string named_settings(const std::string& first, const std::string& second, const std::string& tenant) {
+  const auto cls = [](const std::string& name) {
+    return R"({"name":")" + name +
+           R"(","aim_us":"1000","deadline_us":"2000","value":"1","repeat":"idempotent"})";
+  };
+  auto text = good_settings();
+  text.pop_back();
+  return text + R"(,"classes":[)" + cls(first) + "," + cls(second) +
+         R"(],"tenants":[{"name":"acme"},{"name":")" + tenant + R"("}]})";
+}
+
 }  // namespace
 
+TEST_CASE(
+    "classes and tenants need names of their own: a name that two share would serve one by the other's") {
+  REQUIRE_NOTHROW(app::read_config(configuration(named_settings("a", "b", "zoo")), "", ""));
+  const std::array<std::pair<std::string, const char*>, 4> rows = {{
+      {named_settings("a", "a", "zoo"), "settings: classes.1.name is there twice"},
+      {named_settings("", "b", "zoo"), "settings: classes.0.name is missing"},
+      {named_settings("a", "b", "acme"), "settings: tenants.1.name is there twice"},
+      {named_settings("a", "b", ""), "settings: tenants.1.name is missing"},
+  }};
+  for (const auto& [settings, says] : rows) {
+    std::string said;
+    try {
+      app::read_config(configuration(settings), "", "");
+    } catch (const app::ConfigError& error) {
+      said = error.what();
+    }
+    CHECK(said == std::string("config: ") + says);
+  }
+}
+
+TEST_CASE("what a running router cannot change is named, whatever else the file changes") {
+  const core::Names names{{"voice"}, {"acme"}};
+  Settings now;
+  now.classes = {class_of(100)};
+  now.siblings = 5;
+  auto fresh = now;
+  CHECK(core::retune(names, now, names, fresh).kept.empty());
+  fresh.invariants.release_wait = milliseconds{200};
+  fresh.siblings = 7;
+  fresh.over_share_worth = 0.5;
+  fresh.resend = milliseconds{400};
+  CHECK(core::retune(names, now, {{"voice"}, {"acme", "zoo"}}, fresh).kept ==
+        std::vector<std::string>{"tenants", "timing", "invariants", "over_share_worth", "siblings"});
+}
+
 TEST_CASE("retune keeps each class's number: taken away in its place, added after the others") {
   core::Names names{{"voice", "data"}, {"acme"}};
   Settings now;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -82,6 +82,51 @@
                                            "invariants.fall_multiple", "invariants.fall_us",
                                            "invariants.cold_from", "invariants.ramp_time_us"));
 
+// Two deployments, with and without tenants, reports and advice: what makes no sense is named in either.
+TEST(Settings, SenselessValuesAreNamed) {
+  auto bare = settings_keys();
+  for (const auto* key :
+       {"report.columns", "tenants.count", "tenants.0.quota_per_s", "family_info.resend_us"}) {
+    bare.erase(key);
+  }
+  bare["limits.retry_after"] = "false";
+  const std::pair<const char*, const char*> rows[] = {{"siblings", "0"},
+                                                      {"siblings", "1.5"},
+                                                      {"self_index", "4"},
+                                                      {"discovery", "pushd"},
+                                                      {"classes.count", "0"},
+                                                      {"classes.0.deadline_us", "0"},
+                                                      {"classes.0.aim_us", "-1"},
+                                                      {"classes.0.value", "-2"},
+                                                      {"classes.0.late_worth", "-0.1"},
+                                                      {"classes.0.repeat", "idempotnt"},
+                                                      {"family_info.clear_wait_us", "-200000"},
+                                                      {"family_info.skilled_pools.0", "0,x"},
+                                                      {"invariants.cold_from", "0"},
+                                                      {"invariants.cold_from", "28"},
+                                                      {"invariants.fall_multiple", "0"},
+                                                      {"invariants.drain_grace_us", "1e300"},
+                                                      {"limits.most_tries", "0"},
+                                                      {"limits.cancel", "yes"}};
+  for (const auto& base : {settings_keys(), bare}) {
+    ASSERT_NO_THROW(parse_settings(settings_text(base), 9));
+    for (const auto& [key, value] : rows) {
+      auto keys = base;
+      keys[key] = value;
+      try {
+        parse_settings(settings_text(keys), 9);
+        ADD_FAILURE() << key << "=" << value;
+      } catch (const SettingsError& error) {
+        EXPECT_NE(std::string(error.what()).find(key), std::string::npos) << error.what();
+        EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+      }
+    }
+  }
+  auto keys = settings_keys();
+  keys["tenants.0.quota_per_s"] = "-1";
+  EXPECT_THROW(parse_settings(settings_text(keys), 9), SettingsError);
+}
+
 TEST(Settings, HugeCountsAreTurnedAway) {
   auto keys = settings_keys();
   keys["classes.count"] = "4000000000";
