--- a/src/store/handover.hpp
+++ b/src/store/handover.hpp
@@ -17,8 +17,8 @@
 std::optional<std::vector<core::HandedRelease>> read_releases(std::string_view text,
                                                               const core::ServingRecord& self);
 
-/// Takes out what was left there, in as many files as it needs. False: the rest could not be left, and `error`
-/// says why.
+/// Takes out what was left there, in as many files as it needs. False: the rest could not be left, and
+/// `error` says why.
 bool leave_releases(const std::string& folder, const core::ServingRecord& self,
                     std::vector<core::HandedRelease>& releases, std::string& error);
 /// All that was left there for this router, in the order in which it was left; the files are removed.
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -442,6 +442,33 @@
   }
 }
 
+TEST_CASE("Diameter: a request whose client left while it was held is not sent on when a server comes") {
+  enum class By { kTermination, kFin, kReset };
+  for (const auto by : {By::kTermination, By::kFin, By::kReset}) {
+    DiameterBench bench(setup(false, true));
+    bench.server.make = nullptr;
+    bench.list(ListState::kDraining);
+    bench.till = bench.client_peer("till.acme");
+    bench.till->open("till;1", "2900");
+    bench.until([&] { return bench.router->counters().taken == 1; });
+    if (by == By::kTermination) {
+      bench.till->say(bench.till->credit("till;1", RequestType::kTermination));
+    } else if (by == By::kFin) {
+      bench.till->stream->close();
+    } else {
+      bench.till->stream->reset();
+    }
+    bench.until([&] { return bench.router->counters().given_up == 1; });
+    CHECK(bench.router->counters().left_waiting == 1);
+    bench.list();
+    bench.open(kB);
+    bench.until([&] { return bench.server.with("Call-ID: " + kB) != nullptr; });
+    bench.settle();
+    CHECK(bench.server.count("INVITE sip:77aa@net") == 1);
+    CHECK(bench.router->counters().sent == 1);
+  }
+}
+
 TEST_CASE("Diameter: what is malformed gets the RFC's answer") {
   DiameterBench bench(setup(true, true), true);
   auto& till = *bench.till;
