--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -269,11 +269,11 @@
   for (auto& [id, bye] : std::exchange(server.pending, {})) send_bye(server, std::move(id), std::move(bye));
 }
 
+// What never left goes by another link: it is no attempt's end. Only with nothing to go by is it one. A
+// refusal, or silence for the whole time, says that there is nothing; a reset of a new link does not.
 void Links::move_unsent(Link& link, bool dead) {
-  // What never left goes by another link: it is no attempt's end. Only with nothing to go by is it one. A
-  // refusal, or silence for the whole time, says that there is nothing; a reset of a new link does not.
-  auto unsent = link.stream->take_unsent();
   auto& server = link.server;
+  auto unsent = link.stream->take_unsent();
   const bool again = server.wanted && (server.open_links() > 0 || !dead);
   std::vector<core::AttemptRef> stranded;
   for (auto& message : unsent) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -576,10 +576,13 @@
   CHECK(plan.end_by(Instant{milliseconds{3650}}) < Instant{milliseconds{3700}});
 }
 
-/// Time in which the router's loop does not run, as on a machine that is late; its timers are due at once
-/// then.
-void stall(Bench& bench, Duration time) {
+// ---- two things due at once ----
+
+/// Holds the router's loop still, as on a machine that is late. What comes at the end of that time comes
+/// before all that is due by then.
+void stall(Bench& bench, Duration time, const std::function<void()>& comes) {
   std::this_thread::sleep_for(time);
+  comes();
   bench.loop.wheel.advance(Loop::now());
 }
 
@@ -591,23 +594,27 @@
     int over = 0;
     bench.router->stop_when_answered([&] { ++over; });
     bench.router->stop_when_answered([&] { over += 100; });  // a second SIGTERM changes nothing
-    std::this_thread::sleep_for(milliseconds{750});
     asio::ip::tcp::socket plain(bench.loop.io);
-    if (queued) {
-      plain.connect(bench.router->callers_at());
-      asio::write(plain, asio::buffer(open_line(kA)));
-    } else {
-      bench.say(open_line(kA));
-    }
-    // Due now: the time in which callers still come is over, and nothing that the router has read is open.
-    stall(bench, Duration::zero());
+    // The time in which callers still come is over, and nothing that the router has read is open.
+    stall(bench, milliseconds{750}, [&] {
+      if (queued) {
+        plain.connect(bench.router->callers_at());
+        asio::write(plain, asio::buffer(open_line(kA)));
+      } else {
+        bench.say(open_line(kA));
+      }
+    });
     CHECK(over == 0);
     bench.answer(bench.invited(kA), kA);
     const auto heard = [&] {
       return queued ? plain.available() > 0 : bench.caller->has("\"ready\",\"sid\":\"" + kA);
     };
     bench.until(heard);
-    queued ? static_cast<void>(asio::write(plain, asio::buffer(close_line(kA)))) : bench.say(close_line(kA));
+    if (queued) {
+      asio::write(plain, asio::buffer(close_line(kA)));
+    } else {
+      bench.say(close_line(kA));
+    }
     bench.until([&] { return over == 1; });
   }
 }
@@ -619,9 +626,7 @@
   plain.connect(bench.router->callers_at());
   bench.until([&] { return bench.router->callers() == 2; });
   // More than 2.4 s without a word: the look that would close it runs before the set-up is read.
-  std::this_thread::sleep_for(milliseconds{2500});
-  asio::write(plain, asio::buffer(open_line(kA)));
-  stall(bench, Duration::zero());
+  stall(bench, milliseconds{2500}, [&] { asio::write(plain, asio::buffer(open_line(kA))); });
   bench.answer(bench.invited(kA), kA);
   bench.until([&] { return plain.available() > 0; });
   CHECK(bench.router->counters().stood == 1);
