Answer every queued and in-flight call before SIGKILL may come

Cause: CallTable::answer_by bounded only the calls taken 0.7 s after SIGTERM (call_table.cpp, take); what was queued or in flight before kept its own deadline, up to 9 s, while SIGKILL may come after 3.7 s.

CallTable::begin_shutdown now brings the deadline of every unanswered call forward to the plan's answer_by, once, at SIGTERM. A call that the module would place again after its time is rejected instead. The longest deadline is now computed by one function of the dispatcher; it stood twice.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -359,9 +359,8 @@
   // The door says no from now on. Where nobody has taken over, the callers' connections stay and what comes
   // is answered; else callers are to go to the other process at once.
   const bool replaced = is_replaced();
-  Duration longest{};
-  for (const auto& cls : dispatcher_.settings().classes) longest = std::max(longest, cls.deadline);
-  leaving_ = core::Leaving::plan(net::Loop::now(), longest, replaced);
+  leaving_ = core::Leaving::plan(net::Loop::now(), dispatcher_.longest_deadline(), replaced);
+  table_.begin_shutdown(leaving_);
   net::log::info("stopping: ", table_.unanswered(), " unanswered, ", table_.standing(), " standing",
                  replaced ? ", replaced" : "");
   if (replaced) {
@@ -375,7 +374,6 @@
 void Router::look_whether_done() {
   const Instant now = net::Loop::now();
   leave_untold();
-  if (now >= leaving_.callers_until) table_.answer_by(leaving_.answer_by);
   const bool settled = std::all_of(fronts_.begin(), fronts_.end(),
                                    [](const auto& front) { return !front || front->settled(); });
   if (leaving_.may_leave(now, table_.unanswered(), table_.standing(), !settled)) {
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -29,17 +29,32 @@
 CallId CallTable::take(ClientPort& client, NewSetUp set_up) {
   while (calls_.contains(CallId{next_id_})) ++next_id_;
   const CallId id{next_id_++};
-  if (answer_by_) set_up.facts.expires = std::min(set_up.facts.expires, *answer_by_);
+  if (shutdown_) set_up.facts.expires = std::min(set_up.facts.expires, shutdown_->answer_by);
   set_up.facts.expires -= kAnswerMargin;
   auto& call = calls_[id];
   call.client = &client;
   call.set_up = std::move(set_up);
   call.placement = Placement(call.set_up.facts.ruled_out);
-  call.deadline = wheel_.at(call.set_up.facts.expires, [this, id] { time_out(id); });
+  set_deadline(id, call, call.set_up.facts.expires);
   ++counters_.taken;
   return id;
 }
 
+// SIGKILL may come sooner than the callers of these calls stop waiting: without an earlier end they would
+// never be answered. The module keeps the caller's own deadline, since only this process's time is short.
+void CallTable::begin_shutdown(const Leaving& plan) {
+  shutdown_ = plan;
+  const Instant latest = plan.answer_by - kAnswerMargin;
+  for (auto& [id, call] : calls_) {
+    const bool is_unanswered = call.state == State::kHeld || call.state == State::kOut;
+    if (!is_unanswered || call.set_up.facts.expires <= latest) continue;
+    call.set_up.facts.expires = latest;
+    // An attempt in flight may have been given less time than that: its own limit stays.
+    const bool has_earlier_limit = call.wakes_at <= latest;
+    if (!has_earlier_limit) set_deadline(id, call, latest);
+  }
+}
+
 void CallTable::decide(CallId id) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) enact(dispatcher_.pick(clock_(), id, found->second.set_up.facts));
@@ -135,9 +150,7 @@
   if (end.outcome == Outcome::kFull && !end.error && end.stay_away) {
     // No call waits longer than its deadline: what asks for more is spoilt, and must not shut the server for
     // good.
-    Duration most{};
-    for (const auto& cls : dispatcher_.settings().classes) most = std::max(most, cls.deadline);
-    facts.asked_wait = std::min(*end.stay_away, most);
+    facts.asked_wait = std::min(*end.stay_away, dispatcher_.longest_deadline());
   }
   if (end.error && call.state == State::kOut) {
     const auto verdict = call.placement.ended(call.version, *end.error, end.stay_away);
@@ -236,7 +249,13 @@
   const bool held = found != calls_.end() && found->second.state == State::kHeld;
   switch (decision.kind) {
     case Decision::Kind::kSend:
-      if (held) send(decision);
+      if (!held) break;
+      // A shutdown ends calls sooner than the module knows.
+      if (clock_() < found->second.set_up.facts.expires) {
+        send(decision);
+      } else {
+        reject_expired(decision.call);
+      }
       break;
     case Decision::Kind::kRefuse:
       // Given up on is answered at once: the advice tells the caller when to come back.
@@ -310,19 +329,24 @@
   }
   Duration wait = call.set_up.facts.expires - call.sent;
   if (decision.time > Duration::zero() && decision.time < wait) wait = decision.time;
-  wheel_.cancel(call.deadline);
-  call.deadline = wheel_.at(call.sent + wait, [this, id = decision.call] { time_out(id); });
+  set_deadline(decision.call, call, call.sent + wait);
   to->set_up({attempt, call.set_up.id, call.set_up.call_class, call.set_up.number, call.set_up.description,
               wait, call.set_up.told.get()});
 }
 
+void CallTable::set_deadline(CallId id, Call& call, Instant moment) {
+  wheel_.cancel(call.deadline);
+  call.wakes_at = moment;
+  call.deadline = wheel_.at(moment, [this, id] { time_out(id); });
+}
+
 void CallTable::time_out(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   auto& call = found->second;
   call.deadline = 0;
   const bool last = clock_() >= call.set_up.facts.expires;
-  if (!last) call.deadline = wheel_.at(call.set_up.facts.expires, [this, id] { time_out(id); });
+  if (!last) set_deadline(id, call, call.set_up.facts.expires);
   if (call.state == State::kOut) {
     const auto attempt = attempt_of(id, call);
     end_attempt(id, {call_off(attempt, Outcome::kTimeout), Cause::kTimerExpiry, false, {}});
@@ -331,10 +355,19 @@
   }
   // Guards the rule of one final answer in time: whatever is still undecided now is refused.
   const auto still = calls_.find(id);
-  if (last && still != calls_.end() && still->second.state == State::kHeld) {
-    tell(id, Reason::kTimeout, Duration::zero());
-    enact(dispatcher_.report_given_up(clock_(), id));
-  }
+  if (last && still != calls_.end() && still->second.state == State::kHeld) reject_expired(id);
+}
+
+void CallTable::reject_expired(CallId id) {
+  tell(id, Reason::kTimeout, shutdown_retry_after());
+  enact(dispatcher_.report_given_up(clock_(), id));
+}
+
+Duration CallTable::shutdown_retry_after() const {
+  const auto& limits = dispatcher_.settings().limits;
+  if (!shutdown_ || !limits.retry_advice) return Duration::zero();
+  const Duration until_exit = shutdown_->leave_by - clock_();
+  return std::clamp(until_exit, Duration::zero(), limits.max_retry_advice);
 }
 
 void CallTable::arm() {
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -14,6 +14,7 @@
 
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
+#include "core/leaving.hpp"
 #include "core/placement.hpp"
 #include "core/ports.hpp"
 #include "core/server_list.hpp"
@@ -56,8 +57,9 @@
   // From the callers' side.
   /// Enters the call; the front then notes its id and lets it be decided.
   CallId take(ClientPort& client, NewSetUp set_up);
-  /// The program ends: what is taken from now on has its final answer by then.
-  void answer_by(Instant moment) { answer_by_ = moment; }
+  /// The process is shutting down: every unanswered call, queued, in flight or still to come, gets its final
+  /// answer by `plan.answer_by`, whatever its own deadline. Calls that stand are not touched.
+  void begin_shutdown(const Leaving& plan);
   void decide(CallId call);
   void give_up(CallId call);  ///< of no effect after the answer
   /// Before the answer the set-up is given up, after it the call is released.
@@ -97,6 +99,7 @@
     Placement placement;
     Instant sent{};
     TimerWheel::Handle deadline = 0;
+    Instant wakes_at{};  ///< when `deadline` is due
   };
 
   void enact(Decisions decisions);
@@ -110,7 +113,12 @@
   void tell(CallId id, Reason otherwise, Duration stay_away);
   /// The versions of all servers that have not gone.
   [[nodiscard]] VersionSet versions() const;
+  void set_deadline(CallId id, Call& call, Instant moment);
   void time_out(CallId id);
+  /// The final answer of a queued call whose time is over: rejected, and the module forgets it.
+  void reject_expired(CallId id);
+  /// How long callers rejected by a shutdown should stay away: until this process has exited.
+  [[nodiscard]] Duration shutdown_retry_after() const;
   void arm();
   ServerPort* port(ServerId server);
   [[nodiscard]] AttemptRef attempt_of(CallId id, const Call& call) const {
@@ -130,7 +138,7 @@
   Note note_;
   std::unordered_map<CallId, Call> calls_;
   std::size_t standing_ = 0;
-  std::optional<Instant> answer_by_;
+  std::optional<Leaving> shutdown_;  ///< absent: not shutting down
   std::uint32_t next_id_ = 0;
   std::deque<Decision> to_do_;
   bool enacting_ = false;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatcher.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 #include <variant>
@@ -142,6 +143,12 @@
   return decisions;
 }
 
+Duration Dispatcher::longest_deadline() const {
+  Duration longest{};
+  for (const auto& call_class : settings_.classes) longest = std::max(longest, call_class.deadline);
+  return longest;
+}
+
 std::optional<Instant> Dispatcher::next_tick() const {
   if (due_.empty()) return std::nullopt;
   return due_.top().when;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -72,6 +72,8 @@
   [[nodiscard]] std::optional<Instant> next_tick() const;
 
   [[nodiscard]] const Settings& settings() const { return settings_; }
+  /// The longest deadline of any class of call: no call waits longer.
+  [[nodiscard]] Duration longest_deadline() const;
   /// Classes and limits of new settings; see Admission::retune.
   void retune(const std::vector<CallClass>& classes, const Limits& limits) {
     admission_.retune(classes, limits);
--- a/src/core/leaving.hpp
+++ b/src/core/leaving.hpp
@@ -34,7 +34,7 @@
 /// The times of a process that SIGTERM reached.
 struct Leaving {
   Instant callers_until{};  ///< callers go on connecting and asking until then
-  Instant answer_by{};      ///< what is taken after `callers_until` has its answer by then
+  Instant answer_by{};      ///< every call has its final answer by then, whenever it was taken
   Instant leave_by{};       ///< what stands is not waited for any longer
 
   /// `longest` is the longest deadline of a class. SIGKILL comes no sooner than that, or its bound, plus the
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -122,7 +122,9 @@
 }
 
 struct DiameterBench : Bench {
-  explicit DiameterBench(const app::OperatorFile& file, bool client = false) : Bench(file) {
+  explicit DiameterBench(const app::OperatorFile& file, bool client = false,
+                         const app::Config& base = bench_config())
+      : Bench(file, base) {
     server.make = [this] { return std::make_unique<DiameterEnd>(loop, "s1.acme", state); };
     list();
     if (!file.diameter->servers.empty()) {
@@ -469,6 +471,33 @@
   }
 }
 
+TEST_CASE("Diameter: requests queued and in flight at SIGTERM are answered before SIGKILL may come") {
+  constexpr std::size_t kRequests = 8;
+  auto config = bench_config();
+  for (auto& call_class : config.settings.classes) {
+    call_class.deadline = milliseconds{1500};  // SIGKILL may come 2.2 s after SIGTERM
+    call_class.aim = std::chrono::seconds{6};  // no attempt is called off as silent before that
+  }
+  DiameterBench bench(setup(false, true), false, config);
+  bench.server.make = nullptr;  // the server speaks SIP
+  bench.till = bench.client_peer("till.acme");
+  auto& till = *bench.till;
+  for (std::size_t i = 0; i < kRequests; ++i) till.open("till;" + std::to_string(i), "2950");
+  bench.until([&] { return bench.router->table().unanswered() == kRequests; });
+  bench.until([&] { return bench.server.count("CSeq: 1 INVITE") > 0; });
+  bool is_over = false;
+  bool is_late = false;
+  bench.router->stop_when_answered([&] { is_over = true; });
+  bench.loop.after(milliseconds{2600}, [&] { is_late = true; });
+  bench.until([&] { return is_over || is_late; });
+  CHECK_FALSE(is_late);
+  bench.until([&] { return till.answers().size() == kRequests; });
+  for (const auto& answer : till.answers()) {
+    CHECK(result_of(answer) == 3004);                    // DIAMETER_TOO_BUSY, for want of a word of its own
+    CHECK(answer.find(Code::kErrorMessage) != nullptr);  // when to come back
+  }
+}
+
 TEST_CASE("Diameter: what is malformed gets the RFC's answer") {
   DiameterBench bench(setup(true, true), true);
   auto& till = *bench.till;
