Compare the bytes of every message and stored file with literals, before names change

A renaming of the whole tree follows, and it must not change a byte on any wire or in any stored file. Most take what left a socket; what depends on the clock or a port (remaining times, Origin-State-Id, port numbers) is masked.

--- /dev/null
+++ b/tests/wire_format.hpp
@@ -0,0 +1,40 @@
+// What the tests of bytes on the wire share. Their literals are the bytes that other programs and stored
+// files depend on: a change of names in the code leaves every one of them as it is.
+#pragma once
+
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+namespace amberknot::tests {
+
+/// Bytes as lower-case hex digits.
+inline std::string hex_of(std::string_view bytes) {
+  std::string hex;
+  for (const char byte : bytes) {
+    char digits[3];
+    std::snprintf(digits, sizeof digits, "%02x", static_cast<unsigned char>(byte));
+    hex += digits;
+  }
+  return hex;
+}
+
+/// Replaces by `*` the digits that follow each `prefix`: a value that depends on the clock or on a port.
+inline std::string mask_digits_after(std::string text, std::string_view prefix) {
+  for (auto at = text.find(prefix); at != std::string::npos; at = text.find(prefix, at)) {
+    at += prefix.size();
+    const auto end = text.find_first_not_of("0123456789", at);
+    text.erase(at, (end == std::string::npos ? text.size() : end) - at);
+    text.insert(at, 1, '*');
+  }
+  return text;
+}
+
+/// Takes out what has come so far.
+inline std::string taken_from(std::string& in) {
+  std::string bytes;
+  bytes.swap(in);
+  return bytes;
+}
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/wire_format_admin_test.cpp
@@ -0,0 +1,110 @@
+// The bytes of every admin reply, and the statsd lines that `stats` holds.
+#include <limits>
+
+#include "control/figures.hpp"
+#include "net_bench.hpp"
+#include "wire_format.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+struct AdminBench : Bench {
+  static app::Config with_admin() {
+    auto config = bench_config();
+    config.control = asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0};
+    return config;
+  }
+  explicit AdminBench(const app::Config& config = with_admin()) : Bench({}, config) {}
+  /// The whole reply to one line, on a connection of its own.
+  std::string reply_to(const std::string& line) {
+    auto end = connect(*router->control_at());
+    end->stream->send(line);
+    until([&] { return end->closed; });
+    return end->in;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("admin reply bytes: status, standby and active") {
+  AdminBench bench;
+  CHECK(bench.reply_to("status\n") == "+OK yes\n");
+  CHECK(bench.reply_to("standby\n") == "+OK standby\n");
+  CHECK(bench.reply_to("status\n") == "-ERR no: standby\n");
+  CHECK(bench.reply_to("active\n") == "+OK active\n");
+  CHECK(bench.reply_to("status\n") == "+OK yes\n");
+}
+
+TEST_CASE("admin reply bytes: status of a router that is stopping") {
+  AdminBench bench;
+  bench.list();
+  bench.standing("9b1f03aa5c7e2d41");
+  bench.router->stop_when_answered([] {});
+  CHECK(bench.reply_to("status\n") == "-ERR no: stopping\n");
+}
+
+TEST_CASE("admin reply bytes: a line that is no command") {
+  AdminBench bench;
+  CHECK(bench.reply_to("\n") == "-ERR empty line\n");
+  CHECK(bench.reply_to("reboot \x01\x7f now\n") == "-ERR unknown call: reboot ?? now\n");
+  CHECK(bench.reply_to(std::string(40, 'x') + "\n") ==
+        "-ERR unknown call: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n");
+  CHECK(bench.reply_to(std::string(257, 'x') + "\n") == "-ERR line too long\n");
+}
+
+TEST_CASE("statsd line bytes: what a router counts, as a reply") {
+  auto config = AdminBench::with_admin();
+  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  AdminBench bench(config);
+  bench.list();
+  bench.list(ListState::kDraining, 0, "s2");
+  bench.standing("9b1f03aa5c7e2d41");
+  bench.open("9b1f03aa5c7e2d42");
+  bench.invited("9b1f03aa5c7e2d42")
+      .stream->send(Bench::sip("SIP/2.0 500 Error", "9b1f03aa5c7e2d42", "1 INVITE"));
+  bench.until([&] { return bench.caller->has("\"close\""); });
+  bench.router->reload_failed("a trial");
+  CHECK(bench.reply_to("stats\n") ==
+        "+OK\n"
+        "router.fulfilled.voice:1|c\n"
+        "router.throttled.voice:0|c\n"
+        "router.faulted.voice:1|c\n"
+        "router.relayed.voice:2|c\n"
+        "router.fulfilled.data:0|c\n"
+        "router.throttled.data:0|c\n"
+        "router.faulted.data:0|c\n"
+        "router.relayed.data:0|c\n"
+        "router.open_requests:1|g\n"
+        "router.registry_entries:2|g\n"
+        "router.out_of_rotation:1|g\n"
+        "router.cfg_accepted:0|g\n"
+        "router.cfg_invalid:1|g\n"
+        ".\n");
+}
+
+TEST_CASE("statsd line bytes: every counter and gauge, and a class without a name") {
+  core::Counters counters;
+  counters.of_class(0) = {.fulfilled = 1, .throttled = 2, .faulted = 3, .relayed = 4};
+  counters.of_class(1) = {
+      .fulfilled = std::numeric_limits<std::uint64_t>::max(), .throttled = 6, .faulted = 7, .relayed = 8};
+  counters.reloads = 9;
+  counters.reloads_failed = 10;
+  const control::Gauges gauges{.open_requests = 11, .registry_entries = 12, .out_of_rotation = 13};
+  CHECK(control::statsd_lines(counters, {"voice"}, gauges) ==
+        "router.fulfilled.voice:1|c\n"
+        "router.throttled.voice:2|c\n"
+        "router.faulted.voice:3|c\n"
+        "router.relayed.voice:4|c\n"
+        "router.fulfilled.1:18446744073709551615|c\n"
+        "router.throttled.1:6|c\n"
+        "router.faulted.1:7|c\n"
+        "router.relayed.1:8|c\n"
+        "router.open_requests:11|g\n"
+        "router.registry_entries:12|g\n"
+        "router.out_of_rotation:13|g\n"
+        "router.cfg_accepted:9|g\n"
+        "router.cfg_invalid:10|g\n"
+        ".\n");
+}
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/wire_format_diameter_client_test.cpp
@@ -0,0 +1,310 @@
+// The bytes of every Diameter message to a client.
+#include "wire_format_diameter.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+using diameter::Code;
+using diameter::Command;
+using diameter::Parameter;
+using diameter::RequestType;
+using diameter::Result;
+using diameter::Writer;
+
+constexpr std::uint32_t kHopByHop = 0xaabbccdd;
+constexpr std::uint32_t kEndToEnd = 0x11223344;
+
+app::OperatorFile setup_with_clients() {
+  auto file = diameter_setup();
+  file.diameter->listen = asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0);
+  file.diameter->clients = {"till.acme"};
+  return file;
+}
+
+/// A router with a SIP server, and a Diameter client that says only what the test lets it say.
+struct DiameterClientBench : Bench {
+  explicit DiameterClientBench(const app::Config& config = bench_config())
+      : Bench(setup_with_clients(), config), client(connect(*router->diameter_at())) {}
+  std::string next_text() { return text.of(next_message(*this, *client)); }
+  void send(Writer& writer) { client->stream->send(writer.finish()); }
+  /// Sends a capabilities exchange request; the answer.
+  std::string exchange(const std::string& host, const std::string& realm, std::uint32_t application) {
+    auto cer = Writer::request(Command::kCapabilitiesExchange, 0, kHopByHop, kEndToEnd);
+    cer.add(Code::kOriginHost, host);
+    if (!realm.empty()) cer.add(Code::kOriginRealm, realm);
+    send(cer.add(Code::kAuthApplicationId, application));
+    return next_text();
+  }
+  void exchange() { exchange("till.acme", "acme", diameter::kCreditControlApplication); }
+  static Writer credit(RequestType type, const std::string& context = "voice@kartu.example") {
+    auto ccr =
+        Writer::request(Command::kCreditControl, diameter::kCreditControlApplication, kHopByHop, kEndToEnd);
+    ccr.add(Code::kSessionId, "till;1").add(Code::kOriginHost, "till.acme").add(Code::kOriginRealm, "acme");
+    ccr.add(Code::kDestinationRealm, "kartu.example");
+    ccr.add(Code::kAuthApplicationId, diameter::kCreditControlApplication);
+    if (!context.empty()) ccr.add(Code::kServiceContextId, context);
+    ccr.add(Code::kCcRequestType, static_cast<std::uint32_t>(type)).add(Code::kCcRequestNumber, 7U);
+    return ccr;
+  }
+  void set_up(const std::string& wait_ms) {
+    auto ccr = credit(RequestType::kInitial);
+    ccr.add_group(Code::kProxyInfo, [](Writer& group) { group.add(Code::kOriginHost, "proxy.acme"); });
+    ccr.add_group(Code::kSubscriptionId, [](Writer& group) {
+      group.add(Code::kSubscriptionIdType, 4U).add(Code::kSubscriptionIdData, "77aa");
+    });
+    send(ccr.add_parameter(Parameter::kDescription, "desc").add_parameter(Parameter::kWaitMs, wait_ms));
+  }
+  /// The Call-ID by which the server knows the client's first call.
+  std::string call_id() const {
+    char id[17];
+    std::snprintf(id, sizeof id, "%08x%08x", text.state_id(), 0U);
+    return id;
+  }
+  End& set_up_that_stands() {
+    list();
+    set_up("2000");
+    auto& end = invited(call_id());
+    answer(end, call_id(), "sdp");
+    return end;
+  }
+
+  DiameterText text;
+  std::unique_ptr<End> client;
+};
+
+}  // namespace
+
+TEST_CASE("Diameter client bytes: capabilities exchange") {
+  CHECK(DiameterClientBench().exchange("till.acme", "acme", 4) ==
+        "010000980000010100000000aabbccdd11223344\n"          // header
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001014000000e00017f0000010000\n"                  // Host-IP-Address
+        "0000010a4000000c00000000\n"                          // Vendor-Id
+        "0000010d00000011616d6265726b6e6f74000000\n"          // Product-Name
+        "000001164000000c00000000\n"                          // Origin-State-Id
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+  CHECK(DiameterClientBench().exchange("other.acme", "acme", 4) ==
+        "010000982000010100000000aabbccdd11223344\n"          // header
+        "0000010c4000000c00000bc2\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001014000000e00017f0000010000\n"                  // Host-IP-Address
+        "0000010a4000000c00000000\n"                          // Vendor-Id
+        "0000010d00000011616d6265726b6e6f74000000\n"          // Product-Name
+        "000001164000000c00000000\n"                          // Origin-State-Id
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+  CHECK(DiameterClientBench().exchange("till.acme", "", 4) ==
+        "010000a80000010100000000aabbccdd11223344\n"          // header
+        "0000010c4000000c0000138d\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "00000117400000100000012840000008\n"                  // Failed-AVP
+        "000001014000000e00017f0000010000\n"                  // Host-IP-Address
+        "0000010a4000000c00000000\n"                          // Vendor-Id
+        "0000010d00000011616d6265726b6e6f74000000\n"          // Product-Name
+        "000001164000000c00000000\n"                          // Origin-State-Id
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+  CHECK(DiameterClientBench().exchange("till.acme", "acme", 5) ==
+        "010000980000010100000000aabbccdd11223344\n"          // header
+        "0000010c4000000c00001392\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001014000000e00017f0000010000\n"                  // Host-IP-Address
+        "0000010a4000000c00000000\n"                          // Vendor-Id
+        "0000010d00000011616d6265726b6e6f74000000\n"          // Product-Name
+        "000001164000000c00000000\n"                          // Origin-State-Id
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+}
+
+TEST_CASE("Diameter client bytes: a call that stands, and its termination") {
+  DiameterClientBench bench;
+  bench.exchange();
+  bench.set_up_that_stands();
+  CHECK(bench.next_text() ==
+        "010000c04000011000000004aabbccdd11223344\n"                        // header
+        "000001074000000e74696c6c3b310000\n"                                // Session-Id
+        "0000010c4000000c000007d1\n"                                        // Result-Code
+        "0000011c4000001c000001084000001270726f78792e61636d650000\n"        // Proxy-Info
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                // Origin-Realm
+        "000001024000000c00000004\n"                                        // Auth-Application-Id
+        "000001a04000000c00000001\n"                                        // CC-Request-Type
+        "0000019f4000000c00000007\n"                                        // CC-Request-Number
+        "000001b840000020000001b94000000c00000001000001ba4000000b73647000"  // Service-Parameter-Info
+  );
+  auto update = DiameterClientBench::credit(RequestType::kUpdate);
+  bench.send(update);
+  CHECK(bench.next_text() ==
+        "010000844000011000000004aabbccdd11223344\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001024000000c00000004\n"                          // Auth-Application-Id
+        "000001a04000000c00000002\n"                          // CC-Request-Type
+        "0000019f4000000c00000007"                            // CC-Request-Number
+  );
+  auto termination = DiameterClientBench::credit(RequestType::kTermination);
+  bench.send(termination);
+  CHECK(bench.next_text() ==
+        "010000844000011000000004aabbccdd11223344\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001024000000c00000004\n"                          // Auth-Application-Id
+        "000001a04000000c00000003\n"                          // CC-Request-Type
+        "0000019f4000000c00000007"                            // CC-Request-Number
+  );
+  termination = DiameterClientBench::credit(RequestType::kTermination);
+  bench.send(termination);
+  CHECK(bench.next_text() ==
+        "010000844000011000000004aabbccdd11223344\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "0000010c4000000c0000138a\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001024000000c00000004\n"                          // Auth-Application-Id
+        "000001a04000000c00000003\n"                          // CC-Request-Type
+        "0000019f4000000c00000007"                            // CC-Request-Number
+  );
+}
+
+TEST_CASE("Diameter client bytes: a call that its server releases is aborted") {
+  DiameterClientBench bench;
+  bench.exchange();
+  auto& server = bench.set_up_that_stands();
+  bench.next_text();
+  server.stream->send(
+      Bench::sip("BYE sip:77aa@net SIP/2.0", bench.call_id(), "1 BYE", "Reason: Q.850;cause=16\r\n"));
+  CHECK(bench.next_text() ==
+        "01000080c0000112000000040000000100000000\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "0000011b4000000c61636d65\n"                          // Destination-Realm
+        "000001254000001174696c6c2e61636d65000000\n"          // Destination-Host
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+}
+
+TEST_CASE("Diameter client bytes: a call rejected after its time") {
+  DiameterClientBench bench;
+  bench.exchange();
+  bench.set_up("100");
+  CHECK(bench.next_text() ==
+        "010000a06000011000000004aabbccdd11223344\n"                  // header
+        "000001074000000e74696c6c3b310000\n"                          // Session-Id
+        "0000010c4000000c00000bbc\n"                                  // Result-Code
+        "0000011c4000001c000001084000001270726f78792e61636d650000\n"  // Proxy-Info
+        "00000108400000186e302e6b617274752e6578616d706c65\n"          // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"          // Origin-Realm
+        "000001024000000c00000004\n"                                  // Auth-Application-Id
+        "000001a04000000c00000001\n"                                  // CC-Request-Type
+        "0000019f4000000c00000007"                                    // CC-Request-Number
+  );
+}
+
+TEST_CASE("Diameter client bytes: a call rejected by the only server, with the time to stay away") {
+  DiameterClientBench bench;
+  bench.exchange();
+  bench.list();
+  bench.set_up("300");
+  bench.invited(bench.call_id())
+      .stream->send(Bench::sip("SIP/2.0 503 Full", bench.call_id(), "1 INVITE", "X-Diagnosis: atb\r\n"));
+  CHECK(bench.next_text() ==
+        "010000dc6000011000000004aabbccdd11223344\n"                        // header
+        "000001074000000e74696c6c3b310000\n"                                // Session-Id
+        "0000010c4000000c00000bbc\n"                                        // Result-Code
+        "0000011c4000001c000001084000001270726f78792e61636d650000\n"        // Proxy-Info
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                // Origin-Realm
+        "000001024000000c00000004\n"                                        // Auth-Application-Id
+        "000001a04000000c00000001\n"                                        // CC-Request-Type
+        "0000019f4000000c00000007\n"                                        // CC-Request-Number
+        "000001190000001c636f6d65206261636b20696e2032303030206d73\n"        // Error-Message
+        "000001b840000020000001b94000000c00000003000001ba4000000c32303030"  // Service-Parameter-Info
+  );
+}
+
+TEST_CASE("Diameter client bytes: a call that failed at its server") {
+  auto config = bench_config();
+  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  DiameterClientBench bench(config);
+  bench.exchange();
+  bench.list();
+  bench.set_up("2000");
+  bench.invited(bench.call_id()).stream->send(Bench::sip("SIP/2.0 500 Error", bench.call_id(), "1 INVITE"));
+  CHECK(bench.next_text() ==
+        "010000a04000011000000004aabbccdd11223344\n"                  // header
+        "000001074000000e74696c6c3b310000\n"                          // Session-Id
+        "0000010c4000000c00001394\n"                                  // Result-Code
+        "0000011c4000001c000001084000001270726f78792e61636d650000\n"  // Proxy-Info
+        "00000108400000186e302e6b617274752e6578616d706c65\n"          // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"          // Origin-Realm
+        "000001024000000c00000004\n"                                  // Auth-Application-Id
+        "000001a04000000c00000001\n"                                  // CC-Request-Type
+        "0000019f4000000c00000007"                                    // CC-Request-Number
+  );
+}
+
+TEST_CASE("Diameter client bytes: requests with a fault") {
+  DiameterClientBench bench;
+  bench.exchange();
+  auto no_class = DiameterClientBench::credit(RequestType::kInitial, "none@kartu.example");
+  bench.send(no_class);
+  CHECK(bench.next_text() ==
+        "010000a84000011000000004aabbccdd11223344\n"                                  // header
+        "000001074000000e74696c6c3b310000\n"                                          // Session-Id
+        "0000010c4000000c0000138c\n"                                                  // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                          // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                          // Origin-Realm
+        "0000011740000024000001cd4000001a6e6f6e65406b617274752e6578616d706c650000\n"  // Failed-AVP
+        "000001024000000c00000004\n"                                                  // Auth-Application-Id
+        "000001a04000000c00000001\n"                                                  // CC-Request-Type
+        "0000019f4000000c00000007"                                                    // CC-Request-Number
+  );
+  auto no_context = DiameterClientBench::credit(RequestType::kInitial, "");
+  bench.send(no_context);
+  CHECK(bench.next_text() ==
+        "010000944000011000000004aabbccdd11223344\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "0000010c4000000c0000138d\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "0000011740000010000001cd40000008\n"                  // Failed-AVP
+        "000001024000000c00000004\n"                          // Auth-Application-Id
+        "000001a04000000c00000001\n"                          // CC-Request-Type
+        "0000019f4000000c00000007"                            // CC-Request-Number
+  );
+  auto no_number = DiameterClientBench::credit(RequestType::kInitial);
+  bench.send(no_number);
+  CHECK(bench.next_text() ==
+        "010000944000011000000004aabbccdd11223344\n"          // header
+        "000001074000000e74696c6c3b310000\n"                  // Session-Id
+        "0000010c4000000c0000138d\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "0000011740000010000001bb40000008\n"                  // Failed-AVP
+        "000001024000000c00000004\n"                          // Auth-Application-Id
+        "000001a04000000c00000001\n"                          // CC-Request-Type
+        "0000019f4000000c00000007"                            // CC-Request-Number
+  );
+  auto other = Writer::request(Command::kCreditControl, 9, kHopByHop, kEndToEnd);
+  bench.send(other);
+  CHECK(bench.next_text() ==
+        "0100005c6000011000000009aabbccdd11223344\n"          // header
+        "0000010c4000000c00000bbf\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+}
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/wire_format_diameter_server_test.cpp
@@ -0,0 +1,216 @@
+// The bytes of every Diameter message to a session server.
+#include "wire_format_diameter.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+using diameter::Code;
+using diameter::Command;
+using diameter::Parameter;
+using diameter::Result;
+using diameter::Writer;
+
+const std::string kCallId = "9b1f03aa5c7e2d41";
+
+app::OperatorFile setup_with_servers(milliseconds watchdog) {
+  auto file = diameter_setup(watchdog);
+  file.diameter->servers = {"*"};
+  return file;
+}
+
+/// A router and its connection to a Diameter server, which says only what the test lets it say.
+struct DiameterServerBench : Bench {
+  explicit DiameterServerBench(milliseconds watchdog = std::chrono::seconds{30})
+      : Bench(setup_with_servers(watchdog)) {
+    list();
+    until([&] { return !server.ends.empty(); });
+    capabilities_request = next();
+    cer_text = text.of(capabilities_request);
+    auto cea = Writer::answer(read_whole(capabilities_request), Result::kSuccess);
+    send(cea.add(Code::kOriginHost, "s1.acme").add(Code::kOriginRealm, "acme"));
+  }
+  End& peer() { return *server.ends.back(); }
+  std::string next() { return next_message(*this, peer()); }
+  std::string next_text() { return text.of(next()); }
+  void send(Writer& writer) { peer().stream->send(writer.finish()); }
+  /// The request for a call; the last four bytes are its remaining time in milliseconds.
+  std::string initial_request() {
+    open(kCallId, 5000);
+    return next();
+  }
+  void accept(const std::string& request) {
+    auto cca = Writer::answer(read_whole(request), Result::kSuccess);
+    send(cca.add(Code::kOriginHost, "s1.acme").add_parameter(Parameter::kDescription, "sdp"));
+    until([&] { return caller->has("\"ready\""); });
+  }
+  void release() { say("{\"msg\":\"close\",\"sid\":\"9b1f03aa5c7e2d41\",\"attrs\":{},\"code\":16}\n"); }
+  Writer request(Command command, std::uint32_t application) {
+    return Writer::request(command, application, 0xaabbccdd, 0x11223344);
+  }
+
+  DiameterText text;
+  std::string capabilities_request, cer_text;
+};
+
+}  // namespace
+
+TEST_CASE("Diameter server bytes: capabilities exchange, set-up and termination") {
+  DiameterServerBench bench;
+  CHECK(bench.cer_text ==
+        "0100008c80000101000000000000000100000000\n"          // header
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001014000000e00017f0000010000\n"                  // Host-IP-Address
+        "0000010a4000000c00000000\n"                          // Vendor-Id
+        "0000010d00000011616d6265726b6e6f74000000\n"          // Product-Name
+        "000001164000000c00000000\n"                          // Origin-State-Id
+        "000001024000000c00000004"                            // Auth-Application-Id
+  );
+  const auto request = bench.initial_request();
+  auto shown = request;
+  CHECK(shown.substr(shown.size() - 4).find_first_not_of("0123456789") == std::string::npos);
+  shown.replace(shown.size() - 4, 4, "0000");
+  CHECK(bench.text.of(shown) ==
+        "01000138c0000110000000040000000200000001\n"  // header
+        "00000107400000386e302e6b617274752e6578616d706c653b303030303030303030303b303b303b39623166303361613563"
+        "376532643431\n"                                                      // Session-Id
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                  // Origin-Realm
+        "0000011b4000000c61636d65\n"                                          // Destination-Realm
+        "000001254000000f73312e61636d6500\n"                                  // Destination-Host
+        "000001024000000c00000004\n"                                          // Auth-Application-Id
+        "000001cd4000001b766f696365406b617274752e6578616d706c6500\n"          // Service-Context-Id
+        "000001a04000000c00000001\n"                                          // CC-Request-Type
+        "0000019f4000000c00000000\n"                                          // CC-Request-Number
+        "000001bb40000020000001c24000000c00000004000001bc4000000c37376161\n"  // Subscription-Id
+        "000001b840000020000001b94000000c00000001000001ba4000000c64657363\n"  // Service-Parameter-Info
+        "000001b840000020000001b94000000c00000002000001ba4000000c30303030"    // Service-Parameter-Info
+  );
+  bench.accept(request);
+  bench.release();
+  CHECK(bench.next_text() ==
+        "010000e8c0000110000000040000000300000002\n"  // header
+        "00000107400000386e302e6b617274752e6578616d706c653b303030303030303030303b303b303b39623166303361613563"
+        "376532643431\n"                                                      // Session-Id
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                  // Origin-Realm
+        "0000011b4000000c61636d65\n"                                          // Destination-Realm
+        "000001254000000f73312e61636d6500\n"                                  // Destination-Host
+        "000001024000000c00000004\n"                                          // Auth-Application-Id
+        "000001cd4000001d72656c65617365406b617274752e6578616d706c65000000\n"  // Service-Context-Id
+        "000001a04000000c00000003\n"                                          // CC-Request-Type
+        "0000019f4000000c00000001\n"                                          // CC-Request-Number
+        "000001274000000c00000001"                                            // Termination-Cause
+  );
+}
+
+TEST_CASE("Diameter server bytes: a set-up given up is terminated") {
+  DiameterServerBench bench;
+  bench.initial_request();
+  bench.release();
+  CHECK(bench.next_text() ==
+        "010000e8c0000110000000040000000300000002\n"  // header
+        "00000107400000386e302e6b617274752e6578616d706c653b303030303030303030303b303b303b39623166303361613563"
+        "376532643431\n"                                                      // Session-Id
+        "00000108400000186e302e6b617274752e6578616d706c65\n"                  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"                  // Origin-Realm
+        "0000011b4000000c61636d65\n"                                          // Destination-Realm
+        "000001254000000f73312e61636d6500\n"                                  // Destination-Host
+        "000001024000000c00000004\n"                                          // Auth-Application-Id
+        "000001cd4000001d72656c65617365406b617274752e6578616d706c65000000\n"  // Service-Context-Id
+        "000001a04000000c00000003\n"                                          // CC-Request-Type
+        "0000019f4000000c00000001\n"                                          // CC-Request-Number
+        "000001274000000c00000001"                                            // Termination-Cause
+  );
+}
+
+TEST_CASE("Diameter server bytes: a watchdog request") {
+  DiameterServerBench bench(milliseconds{200});
+  CHECK(bench.next_text() ==
+        "0100005080000118000000000000000200000001\n"          // header
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001164000000c00000000"                            // Origin-State-Id
+  );
+}
+
+TEST_CASE("Diameter server bytes: a disconnect request") {
+  DiameterServerBench bench;
+  bench.accept(bench.initial_request());
+  bench.release();
+  bench.next();
+  bench.router->stop_when_answered([] {});
+  CHECK(bench.next_text() ==
+        "010000508000011a000000000000000400000003\n"          // header
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001114000000c00000000"                            // Disconnect-Cause
+  );
+}
+
+TEST_CASE("Diameter server bytes: answers to watchdog, abort and disconnect requests") {
+  DiameterServerBench bench;
+  const auto ccr = bench.initial_request();
+  bench.accept(ccr);
+  auto dwr = bench.request(Command::kWatchdog, 0);
+  bench.send(dwr.add(Code::kOriginHost, "s1.acme").add(Code::kOriginRealm, "acme"));
+  CHECK(bench.next_text() ==
+        "0100005c0000011800000000aabbccdd11223344\n"          // header
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "000001164000000c00000000"                            // Origin-State-Id
+  );
+  auto unknown = bench.request(Command::kAbortSession, 4);
+  bench.send(unknown.add(Code::kSessionId, "none;1"));
+  CHECK(bench.next_text() ==
+        "010000604000011200000004aabbccdd11223344\n"          // header
+        "000001074000000e6e6f6e653b310000\n"                  // Session-Id
+        "0000010c4000000c0000138a\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000"    // Origin-Realm
+  );
+  auto asr = bench.request(Command::kAbortSession, 4);
+  bench.send(asr.add(Code::kSessionId, read_whole(ccr).text(Code::kSessionId)));
+  CHECK(bench.next_text() ==
+        "010000884000011200000004aabbccdd11223344\n"  // header
+        "00000107400000386e302e6b617274752e6578616d706c653b303030303030303030303b303b303b39623166303361613563"
+        "376532643431\n"                                      // Session-Id
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000"    // Origin-Realm
+  );
+  bench.next();  // the termination of what was aborted
+  auto dpr = bench.request(Command::kDisconnect, 0);
+  bench.send(dpr.add(Code::kDisconnectCause, 0U));
+  CHECK(bench.next_text() ==
+        "010000500000011a00000000aabbccdd11223344\n"          // header
+        "0000010c4000000c000007d1\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000"    // Origin-Realm
+  );
+}
+
+TEST_CASE("Diameter server bytes: answers to what is unknown or malformed") {
+  DiameterServerBench bench;
+  bench.accept(bench.initial_request());
+  auto unknown = Writer::request(static_cast<Command>(999), 0, 0xaabbccdd, 0x11223344);
+  bench.send(unknown);
+  CHECK(bench.next_text() ==
+        "01000050200003e700000000aabbccdd11223344\n"          // header
+        "0000010c4000000c00000bb9\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000"    // Origin-Realm
+  );
+  auto short_number = bench.request(Command::kWatchdog, 0);
+  bench.send(short_number.add(Code::kOriginStateId, std::string_view("abc")));
+  CHECK(bench.next_text() ==
+        "010000640000011800000000aabbccdd11223344\n"          // header
+        "0000010c4000000c00001396\n"                          // Result-Code
+        "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
+        "00000128400000156b617274752e6578616d706c65000000\n"  // Origin-Realm
+        "0000011740000014000001164000000b61626300"            // Failed-AVP
+  );
+}
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/wire_format_jsonl_test.cpp
@@ -0,0 +1,129 @@
+// The bytes of every JSON line to a caller.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "jsonl/codec.hpp"
+#include "net_bench.hpp"
+#include "wire_format.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+const std::string kCallId = "9b1f03aa5c7e2d41";
+
+/// What came at the caller's end, up to and with a whole line that holds the text.
+std::string line_with(Bench& bench, std::string_view text) {
+  bench.until([&] { return bench.caller->has(text) && bench.caller->in.ends_with('\n'); });
+  return taken_from(bench.caller->in);
+}
+
+}  // namespace
+
+TEST_CASE("JSON line bytes: an answer with its description, and a confirmed release") {
+  Bench bench;
+  bench.list();
+  bench.open(kCallId);
+  bench.answer(bench.invited(kCallId), kCallId, "v=0\r\n\"a\\b\"/\t\xc3\xa9\r\n");
+  CHECK(line_with(bench, "ready") ==
+        R"({"msg":"ready","sid":"9b1f03aa5c7e2d41","attrs":{},"text":"v=0\r\n\"a\\b\"/\té\r\n"})"
+        "\n");
+  bench.say(R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":16})"
+            "\n");
+  CHECK(line_with(bench, "closed") == R"({"msg":"closed","sid":"9b1f03aa5c7e2d41","attrs":{}})"
+                                      "\n");
+}
+
+TEST_CASE("JSON line bytes: a release by the server, and a call that was cut") {
+  struct Case {
+    std::string reason;
+    std::string line;
+  };
+  const Case cases[] = {
+      {"16", R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":16})"},
+      {"41", R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":41})"},
+  };
+  for (const auto& one : cases) {
+    CAPTURE(one.reason);
+    Bench bench;
+    bench.list();
+    auto& server = bench.standing(kCallId);
+    bench.caller->in.clear();
+    server.stream->send(Bench::sip("BYE sip:77aa@net SIP/2.0", kCallId, "1 BYE",
+                                   "Reason: Q.850;cause=" + one.reason + "\r\n"));
+    CHECK(line_with(bench, "close") == one.line + "\n");
+  }
+}
+
+TEST_CASE("JSON line bytes: a call that failed at its server, and one with a bad field") {
+  auto config = bench_config();
+  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  Bench bench({}, config);
+  bench.list();
+  bench.open(kCallId);
+  bench.invited(kCallId).stream->send(Bench::sip("SIP/2.0 500 Error", kCallId, "1 INVITE"));
+  CHECK(line_with(bench, "close") == R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":41})"
+                                     "\n");
+  bench.say(R"({"msg":"open","sid":"9b1f03aa5c7e2d41","attrs":{"class":"none"},"text":"d"})"
+            "\n");
+  CHECK(line_with(bench, "close") == R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":100})"
+                                     "\n");
+}
+
+TEST_CASE("JSON line bytes: a call rejected by the only server, with the time to stay away") {
+  Bench bench;
+  bench.list();
+  bench.open(kCallId, 300);
+  bench.invited(kCallId).stream->send(
+      Bench::sip("SIP/2.0 503 Full", kCallId, "1 INVITE", "X-Diagnosis: atb\r\n"));
+  CHECK(line_with(bench, "close") ==
+        R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{"wait":"2000"},"code":42})"
+        "\n");
+}
+
+TEST_CASE("JSON line bytes: a call rejected after its time") {
+  Bench bench;
+  bench.open(kCallId, 100);
+  CHECK(line_with(bench, "close") == R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":42})"
+                                     "\n");
+}
+
+TEST_CASE("JSON line bytes: a test that passes, and one that fails in standby") {
+  const std::string test = R"({"msg":"probe","sid":"00000000000000ff","attrs":{},"code":0})"
+                           "\n";
+  Bench bench;
+  bench.say(test);
+  CHECK(line_with(bench, "probed") == R"({"msg":"probed","sid":"00000000000000ff","attrs":{},"code":1})"
+                                      "\n");
+  bench.list();
+  bench.open(kCallId);
+  bench.invited(kCallId);  // a connection that waits for an answer stays open in standby
+  bench.router->standby(true);
+  bench.say(test);
+  CHECK(line_with(bench, "probed") == R"({"msg":"probed","sid":"00000000000000ff","attrs":{},"code":0})"
+                                      "\n");
+}
+
+TEST_CASE("JSON line bytes: a release with each cause, and with the time to stay away") {
+  struct Case {
+    int cause;
+    const char* line;
+  };
+  const Case cases[] = {
+      {16, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":16})"},
+      {17, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":17})"},
+      {34, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":34})"},
+      {38, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":38})"},
+      {41, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":41})"},
+      {42, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":42})"},
+      {100, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":100})"},
+      {102, R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{},"code":102})"},
+  };
+  for (const auto& one : cases) {
+    CHECK(jsonl::close_line(kCallId, static_cast<core::Cause>(one.cause)) == std::string(one.line) + "\n");
+  }
+  CHECK(jsonl::close_line(kCallId, core::Cause::kCongestion, std::chrono::microseconds{1'250'900}) ==
+        R"({"msg":"close","sid":"9b1f03aa5c7e2d41","attrs":{"wait":"1250"},"code":42})"
+        "\n");
+  CHECK(jsonl::close_line("", core::Cause::kNormal) == R"({"msg":"close","sid":"","attrs":{},"code":16})"
+                                                       "\n");
+}
+
+}  // namespace amberknot::tests
--- /dev/null
+++ b/tests/wire_format_stored_files_test.cpp
@@ -0,0 +1,84 @@
+// The bytes of the files that a process leaves in the shared folder, and their names.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "store/handover.hpp"
+#include "store/presence.hpp"
+
+namespace amberknot::tests {
+namespace {
+
+constexpr const char* kInstanceText =
+    R"({"version":1,"name":"n\"0","listen":"127.0.0.1:5070","started_unix_us":1790000000123456})"
+    "\n";
+constexpr const char* kReleasesText = R"({"version":1,"name":"n\"0","listen":"127.0.0.1:5070","releases":[)"
+                                      R"({"caller":"10.4.7.9","id":"9b1f03aa5c7e2d41","cause":16},)"
+                                      R"({"caller":"10.4.7.10","id":"9b1f03aa5c7e2d42","cause":41}]})";
+
+const core::ServingRecord kInstance{"n\"0", "127.0.0.1:5070", 1'790'000'000'123'456};
+
+std::vector<core::HandedRelease> two_releases() {
+  return {{"10.4.7.9", "9b1f03aa5c7e2d41", 16}, {"10.4.7.10", "9b1f03aa5c7e2d42", 41}};
+}
+
+struct TemporaryFolder {
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "amberknot-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    path = pattern;
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path); }
+  /// The only file there.
+  [[nodiscard]] std::filesystem::path file() const {
+    const std::filesystem::directory_iterator all(path);
+    REQUIRE(std::distance(begin(all), end(all)) == 1);
+    return std::filesystem::directory_iterator(path)->path();
+  }
+  std::string path;
+};
+
+std::string content_of(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+}  // namespace
+
+TEST_CASE("stored file bytes: the instance record") {
+  const TemporaryFolder folder;
+  std::string error;
+  const auto presence = store::Presence::declare(folder.path, kInstance, error);
+  REQUIRE(presence);
+  CHECK(folder.file().filename().string().starts_with("amberknot-serving-"));
+  CHECK(content_of(folder.file()) == kInstanceText);
+}
+
+TEST_CASE("stored file bytes: undelivered releases") {
+  const TemporaryFolder folder;
+  std::string error;
+  auto releases = two_releases();
+  REQUIRE(store::leave_releases(folder.path, kInstance, releases, error));
+  CHECK(folder.file().filename().string().starts_with("amberknot-releases-"));
+  CHECK(content_of(folder.file()) == kReleasesText);
+}
+
+TEST_CASE("stored file bytes: files of this form are read") {
+  CHECK(store::read_record(kInstanceText) == kInstance);
+  CHECK(store::read_releases(kReleasesText, kInstance) == two_releases());
+  const TemporaryFolder folder;
+  std::ofstream(folder.path + "/amberknot-releases-1790000000123456-1", std::ios::binary) << kReleasesText;
+  std::size_t unreadable = 0;
+  CHECK(store::take_releases(folder.path, kInstance, unreadable) == two_releases());
+  CHECK(unreadable == 0);
+}
+
+TEST_CASE("stored file bytes: no releases") {
+  CHECK(store::text_of(kInstance, {}) ==
+        R"({"version":1,"name":"n\"0","listen":"127.0.0.1:5070","releases":[]})");
+}
+
+}  // namespace amberknot::tests
