Keep the fleet rig's sockets out of the router processes it starts

The rig started a router again (n4, 3.2 s) and that process inherited a copy of every socket of the rig (143 sockets open in it against 51 to 53 in those of the start). A connection that the relay reset after that did not end: the copy, which nobody reads, held it open for both ends. Seen with ss: `CLOSE-WAIT 197 0 127.0.0.1:38839 127.0.0.1:45194 users:(("amberknot_route",pid=19516,fd=51))`, the pid of the restarted n4.

The started process now closes all but its three standard descriptors.

--- a/lab/fleet/process.cpp
+++ b/lab/fleet/process.cpp
@@ -33,6 +33,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // The caller's sockets are not inherited: a connection ends only once its last descriptor is closed, and a
+  // copy in the new process, which nobody reads, would keep it open for the other side.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       posix_spawn(&id_, words.front().c_str(), &actions, nullptr, arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
--- a/lab/fleet/process.hpp
+++ b/lab/fleet/process.hpp
@@ -12,7 +12,8 @@
 
 class Process {
  public:
-  /// Output and errors go to `log`, which is begun anew. Throws std::system_error.
+  /// Output and errors go to `log`, which is begun anew; no other open file is inherited. Throws
+  /// std::system_error.
   Process(const std::vector<std::string>& words, const std::map<std::string, std::string>& variables,
           const std::string& log);
   ~Process();  ///< ends it where it still runs
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -259,6 +259,33 @@
   CHECK_THROWS_AS(Process({"/no/such/program"}, {}, folder.path + "/log"), std::system_error);
 }
 
+// A copy of a connection in a started process would keep it open unread: no end would reach either side.
+TEST_CASE("a connection that the relay cuts ends for both ends whatever process was started meanwhile") {
+  const Folder folder;
+  Stage stage;
+  Line line(stage, {});
+  asio::write(line.near, asio::buffer("before", 6));
+  stage.until([&] { return line.at_far == "before"; });
+  Process process({"/bin/sleep", "60"}, {}, folder.path + "/log");
+  SUBCASE("reset") {
+    line.relay.follow(one_fault(LinkFaultKind::kReset, seconds{60}), "n0", "s0");
+    stage.until([&] { return line.near_end == asio::error::connection_reset; });
+    stage.until([&] { return line.far_end == asio::error::connection_reset; });
+  }
+  SUBCASE("what is written after the end is refused") {
+    line.relay.follow(one_fault(LinkFaultKind::kFinish, seconds{60}), "n0", "s0");
+    stage.until([&] { return line.near_end == asio::error::eof; });
+    stage.until([&] { return line.far_end == asio::error::eof; });
+    asio::write(line.near, asio::buffer("after", 5));
+    stage.until([&] {
+      asio::error_code refused;
+      line.near.write_some(asio::buffer("after", 5), refused);
+      return bool(refused);
+    });
+  }
+  CHECK_FALSE(process.ended());  // it lived all the while
+}
+
 TEST_CASE("five router processes keep every rule with each kind of fault between them") {
   const Folder folder;
   auto options = options_of(folder.path);
