Let the fleet rig's server tell a release to its own router only

The stand-in server kept the connection of a set-up as a plain pointer and looked it up when the call hung up. That connection had closed meanwhile, and the next one accepted was another router's at the same address in memory.

The call now keeps a weak reference, and the release goes to that connection, or to another one of the same router. Names: `tell` is `send_release`, `open_` is `connections_`; an unused field of the call is removed.

--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -40,7 +40,7 @@
 
 SipServer::~SipServer() {
   for (auto& [id, call] : calls_) loop_.wheel.cancel(call.timer);
-  for (auto& [key, one] : open_) one.stream->close();
+  for (auto& [key, one] : connections_) one.stream->close();
 }
 
 asio::ip::tcp::endpoint SipServer::listen_for(const std::string& router) {
@@ -55,27 +55,26 @@
         if (error == asio::error::operation_aborted) return;
         if (!error) {
           auto stream = std::make_shared<net::Stream>(loop_, *this);
-          auto* key = stream.get();
-          open_[key] = {std::move(stream), router};
-          open_[key].stream->adopt(std::move(socket));
+          connections_[stream.get()] = {stream, router};
+          stream->adopt(std::move(socket));
           // What concerned this router and was not heard is said again on the next connection (PROTOCOL).
           std::erase_if(releases_,
                         [this](const Release& one) { return scene_.now() - one.since > kReleaseKept; });
           for (const auto& one : releases_) {
-            if (one.router == router) tell(one, key);
+            if (one.router == router) send_release(one, stream);
           }
         }
         accept(acceptor, router);
       });
 }
 
-void SipServer::tell(const Release& release, net::Stream* by) {
-  auto found = open_.find(by);
-  if (found == open_.end()) {  // otherwise on any that is open
-    found = std::find_if(open_.begin(), open_.end(),
+void SipServer::send_release(const Release& release, const std::shared_ptr<net::Stream>& preferred) {
+  auto found = connections_.find(preferred.get());
+  if (found == connections_.end()) {
+    found = std::find_if(connections_.begin(), connections_.end(),
                          [&](const auto& item) { return item.second.router == release.router; });
   }
-  if (found != open_.end()) found->second.stream->send(release.text);
+  if (found != connections_.end()) found->second.stream->send(release.text);
 }
 
 void SipServer::note(What what, const std::string& call, const std::string& router, std::int64_t number,
@@ -143,7 +142,7 @@
   }
   ++working_;
   auto& call = calls_[id];
-  call.on = &stream;
+  call.connection = stream.weak_from_this();
   call.router = router;
   call.cseq = cseq;
   call.via = via;
@@ -156,8 +155,8 @@
   call.description = name_ + "-" + std::to_string(++answers_) + "\r\nc=IN IP4 127.0.0.1\r\n";
   --working_;
   call.timer = loop_.after(drawn(traits_.hold), [this, id] { hang_up(id); });
-  const auto found = open_.find(call.on);
-  if (found == open_.end()) return;
+  const auto found = connections_.find(call.connection.lock().get());
+  if (found == connections_.end()) return;
   note(What::kAnswered, id, call.router, 0, call.description);
   found->second.stream->send(status_line(200, id, call.cseq, call.via, "", call.description));
 }
@@ -170,13 +169,13 @@
                        "BYE sip:router@net SIP/2.0\r\nVia: SIP/2.0/TCP " + name_ + "\r\nCall-ID: " + id +
                            "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n",
                        scene_.now()});
-  tell(releases_.back(), call.on);
+  send_release(releases_.back(), call.connection.lock());
 }
 
 void SipServer::on_closed(net::Stream& stream, net::Closed /*why*/) {
   for (auto at = calls_.begin(); at != calls_.end();) {
     auto& call = at->second;
-    if (call.on != &stream || !call.description.empty()) {
+    if (call.connection.lock().get() != &stream || !call.description.empty()) {
       ++at;
       continue;
     }
@@ -186,7 +185,7 @@
     --working_;
     at = calls_.erase(at);
   }
-  open_.erase(&stream);
+  connections_.erase(&stream);
 }
 
 // ---- callers --------------------------------------------------------------------------------------------
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -37,13 +37,15 @@
 
  private:
   struct Call {
-    net::Stream* on = nullptr;
-    std::string router, number, cseq, via;
+    /// By which its set-up came. Not a plain pointer: once that has closed, a later connection, perhaps of
+    /// another router, may have the same address.
+    std::weak_ptr<net::Stream> connection;
+    std::string router, cseq, via;
     std::string description;  ///< empty: not answered yet
     core::TimerWheel::Handle timer = 0;
   };
   using Calls = std::unordered_map<std::string, Call>;
-  struct Open {
+  struct Connection {
     std::shared_ptr<net::Stream> stream;
     std::string router;
   };
@@ -53,7 +55,8 @@
     Duration since{};
   };
   void accept(asio::ip::tcp::acceptor& acceptor, const std::string& router);
-  void tell(const Release& release, net::Stream* by);
+  /// By that connection if it is open, otherwise by any other of the release's router.
+  void send_release(const Release& release, const std::shared_ptr<net::Stream>& preferred);
   std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
   void on_closed(net::Stream& stream, net::Closed why) override;
   void on_request(net::Stream& stream, const sip::SipRead& read);
@@ -72,7 +75,7 @@
   ServerTraits traits_;
   Random random_;
   std::list<asio::ip::tcp::acceptor> acceptors_;
-  std::unordered_map<net::Stream*, Open> open_;
+  std::unordered_map<net::Stream*, Connection> connections_;
   std::list<Release> releases_;
   Calls calls_;
   std::size_t working_ = 0;
