Hear what a server tells on a connection that was given up as stuck

PROTOCOL has the release told on the connection of its set-up and on the next one opened; both had passed.

Now a stuck link is half-closed: the server hears the end as before, and what it tells until it closes too is read, for 8 s and for four links of a server at most; at the bound of connections they go first. An answer heard that way is released by another link, a release of an earlier attempt ends no later one, old load reports are passed over.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -165,7 +165,7 @@
 }
 
 void Stream::send(std::string head, std::string body, Tag tag) {
-  if (is_closed() || write_failed_) return;
+  if (is_closed() || output_closed_) return;
   queued_ += head.size() + body.size();
   loop_.outgoing.bytes += head.size() + body.size();
   out_.push_back({std::move(head), std::move(body), tag});
@@ -228,7 +228,7 @@
 // Gathered: as many heads and bodies in one write as the system takes. The write is tried at once and never
 // left to Asio, which would hold on to the buffers while the socket is blocked.
 void Stream::flush() {
-  while (open_ && !waiting_to_write_ && !write_failed_ && !out_.empty()) {
+  while (open_ && !waiting_to_write_ && !output_closed_ && !out_.empty()) {
     constexpr std::size_t kMostPieces = 32;
     std::array<asio::const_buffer, kMostPieces> pieces;
     std::size_t count = 0;
@@ -257,7 +257,8 @@
                            self->loop_.outgoing.blocked.erase(self.get());
                            if (failed) return;
                            self->flush();
-                           if (!self->is_closed() && self->out_.empty()) self->owner_->on_drained(*self);
+                           if (self->is_closed() || self->output_closed_) return;
+                           if (self->out_.empty()) self->owner_->on_drained(*self);
                          });
       return;
     }
@@ -287,7 +288,7 @@
     close();
     return;
   }
-  if (std::exchange(write_failed_, true)) return;
+  if (std::exchange(output_closed_, true)) return;
   limit_ = loop_.after(kReadOn, [self = shared_from_this(), why] {
     self->limit_ = 0;
     self->fail(why);
@@ -304,6 +305,15 @@
   drop_queue();
 }
 
+void Stream::close_output() {
+  if (!open_) return;
+  output_closed_ = true;
+  drop_queue();
+  loop_.outgoing.blocked.erase(this);
+  asio::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void Stream::close() {
   shut();
   drop_queue();
@@ -333,7 +343,7 @@
 
 void Stream::finish() {
   if (is_closed()) return;
-  if (!open_ || write_failed_) {
+  if (!open_ || output_closed_) {
     close();
     return;
   }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -64,6 +64,9 @@
   /// All of which no byte was written.
   std::vector<Message> take_unsent();
   void close();
+  /// TCP half-close: what is queued is dropped, nothing more is sent and the other side hears the end. What
+  /// it says until it closes too still comes to the owner.
+  void close_output();
   /// Closes as if the other side had: the owner is told, and may take back what never left.
   void fail(Closed why);
   /// Closes with a reset, whatever is under way.
@@ -76,7 +79,7 @@
 
   [[nodiscard]] bool is_lingering() const { return lingering_; }
   [[nodiscard]] std::size_t queued() const { return queued_; }
-  [[nodiscard]] bool is_open() const { return open_ && !write_failed_; }
+  [[nodiscard]] bool is_open() const { return open_ && !output_closed_; }
   [[nodiscard]] bool is_closed() const { return owner_ == nullptr; }
   [[nodiscard]] const asio::ip::tcp::endpoint& remote() const { return remote_; }
   [[nodiscard]] Instant used_at() const { return used_at_; }
@@ -100,7 +103,7 @@
   asio::ip::tcp::endpoint remote_;
   bool open_ = false;
   bool waiting_to_write_ = false;
-  bool write_failed_ = false;
+  bool output_closed_ = false;  ///< a write failed, or close_output()
   bool reading_ = false;
   bool yielded_ = false;
   bool lingering_ = false;
--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -46,6 +46,10 @@
 // told a release on it that it tells on no other.
 constexpr Duration kLateUp = seconds{1};
 constexpr std::size_t kMostLate = 2;  // a machine that is cut off must not hold the other servers' places
+// What was told by a link that we gave up is of use so long: after that its server has told it elsewhere, or
+// it counts as never told. Each holds a descriptor.
+constexpr Duration kHalfClosedFor = kUntold;
+constexpr std::size_t kMostHalfClosed = 4;
 // A set-up that never left is moved from one lost link to the next so many times.
 constexpr int kMostResent = 3;
 
@@ -80,7 +84,8 @@
   std::optional<Instant> silent_since;
   /// A set-up that was given up half written: the link sends its rest, or is cut.
   std::optional<std::pair<net::Stream::Tag, Instant>> torn;
-  std::optional<Instant> overtaken_at;  ///< when later set-ups by other links had been answered
+  std::optional<Instant> half_closed_at;  ///< when we gave it up; nothing is sent by it any more
+  std::optional<Instant> overtaken_at;    ///< when later set-ups by other links had been answered
 
   [[nodiscard]] bool is_usable() const { return stream->is_open() && !half_since; }
   /// It may be stalled: other links are to be preferred.
@@ -92,7 +97,8 @@
   ServerId id;
   std::string address;
   bool wanted = false;
-  std::vector<std::shared_ptr<Link>> links;  // connecting and open
+  std::vector<std::shared_ptr<Link>> links;        // connecting and open
+  std::vector<std::shared_ptr<Link>> half_closed;  // given up by us and read on, the first one first
   std::size_t turn = 0;
   Duration backoff = kLeastBackoff;
   core::TimerWheel::Handle retry = 0;
@@ -130,6 +136,7 @@
 Links::~Links() {
   for (auto& [id, server] : by_id_) {
     for (auto& link : server->links) link->stream->close();
+    for (auto& link : server->half_closed) link->stream->close();
   }
 }
 
@@ -159,8 +166,9 @@
   std::vector<std::shared_ptr<Link>> closed;
   if (!server.wanted || moved) {
     closed = std::exchange(server.links, {});
-    links_ -= closed.size();
+    links_ -= closed.size() + server.half_closed.size();
     for (const auto& link : closed) link->stream->close();
+    for (const auto& link : std::exchange(server.half_closed, {})) link->stream->close();
   }
   if (!server.wanted) {
     server.pending.clear();
@@ -178,7 +186,8 @@
   auto& server = *found->second;
   loop_.wheel.cancel(server.retry);
   for (const auto& link : server.links) link->stream->close();
-  links_ -= server.links.size();
+  for (const auto& link : server.half_closed) link->stream->close();
+  links_ -= server.links.size() + server.half_closed.size();
   std::vector<std::string> probes;
   for (const auto& [key, probe] : probes_) {
     if (probe.server == id) probes.push_back(key);
@@ -213,7 +222,7 @@
     return;
   }
   // The first link to a server is not denied: the list of servers is short.
-  if (links_ >= bounds_.links && !server.links.empty()) return;
+  if (links_ >= bounds_.links && !close_oldest_half_closed() && !server.links.empty()) return;
   auto link = std::make_shared<Link>(*this, server);
   link->stream = std::make_shared<net::Stream>(loop_, *link);
   server.links.push_back(link);
@@ -322,6 +331,10 @@
 }
 
 void Links::link_closed(Link& gone, net::Closed why) {
+  if (gone.half_closed_at) {
+    half_closed_ended(gone, why);
+    return;
+  }
   auto& server = gone.server;
   const auto at = std::find_if(server.links.begin(), server.links.end(),
                                [&](const auto& link) { return link.get() == &gone; });
@@ -329,8 +342,13 @@
   const auto link = *at;  // keeps it alive
   server.links.erase(at);
   --links_;
+  on_lost(*link, why);
+}
+
+void Links::on_lost(Link& link, net::Closed why) {
+  auto& server = link.server;
   const Instant now = net::Loop::now();
-  const bool was_up = link->up != Instant{};
+  const bool was_up = link.up != Instant{};
   if (was_up) {
     net::log::info(log_link_, "link to ", servers_.find(server.id)->name, " ", name(why));
   } else {
@@ -338,10 +356,10 @@
   }
   server.refusals = why == net::Closed::kRefused ? server.refusals + 1 : 0;
 
-  move_unsent(*link, why == net::Closed::kRefused || why == net::Closed::kNeverUp);
+  move_unsent(link, why == net::Closed::kRefused || why == net::Closed::kNeverUp);
   // A link that was lost leaves what it carried in doubt.
-  end_on(*link, was_up ? Outcome::kReset : Outcome::kConnectFailed);
-  for (auto& bye : std::exchange(link->byes, {})) {
+  end_on(link, was_up ? Outcome::kReset : Outcome::kConnectFailed);
+  for (auto& bye : std::exchange(link.byes, {})) {
     if (now - bye.sent < kByeDoubt) send_bye(server, std::move(bye.id), std::move(bye.text));
   }
   // What stood has been cut, and nobody is left who could say so.
@@ -357,7 +375,7 @@
     server.backoff = kLeastBackoff;
   }
   if (!server.wanted || server.retry != 0) return;
-  if (was_up && now - link->up >= kShortLife) {
+  if (was_up && now - link.up >= kShortLife) {
     server.backoff = kLeastBackoff;
     keep_warm(server);
     return;
@@ -369,6 +387,59 @@
   server.backoff = std::min(server.backoff * 2, kMostBackoff);
 }
 
+// A server tells a release on the link of its set-up, and on the next one that opens. While what we said does
+// not reach it, it takes a link that we gave up for open, after the next one has opened too: closed at our
+// side, its releases would be lost for good.
+void Links::half_close(Link& link) {
+  auto& server = link.server;
+  const auto keep = link.shared_from_this();
+  const bool has_room = links_ < bounds_.links && server.half_closed.size() < kMostHalfClosed;
+  if (!has_room || !link.stream->is_open()) {
+    link.stream->fail(net::Closed::kReset);
+    return;
+  }
+  std::erase(server.links, keep);
+  server.half_closed.push_back(keep);
+  link.half_closed_at = net::Loop::now();
+  on_lost(link, net::Closed::kReset);
+  link.stream->close_output();
+}
+
+void Links::half_closed_ended(Link& link, net::Closed why) {
+  auto& server = link.server;
+  std::erase(server.half_closed, link.shared_from_this());
+  --links_;
+  // It closed in its turn: all that it told by that link has come. A reset may have overtaken some of it.
+  if (why == net::Closed::kEnded || !stands_at(server.id)) return;
+  server.untold_since = net::Loop::now();
+  loop_.wheel.cancel(std::exchange(server.retry, 0));
+  server.backoff = kLeastBackoff;
+  keep_warm(server);
+}
+
+bool Links::close_oldest_half_closed() {
+  Server* oldest = nullptr;
+  for (const auto& [id, server] : by_id_) {
+    if (server->half_closed.empty()) continue;
+    const bool older = oldest == nullptr || server->half_closed.front()->half_closed_at <
+                                                oldest->half_closed.front()->half_closed_at;
+    if (older) oldest = server.get();
+  }
+  if (oldest == nullptr) return false;
+  oldest->half_closed.front()->stream->close();
+  oldest->half_closed.erase(oldest->half_closed.begin());
+  --links_;
+  return true;
+}
+
+void Links::close_old_half_closed(Server& server, Instant now) {
+  while (!server.half_closed.empty() && now - *server.half_closed.front()->half_closed_at > kHalfClosedFor) {
+    server.half_closed.front()->stream->close();
+    server.half_closed.erase(server.half_closed.begin());
+    --links_;
+  }
+}
+
 bool Links::stands_at(ServerId server) const {
   return std::any_of(attempts_.begin(), attempts_.end(), [server](const auto& item) {
     return item.first.first == server && item.second.standing;
@@ -425,6 +496,7 @@
     const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Link>> stuck;
     for (const auto& [id, server] : by_id_) {
+      close_old_half_closed(*server, now);
       for (const auto& link : server->links) {
         note_overtaken(*link, now);
         if (link->torn && !link->stream->is_unsent(link->torn->first)) link->torn.reset();
@@ -437,7 +509,7 @@
       ++counters_.stuck_links;
       net::log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
                      link->out.size(), " set-ups out");
-      link->stream->fail(net::Closed::kReset);
+      half_close(*link);
     }
     watch_links();
   });
@@ -596,6 +668,7 @@
     return;
   }
   if (head.method == "NOTIFY") {
+    if (link.half_closed_at) return;  // it may be old, and the other links have told what is new
     table_.load_told(link.server.id, read_report(head.occupancy));
   } else if (head.method == "BYE") {
     on_bye(link, head);
@@ -657,7 +730,11 @@
     ++counters_.late_answers;
     net::log::info(log_late_, "late answer of ", servers_.find(server.id)->name, " released: ", call.id);
     // Nobody waits for it any more: it is released, and no second answer is passed on.
-    link.stream->send(std::move(bye));
+    if (link.half_closed_at) {
+      send_bye(server, id, std::move(bye));
+    } else {
+      link.stream->send(std::move(bye));
+    }
     return;
   }
   if (!current) {
@@ -696,13 +773,15 @@
   }
   const auto ref = found->second.ref;
   const bool standing = found->second.standing;
+  // Of an earlier attempt of this call, which went by that link and was answered unheard.
+  if (link.half_closed_at && !standing) return;
   drop(found);
   const int cause = read_reason(head.reason).value_or(static_cast<int>(core::Cause::kNormal));
   const bool ok = cause == static_cast<int>(core::Cause::kNormal);
   core::AttemptEnd end;
   end.outcome = ok && standing ? Outcome::kOk : Outcome::kReset;
   end.cause = static_cast<core::Cause>(cause);
-  end.load = read_report(head.occupancy);
+  if (!link.half_closed_at) end.load = read_report(head.occupancy);
   table_.ended(ref, end);
 }
 
--- a/src/sip/links.hpp
+++ b/src/sip/links.hpp
@@ -72,6 +72,15 @@
   /// What never left by the link goes by another one, or ends where nothing listens any more (`dead`).
   void move_unsent(Link& link, bool dead);
   void link_closed(Link& link, net::Closed why);
+  /// What a link carried goes by others or ends, and others are opened in its place. It is listed no more.
+  void on_lost(Link& link, net::Closed why);
+  /// Gives a link up that is open and serves no further use. Its server may not know of that for some time:
+  /// until it closes too what it tells by that link is heard.
+  void half_close(Link& link);
+  void half_closed_ended(Link& link, net::Closed why);
+  /// Closes the one that was half-closed first, of all servers, for its descriptor; false: there is none.
+  bool close_oldest_half_closed();
+  void close_old_half_closed(Server& server, Instant now);
   std::size_t link_bytes(Link& link, std::span<char> bytes);
   void on_message(Link& link, const SipRead& read);
   void on_invite_answer(Link& link, const SipRead& read);
