--- a/bench/plain_mapping.hpp
+++ b/bench/plain_mapping.hpp
@@ -104,7 +104,7 @@
     } else if (const auto* derived = std::get_if<translate::Derived>(&*row->source)) {
       const auto found = in.find(name_in(from_, derived->of));
       if (found == in.end()) return std::nullopt;
-      char made[translate::kMostDerived];
+      char made[translate::kMaxDerived];
       std::size_t size = 0;
       if (!translate::find_rule(derived->rule)->make(found->second, to, made, size))
         return std::string("\x01 none");
--- a/bench/translate_bench.cpp
+++ b/bench/translate_bench.cpp
@@ -140,7 +140,7 @@
 
 void BM_DuplicateIndex(benchmark::State& state) {
   DuplicateRules rules;
-  rules.most_bytes = 64U << 20U;
+  rules.max_bytes = 64U << 20U;
   rules.over = std::chrono::seconds{60};
   rules.open = std::chrono::seconds{30};
   Instant now{std::chrono::seconds{1}};
--- a/include/amberknot/admission.hpp
+++ b/include/amberknot/admission.hpp
@@ -27,20 +27,20 @@
 
 enum class CallId : std::uint32_t {};
 enum class ServerId : std::uint32_t {};
-enum class CellNo : std::uint32_t {};  ///< number of a pool or exchange
+enum class PoolId : std::uint32_t {};  ///< number of a pool or exchange
 enum class PeerId : std::uint32_t {};  ///< number of a sibling instance
 enum class TimerHandle : std::uint64_t {};
 
 // ---- settings -------------------------------------------------------------------------------------------
 
 struct CallClass {
-  Duration aim{};
+  Duration latency_objective{};
   Duration deadline{};
-  double worth = 0;
-  double late_worth = 0;         ///< fraction of the worth
-  bool repeatable = false;       ///< may be sent again although an earlier attempt might have run
-  std::vector<CellNo> pools;     ///< pools that may take it; empty: any
-  std::optional<Duration> hold;  ///< mean duration of a call
+  double priority_weight = 0;
+  double late_weight_fraction = 0;  ///< fraction of the worth
+  bool idempotent = false;          ///< may be sent again although an earlier attempt might have run
+  std::vector<PoolId> pools;        ///< pools that may take it; empty: any
+  std::optional<Duration> mean_holding_time;  ///< mean duration of a call
 };
 
 struct Tenant {
@@ -52,30 +52,30 @@
   bool probes = false;
   bool peers = false;
   bool retry_advice = false;
-  std::uint32_t most_tries = 0;
+  std::uint32_t max_tries = 0;
   Duration max_retry_advice{};
 };
 
 struct Invariants {
   Duration answer_slack{};
-  Duration drain_grace{};
-  double fall_multiple = 0;
-  Duration fall_span{};
-  double cold_from = 0;
-  Duration ramp_time{};
-  Duration release_wait{};
+  Duration drain_grace_period{};
+  double overload_multiple = 0;
+  Duration overload_window{};
+  double slow_start_initial_capacity = 0;
+  Duration slow_start_duration{};
+  Duration retry_pause{};
   friend bool operator==(const Invariants&, const Invariants&) = default;
 };
 
 struct Settings {
   std::uint64_t seed = 0;
-  std::uint32_t siblings = 0;
+  std::uint32_t peer_count = 0;
   PeerId self{};
-  std::optional<CellNo> own_cell;  ///< absent where calls are never in transit
-  bool list_is_pushed = true;
-  Duration round{};                ///< least time between batches
-  std::optional<Duration> resend;  ///< a waiting set-up is repeated after this; absent: never
-  double over_share_worth = 1;
+  std::optional<PoolId> own_pool;  ///< absent where calls are never in transit
+  bool endpoint_list_is_pushed = true;
+  Duration batch_interval{};                    ///< least time between batches
+  std::optional<Duration> retransmit_interval;  ///< a waiting set-up is repeated after this; absent: never
+  double over_quota_weight = 1;
   std::vector<CallClass> classes;
   std::vector<Tenant> tenants;
   Limits limits;
@@ -85,7 +85,7 @@
 // ---- events ---------------------------------------------------------------------------------------------
 
 /// What a server's processor says of itself, late and noisy.
-struct Report {
+struct LoadReport {
   std::optional<double> free_lines;
   std::optional<double> lines;
   std::optional<Duration> wait;
@@ -96,79 +96,88 @@
   std::optional<double> busy;
 };
 
-enum class ListState : std::uint8_t { kReady, kGone, kDraining };
+enum class EndpointState : std::uint8_t { kReady, kRemoved, kDraining };
 
 /// A version of the servers' protocols, by number; what it speaks is none of the module's business.
-enum class VersionNo : std::uint8_t {};
+enum class ProtocolVersion : std::uint8_t {};
 /// Versions by bit, 0 to 31.
-using VersionSet = std::uint32_t;
-inline constexpr VersionSet kAllVersions = ~VersionSet{0};
+using ProtocolVersionSet = std::uint32_t;
+inline constexpr ProtocolVersionSet kAllVersions = ~ProtocolVersionSet{0};
 
-struct ListEntry {
+struct EndpointEntry {
   ServerId server{};
-  CellNo cell{};
-  ListState state = ListState::kReady;
+  PoolId pool{};
+  EndpointState state = EndpointState::kReady;
   std::optional<Instant> started;  ///< absent: long ago
-  VersionNo version{};             ///< may change while the server runs
+  ProtocolVersion version{};       ///< may change while the server runs
 };
 
-enum class ListScope : std::uint8_t { kDelta, kFull, kCached, kFailed };
+enum class EndpointUpdateScope : std::uint8_t { kDelta, kFull, kCached, kFailed };
 
-struct ListNews {
-  ListScope scope = ListScope::kFull;
-  std::vector<ListEntry> entries;
+struct EndpointUpdate {
+  EndpointUpdateScope scope = EndpointUpdateScope::kFull;
+  std::vector<EndpointEntry> entries;
 };
 
 struct NewCall {
   CallId call{};
   Instant expires{};
-  CellNo destination{};
+  PoolId destination{};
   double width = 1;
   std::size_t call_class = 0;
   std::size_t tenant = 0;
-  bool in_transit = false;
-  bool was_cut = false;
-  bool redialled = false;
-  VersionSet ruled_out = 0;  ///< servers of these versions cannot be told what it needs
+  bool is_in_transit = false;
+  bool was_aborted = false;
+  bool is_redial = false;
+  ProtocolVersionSet excluded_versions = 0;  ///< servers of these versions cannot be told what it needs
 };
 
 struct Established {
   CallId call{};
   ServerId server{};
   std::uint32_t attempt = 0;
-  Duration taken{};
+  Duration elapsed{};
 };
 
-enum class Outcome : std::uint8_t { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+enum class Outcome : std::uint8_t {
+  kOk,
+  kError,
+  kFull,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kNotSent
+};
 
 struct AttemptEnded {
   CallId call{};
   ServerId server{};
   std::uint32_t attempt = 0;
   Outcome outcome = Outcome::kOk;
-  Duration taken{};
+  Duration elapsed{};
   bool call_ended = false;
-  bool of_the_call = false;            ///< an error that is no fault of the server: the number was busy, or
-                                       ///< a field of the call is not taken there
-  VersionSet rules_out = 0;            ///< versions ruled out for this call from now on
-  std::optional<Duration> asked_wait;  ///< the wait a full processor names
-  Report report;
+  bool is_caller_fault = false;  ///< an error that is no fault of the server: the number was busy, or
+                                 ///< a field of the call is not taken there
+  ProtocolVersionSet excludes_versions = 0;  ///< versions ruled out for this call from now on
+  std::optional<Duration> retry_after;       ///< the wait a full processor names
+  LoadReport report;
 };
 
-struct CallGone {
+struct CallAbandoned {
   CallId call{};
 };
 
-struct TimerDue {
+struct TimerExpired {
   TimerHandle handle{};
 };
 
-struct ProbeAnswer {
+struct HealthCheckResult {
   ServerId server{};
   Outcome outcome = Outcome::kOk;
-  bool unasked = false;
-  Duration taken{};
-  Report report;
+  bool is_unsolicited = false;
+  Duration elapsed{};
+  LoadReport report;
 };
 
 struct PeerMessage {
@@ -176,27 +185,27 @@
   std::vector<std::uint8_t> bytes;
 };
 
-using Event =
-    std::variant<ListNews, NewCall, Established, AttemptEnded, CallGone, TimerDue, ProbeAnswer, PeerMessage>;
+using Event = std::variant<EndpointUpdate, NewCall, Established, AttemptEnded, CallAbandoned, TimerExpired,
+                           HealthCheckResult, PeerMessage>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
-struct Send {
+struct ForwardCall {
   CallId call{};
   ServerId server{};
-  Duration within{};  ///< zero: until the caller quits
+  Duration attempt_timeout{};  ///< zero: until the caller quits
 };
 
-struct Refuse {
+struct RejectCall {
   CallId call{};
-  Duration stay_away{};  ///< zero: no advice
+  Duration retry_after{};  ///< zero: no advice
 };
 
-struct Fail {
+struct FailCall {
   CallId call{};
 };
 
-struct Cancel {
+struct CancelAttempt {
   CallId call{};
   std::uint32_t attempt = 0;
 };
@@ -206,21 +215,22 @@
   TimerHandle handle{};
 };
 
-struct Probe {
+struct CheckHealth {
   ServerId server{};
 };
 
-struct TellPeers {  ///< to every sibling
+struct BroadcastGossip {  ///< to every sibling
   std::vector<std::uint8_t> bytes;
 };
 
-struct Log {
+struct LogMessage {
   std::string text;
 };
 
-struct WatchList {};
+struct WatchEndpoints {};
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, TellPeers, Log, WatchList>;
+using Action = std::variant<ForwardCall, RejectCall, FailCall, CancelAttempt, SetTimer, CheckHealth,
+                            BroadcastGossip, LogMessage, WatchEndpoints>;
 
 // ---- the decision module --------------------------------------------------------------------------------
 
@@ -240,12 +250,12 @@
 
   /// New settings of a running sender: classes (as many as before or more, the old in their places) and
   /// limits. Calls under way keep their class; a lower count of tries binds them from their next try.
-  void retune(const std::vector<CallClass>& classes, const Limits& limits);
+  void apply_reload(const std::vector<CallClass>& classes, const Limits& limits);
 
   /// How many servers it remembers, those that have gone lately included.
   [[nodiscard]] std::size_t known_servers() const;
   /// How often a server was looked at for a call, since the start: what the decisions cost.
-  [[nodiscard]] std::uint64_t looks() const;
+  [[nodiscard]] std::uint64_t server_evaluations() const;
 
  private:
   class Impl;
--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -185,7 +185,7 @@
       const char* what = nullptr;
       if (before.end == nullptr || before.end->at > next.invite->at) {
         what = "two attempts out";
-      } else if (next.invite->at + times.slack < before.end->at + times.release_wait) {
+      } else if (next.invite->at + times.slack < before.end->at + times.retry_pause) {
         what = "sent again too early";
       }
       if (what == nullptr) continue;
@@ -209,7 +209,7 @@
     }
     if (invites.empty()) continue;
     ++verdict.looked_at;
-    if (invites.size() > times.most_tries) {
+    if (invites.size() > times.max_tries) {
       verdict.violations.push_back({std::to_string(invites.size()) + " tries", slice_of(invites)});
     }
   }
@@ -227,7 +227,8 @@
     if (event.what == What::kResumed) drained.erase(event.who);
     if (event.what != What::kInvite) continue;
     const auto found = drained.find(event.who);
-    if (found == drained.end() || event.at <= found->second->at + times.drain_grace + times.slack) continue;
+    if (found == drained.end() || event.at <= found->second->at + times.drain_grace_period + times.slack)
+      continue;
     if (view.troubled(event.who, event.peer, found->second->at, event.at)) {
       ++verdict.excused;
     } else {
@@ -336,7 +337,7 @@
   };
   // A run in which nothing was sent, or most was excused, breaks no rule and shows nothing.
   const auto late = std::find_if(history.begin(), history.end(), [&](const Event& one) {
-    return one.what == What::kLate && std::chrono::milliseconds{one.number} > times.most_late;
+    return one.what == What::kLate && std::chrono::milliseconds{one.number} > times.max_late;
   });
   if (count(What::kSetUp) == 0) verdict.nothing_shown = "no call was set up";
   if (count(What::kAnswer) == 0) verdict.nothing_shown = "no call was answered";
--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -13,14 +13,14 @@
 /// From the settings and the rig; PROTOCOL: every time limit on sockets is 50 ms longer.
 struct RuleTimes {
   Duration slack = std::chrono::milliseconds{50};
-  Duration drain_grace = std::chrono::milliseconds{500};
-  Duration release_wait = std::chrono::milliseconds{500};
-  std::size_t most_tries = 4;
+  Duration drain_grace_period = std::chrono::milliseconds{500};
+  Duration retry_pause = std::chrono::milliseconds{500};
+  std::size_t max_tries = 4;
   Duration left_grace = std::chrono::milliseconds{300};  ///< STANDING: a client that has left
   Duration release_within = std::chrono::seconds{1};
   Duration release_late = std::chrono::seconds{8};  ///< where it could not be sent before
   /// The relay's own lateness beyond which a run proves nothing.
-  Duration most_late = std::chrono::milliseconds{50};
+  Duration max_late = std::chrono::milliseconds{50};
 };
 
 struct Violation {
--- a/lab/fleet/config_text.cpp
+++ b/lab/fleet/config_text.cpp
@@ -11,13 +11,13 @@
        << facts.channel << R"(","known":)" << facts.known
        << R"(,"settings":{"classes":[{"name":"till","aim_us":"1200000","deadline_us":"3000000","value":"1",)"
        << R"("late_worth":"0.1","repeat":"idempotent"}],"discovery":"pushed",)"
-       << R"("family_info":{"clear_wait_us":")" << times.release_wait.count()
+       << R"("family_info":{"clear_wait_us":")" << times.retry_pause.count()
        << R"(","class_hold_us":"900000","retry_hint":"true","self_no":"-1"},)"
        << R"("invariants":{"answer_slack_us":"20000","cold_from":"0.35","drain_grace_us":")"
-       << times.drain_grace.count()
+       << times.drain_grace_period.count()
        << R"(","fall_multiple":"3","fall_us":"3000000","ramp_time_us":"2000000"},)"
        << R"("limits":{"cancel":"true","connect_timeout_us":"500000","max_retry_after_us":"2000000",)"
-       << R"("most_tries":")" << times.most_tries
+       << R"("most_tries":")" << times.max_tries
        << R"(","peers":"false","probes":"true","retry_after":"true"},"report":{"columns":"idle"},)"
        << R"("round_us":"5000","self_index":"0","siblings":")" << facts.routers
        << R"(","tenants":[{"name":"toko","quota_per_s":"100000"}]}})";
--- a/lab/fleet/relay.cpp
+++ b/lab/fleet/relay.cpp
@@ -154,7 +154,7 @@
     if (finished) return;
     if (read_again > now) {
       side.paused = true;  // until what was held leaves, which is then
-    } else if (side.held >= kMostHeldBytes) {
+    } else if (side.held >= kMaxHeldBytes) {
       side.paused = true;
       ++counts.pushed_back;
     } else {
@@ -191,7 +191,7 @@
                         }
                         side.held -= written;
                         side.waiting.pop_front();
-                        if (side.paused && side.held < kMostHeldBytes) {
+                        if (side.paused && side.held < kMaxHeldBytes) {
                           side.paused = false;
                           self->read(side);
                         }
@@ -362,7 +362,7 @@
     };
     if (ways.after[i] == Duration{}) {
       send();
-    } else if (link.held >= kMostHeldDatagrams) {
+    } else if (link.held >= kMaxHeldDatagrams) {
       ++counts_.lost;
     } else {
       ++link.held;
--- a/lab/fleet/relay.hpp
+++ b/lab/fleet/relay.hpp
@@ -32,9 +32,9 @@
 };
 
 /// Bytes that one direction of a connection may hold; beyond it nothing is read.
-inline constexpr std::size_t kMostHeldBytes = 256 * 1024;
+inline constexpr std::size_t kMaxHeldBytes = 256 * 1024;
 /// Datagrams that one link may hold; beyond it they are lost.
-inline constexpr std::size_t kMostHeldDatagrams = 1024;
+inline constexpr std::size_t kMaxHeldDatagrams = 1024;
 
 /// One TCP link: what connects to `where()` is carried to the target.
 class StreamRelay {
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -64,7 +64,7 @@
         scene_{loop_.io, [this] { return net::Loop::now() - started_; },
                [this](Event event) { note(std::move(event)); }},
         log_(spdlog::basic_logger_mt(options.folder, options.folder + "/history.jsonl", true)),
-        watch_(scene_, options.times.most_late) {
+        watch_(scene_, options.times.max_late) {
     log_->set_pattern("%v");
   }
   ~Fleet() { spdlog::drop(options_.folder); }
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -33,7 +33,7 @@
 };
 
 /// A router's way to the servers and to its callers.
-class Port : public core::Links, public core::ClientPort {
+class Port : public core::UpstreamPool, public core::ClientPort {
  public:
   explicit Port(Node& node) : node_(node) {}
   void set_up(const core::SetUp& set_up) override;
@@ -41,10 +41,10 @@
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
   void forget(const core::AttemptRef& /*attempt*/) override {}
   void probe(ServerId server) override;
-  void server_changed(const core::ListedServer& /*server*/) override {}
+  void on_endpoint_changed(const core::Endpoint& /*server*/) override {}
   void forget_server(ServerId /*server*/) override {}
   bool answer(CallId call, std::string_view description) override;
-  void refuse(CallId call, core::Reason reason, Duration stay_away) override;
+  void reject(CallId call, core::Reason reason, Duration retry_after) override;
   void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
@@ -63,7 +63,7 @@
         table(dispatcher, servers, wheel, counters, std::move(clock)) {}
   Port port;
   core::Dispatcher dispatcher;
-  core::ServerList servers;
+  core::EndpointRegistry servers;
   core::Counters counters;
   core::TimerWheel wheel;
   core::CallTable table;
@@ -96,7 +96,7 @@
   };
   std::string name;
   Random random;
-  ListState state = ListState::kReady;
+  EndpointState state = EndpointState::kReady;
   std::unordered_map<std::string, Call> calls;
   std::size_t working = 0;
   std::uint64_t answers = 0, numbers = 0;
@@ -121,7 +121,7 @@
   SimulationResult run() {
     for (std::size_t i = 0; i < options_.servers; ++i) {
       const auto name = "s" + std::to_string(i);
-      servers_.push_back({name, Random(options_.schedule.seed, name), ListState::kReady, {}, 0, 0, 0});
+      servers_.push_back({name, Random(options_.schedule.seed, name), EndpointState::kReady, {}, 0, 0, 0});
     }
     for (std::size_t i = 0; i < options_.routers; ++i) {
       auto& node = nodes_.emplace_back(*this, i, options_.schedule.seed);
@@ -159,8 +159,9 @@
     const bool up = to_server(one, server, [this, one, server] { invited(one, server); });
     // Nothing may be reported from inside this call.
     if (!up)
-      at(now_,
-         [this, one] { in_router(one, [one](Life& life) { life.table.ended(one.ref, reset_end()); }); });
+      at(now_, [this, one] {
+        in_router(one, [one](Life& life) { life.table.on_attempt_ended(one.ref, reset_end()); });
+      });
   }
   void send_end(Node& node, const core::AttemptRef& ref, bool cancelled) {
     const auto found = node.life->ids.find(ref.call);
@@ -174,8 +175,9 @@
     const Travelling one{node.number, node.lives, {}, ""};
     const Duration from = now_;
     to_server(one, server, [this, one, server, id, from] {
-      to_router(one, server,
-                [this, id, from](Life& life) { life.table.probed(id, Outcome::kOk, now_ - from, {}); });
+      to_router(one, server, [this, id, from](Life& life) {
+        life.table.on_health_check_result(id, Outcome::kOk, now_ - from, {});
+      });
     });
   }
   void told(Node& node, CallId call, What what, std::int64_t number, std::string text = {}) {
@@ -282,7 +284,7 @@
     for (const auto& one : gone) {
       --servers_[server].working;
       note({now_, servers_[server].name, What::kBroken, one.id, nodes_[router].name, 0, ""});
-      in_router(one, [one](Life& life) { life.table.ended(one.ref, reset_end()); });
+      in_router(one, [one](Life& life) { life.table.on_attempt_ended(one.ref, reset_end()); });
     }
   }
 
@@ -311,17 +313,18 @@
       auto& listed = life.servers.of(server.name);  // in order, so that its id is its number
       listed.port = &life.port;
       listed.state = server.state;
-      facts.push_back({listed.id, CellNo{0}, server.state, std::nullopt, core::kNotKnown});
+      facts.push_back({listed.id, PoolId{0}, server.state, std::nullopt, core::kNotKnown});
     }
-    life.table.list_changed(true, facts);
+    life.table.on_endpoints_changed(true, facts);
     note(node.name, What::kReady);
   }
 
   void node_fault(const NodeFault& fault) {
     if (fault.kind == NodeFaultKind::kDrain) {
-      drain(fault.nodes, ListState::kDraining, What::kDrained);
+      drain(fault.nodes, EndpointState::kDraining, What::kDrained);
       if (fault.back_after) {
-        after(*fault.back_after, [this, &fault] { drain(fault.nodes, ListState::kReady, What::kResumed); });
+        after(*fault.back_after,
+              [this, &fault] { drain(fault.nodes, EndpointState::kReady, What::kResumed); });
       }
       return;
     }
@@ -362,7 +365,7 @@
     for (const auto& missed : std::exchange(node.missed, {})) missed();
   }
 
-  void drain(const std::vector<std::string>& names, ListState state, What what) {
+  void drain(const std::vector<std::string>& names, EndpointState state, What what) {
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       if (!covers(names, servers_[i].name)) continue;
       servers_[i].state = state;
@@ -371,7 +374,7 @@
         in_router({node.number, node.lives, {}, ""}, [i, state](Life& life) {
           const ServerId id{static_cast<std::uint32_t>(i)};
           life.servers.find(id)->state = state;
-          life.table.list_changed(false, {{id, CellNo{0}, state, std::nullopt, core::kNotKnown}});
+          life.table.on_endpoints_changed(false, {{id, PoolId{0}, state, std::nullopt, core::kNotKnown}});
         });
       }
     }
@@ -407,11 +410,11 @@
       set_up.call_class = "till";
       set_up.number = id;
       set_up.facts.expires = expires;
-      set_up.facts.first_choice = CellNo{0};
-      const CallId call = life.table.take(life.port, std::move(set_up));
+      set_up.facts.first_choice = PoolId{0};
+      const CallId call = life.table.admit(life.port, std::move(set_up));
       life.ids[call] = id;
       node.waiting[id] = call;
-      life.table.decide(call);
+      life.table.route(call);
     });
     after(options_.patience, [this, &node, id, life = node.lives] {
       const auto found = node.waiting.find(id);
@@ -419,7 +422,7 @@
       const CallId call = found->second;
       note({now_, node.caller, What::kGaveUp, id, node.name, 0, ""});
       node.waiting.erase(found);
-      in_router({node.number, life, {}, id}, [call](Life& of) { of.table.give_up(call); });
+      in_router({node.number, life, {}, id}, [call](Life& of) { of.table.abandon(call); });
     });
   }
 
@@ -429,12 +432,12 @@
     auto& node = nodes_[one.router];
     if (node.lives != one.life || !node.life) return;  // its connection died with it
     note({now_, server.name, What::kInvite, one.id, node.name, 0, ""});
-    if (server.working >= options_.traits.most_out || server.calls.contains(one.id)) {
+    if (server.working >= options_.traits.max_out || server.calls.contains(one.id)) {
       note({now_, server.name, What::kDenied, one.id, node.name, 503, ""});
       to_router(one, number, [one](Life& life) {
         core::AttemptEnd end;
         end.outcome = Outcome::kFull;
-        life.table.ended(one.ref, end);
+        life.table.on_attempt_ended(one.ref, end);
       });
       return;
     }
@@ -461,7 +464,7 @@
     const auto one = call->from;
     note({now_, server.name, What::kAnswered, id, nodes_[one.router].name, 0, description});
     to_router(one, number, [this, one, number, description](Life& life) {
-      if (!life.table.stood(one.ref, description)) {
+      if (!life.table.on_established(one.ref, description)) {
         to_server(one, number, [this, one, number] { ended(one, number, false); });
       }
     });
@@ -482,7 +485,7 @@
     if (*heard || now_ >= until) return;
     to_router(one, number, [one, heard](Life& life) {
       *heard = true;
-      life.table.ended(one.ref, {});
+      life.table.on_attempt_ended(one.ref, {});
     });
     after(kToldAgain, [this, one, number, until, heard] { tell_release(one, number, until, heard); });
   }
@@ -525,9 +528,9 @@
   node_.simulation.told(node_, call, What::kAnswer, 0, std::string(description));
   return true;
 }
-void Port::refuse(CallId call, core::Reason /*reason*/, Duration stay_away) {
+void Port::reject(CallId call, core::Reason /*reason*/, Duration retry_after) {
   node_.simulation.told(node_, call, What::kRefused,
-                        std::chrono::duration_cast<milliseconds>(stay_away).count());
+                        std::chrono::duration_cast<milliseconds>(retry_after).count());
 }
 void Port::fail(CallId call, core::Reason /*reason*/) {
   node_.simulation.told(node_, call, What::kFailed, 41);
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -54,7 +54,7 @@
       [this, &acceptor, router](const asio::error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
         if (!error) {
-          auto stream = std::make_shared<net::Stream>(loop_, *this);
+          auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
           connections_[stream.get()] = {stream, router};
           stream->adopt(std::move(socket));
           // What concerned this router and was not heard is said again on the next connection (PROTOCOL).
@@ -68,7 +68,7 @@
       });
 }
 
-void SipServer::send_release(const Release& release, const std::shared_ptr<net::Stream>& preferred) {
+void SipServer::send_release(const Release& release, const std::shared_ptr<net::TcpConnection>& preferred) {
   auto found = connections_.find(preferred.get());
   if (found == connections_.end()) {
     found = std::find_if(connections_.begin(), connections_.end(),
@@ -82,13 +82,13 @@
   scene_.note({scene_.now(), name_, what, call, router, number, std::move(text)});
 }
 
-std::size_t SipServer::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t SipServer::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   std::size_t taken = 0;
   while (taken < bytes.size()) {
-    const auto read = sip::read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
+    const auto read = sip::read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessage);
     if (read.state == sip::SipRead::State::kMore) break;
     if (read.state == sip::SipRead::State::kBad) {
-      stream.fail(net::Closed::kReset);
+      stream.fail(net::CloseReason::kReset);
       return bytes.size();
     }
     if (read.head.status == 0) {
@@ -102,7 +102,7 @@
   return taken;
 }
 
-void SipServer::on_request(net::Stream& stream, const sip::SipRead& read) {
+void SipServer::on_request(net::TcpConnection& stream, const sip::SipRead& read) {
   const auto& head = read.head;
   const std::string id(head.call_id);
   if (head.method == "INVITE") {
@@ -128,14 +128,14 @@
   }
 }
 
-void SipServer::on_invite(net::Stream& stream, const sip::SipRead& read) {
+void SipServer::on_invite(net::TcpConnection& stream, const sip::SipRead& read) {
   const auto& head = read.head;
   const std::string id(head.call_id);
   const auto router = router_of(head.via);
   note(What::kInvite, id, router);
   const std::string via(head.via);
   const std::string cseq(head.cseq);
-  if (working_ >= traits_.most_out || calls_.contains(id)) {
+  if (working_ >= traits_.max_out || calls_.contains(id)) {
     note(What::kDenied, id, router, 503);
     stream.send(status_line(503, id, cseq, via, "X-Diagnosis: acc\r\n", ""));
     return;
@@ -172,7 +172,7 @@
   send_release(releases_.back(), call.connection.lock());
 }
 
-void SipServer::on_closed(net::Stream& stream, net::Closed /*why*/) {
+void SipServer::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
   for (auto at = calls_.begin(); at != calls_.end();) {
     auto& call = at->second;
     if (call.connection.lock().get() != &stream || !call.description.empty()) {
@@ -215,11 +215,11 @@
 }
 
 void Callers::connect() {
-  stream_ = std::make_shared<net::Stream>(loop_, *this);
+  stream_ = std::make_shared<net::TcpConnection>(loop_, *this);
   stream_->connect(to_, milliseconds{500});
 }
 
-void Callers::on_open(net::Stream& /*stream*/) {
+void Callers::on_open(net::TcpConnection& /*stream*/) {
   open_ = true;
   if (asking_) ask_ready();
   for (auto& [id, one] : waiting_) stream_->send(one.line);  // only what crossed a close is left
@@ -261,7 +261,7 @@
   if (open_) stream_->send("{\"msg\":\"close\",\"sid\":\"" + id + "\",\"attrs\":{},\"code\":16}\n");
 }
 
-std::size_t Callers::on_bytes(net::Stream& /*stream*/, std::span<char> bytes) {
+std::size_t Callers::on_bytes(net::TcpConnection& /*stream*/, std::span<char> bytes) {
   std::size_t taken = 0;
   for (;;) {
     const auto rest = bytes.subspan(taken);
@@ -318,7 +318,7 @@
   note(refused ? What::kRefused : What::kFailed, id, refused ? wait : code);
 }
 
-void Callers::on_closed(net::Stream& stream, net::Closed why) {
+void Callers::on_closed(net::TcpConnection& stream, net::CloseReason why) {
   if (&stream != stream_.get()) return;
   open_ = false;
   bool crossed = false;
@@ -326,7 +326,7 @@
     auto& [id, one] = *at;
     // A set-up that crosses the router's close within 50 ms is sent again on a new connection, once
     // (PROTOCOL).
-    if (why == net::Closed::kEnded && !one.resent && scene_.now() - one.sent <= kCrossing) {
+    if (why == net::CloseReason::kEnded && !one.resent && scene_.now() - one.sent <= kCrossing) {
       crossed = one.resent = true;
       ++at;
       continue;
@@ -356,7 +356,7 @@
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (!error) {
-      auto stream = std::make_shared<net::Stream>(loop_, *this);
+      auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
       open_[stream.get()] = stream;
       stream->adopt(std::move(socket));
     }
@@ -387,7 +387,7 @@
   beat_ = loop_.after(std::chrono::seconds{1}, [this] { beat(); });
 }
 
-std::size_t Channel::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Channel::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const std::string_view text(bytes.data(), bytes.size());
   if (text.find("\r\n\r\n") == std::string_view::npos) return 0;
   const auto at = text.find("Last-Event-ID: ");
@@ -401,7 +401,7 @@
   return bytes.size();
 }
 
-void Channel::on_closed(net::Stream& stream, net::Closed /*why*/) {
+void Channel::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
   listening_.erase(&stream);
   open_.erase(&stream);
 }
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -21,13 +21,13 @@
 namespace amberknot::lab::fleet {
 
 struct ServerTraits {
-  std::size_t most_out = 64;                       ///< set-ups in work beyond which it says 503
+  std::size_t max_out = 64;                        ///< set-ups in work beyond which it says 503
   Duration work = std::chrono::milliseconds{20};   ///< mean time to the answer
   Duration hold = std::chrono::milliseconds{800};  ///< mean time that a call stands
   double silent = 0;                               ///< share of set-ups that it never answers
 };
 
-class SipServer : public net::Stream::Owner {
+class SipServer : public net::TcpConnection::Owner {
  public:
   SipServer(net::Loop& loop, Scene& scene, std::string name, ServerTraits traits, std::uint64_t seed);
   ~SipServer() override;
@@ -39,14 +39,14 @@
   struct Call {
     /// By which its set-up came. Not a plain pointer: once that has closed, a later connection, perhaps of
     /// another router, may have the same address.
-    std::weak_ptr<net::Stream> connection;
+    std::weak_ptr<net::TcpConnection> connection;
     std::string router, cseq, via;
     std::string description;  ///< empty: not answered yet
     core::TimerWheel::Handle timer = 0;
   };
   using Calls = std::unordered_map<std::string, Call>;
   struct Connection {
-    std::shared_ptr<net::Stream> stream;
+    std::shared_ptr<net::TcpConnection> stream;
     std::string router;
   };
   /// A release that the router has not confirmed.
@@ -56,11 +56,11 @@
   };
   void accept(asio::ip::tcp::acceptor& acceptor, const std::string& router);
   /// By that connection if it is open, otherwise by any other of the release's router.
-  void send_release(const Release& release, const std::shared_ptr<net::Stream>& preferred);
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
-  void on_request(net::Stream& stream, const sip::SipRead& read);
-  void on_invite(net::Stream& stream, const sip::SipRead& read);
+  void send_release(const Release& release, const std::shared_ptr<net::TcpConnection>& preferred);
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
+  void on_request(net::TcpConnection& stream, const sip::SipRead& read);
+  void on_invite(net::TcpConnection& stream, const sip::SipRead& read);
   void answer(const std::string& id);
   void hang_up(const std::string& id);
   void note(What what, const std::string& call, const std::string& router, std::int64_t number = 0,
@@ -75,7 +75,7 @@
   ServerTraits traits_;
   Random random_;
   std::list<asio::ip::tcp::acceptor> acceptors_;
-  std::unordered_map<net::Stream*, Connection> connections_;
+  std::unordered_map<net::TcpConnection*, Connection> connections_;
   std::list<Release> releases_;
   Calls calls_;
   std::size_t working_ = 0;
@@ -83,7 +83,7 @@
 };
 
 /// Callers of one router: one connection, made anew when it is lost.
-class Callers : public net::Stream::Owner {
+class Callers : public net::TcpConnection::Owner {
  public:
   Callers(net::Loop& loop, Scene& scene, std::string name, std::string router, asio::ip::tcp::endpoint to,
           double calls_per_s, Duration patience, std::uint64_t seed);
@@ -99,9 +99,9 @@
   void call();
   void give_up(const std::string& id);
   void on_line(std::span<char> line);
-  void on_open(net::Stream& stream) override;
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  void on_open(net::TcpConnection& stream) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
   void note(What what, const std::string& call, std::int64_t number = 0, std::string text = {});
 
   net::Loop& loop_;
@@ -111,7 +111,7 @@
   double calls_per_s_;
   Duration patience_, end_{};
   Random random_;
-  std::shared_ptr<net::Stream> stream_;
+  std::shared_ptr<net::TcpConnection> stream_;
   bool open_ = false, ready_ = false, asking_ = false;
   struct Waiting {
     core::TimerWheel::Handle timer = 0;
@@ -125,7 +125,7 @@
 };
 
 /// The command channel of one router: the events so far, then each new one.
-class Channel : public net::Stream::Owner {
+class Channel : public net::TcpConnection::Owner {
  public:
   Channel(net::Loop& loop, std::string first_event);
   ~Channel() override;
@@ -138,13 +138,13 @@
  private:
   void accept();
   void beat();
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
   [[nodiscard]] std::string text_of(std::size_t event) const;
   net::Loop& loop_;
   asio::ip::tcp::acceptor acceptor_;
   std::vector<std::string> events_;
-  std::unordered_map<net::Stream*, std::shared_ptr<net::Stream>> open_, listening_;
+  std::unordered_map<net::TcpConnection*, std::shared_ptr<net::TcpConnection>> open_, listening_;
   core::TimerWheel::Handle beat_ = 0;
 };
 
--- a/lab/http2_server.cpp
+++ b/lab/http2_server.cpp
@@ -51,7 +51,7 @@
 }
 
 Http2Server::Peer::Peer(Http2Server& server, asio::ip::tcp::socket socket)
-    : server_(server), stream_(std::make_shared<net::Stream>(server.loop_, *this)) {
+    : server_(server), stream_(std::make_shared<net::TcpConnection>(server.loop_, *this)) {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
   nghttp2_session_callbacks_set_on_header_callback(
@@ -105,7 +105,7 @@
   stream_->adopt(std::move(socket));
 }
 
-void Http2Server::Peer::on_open(net::Stream& /*stream*/) {
+void Http2Server::Peer::on_open(net::TcpConnection& /*stream*/) {
   const nghttp2_settings_entry settings[] = {
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, server_.options.streams},
       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, server_.options.window}};
@@ -113,19 +113,19 @@
   pump();
 }
 
-std::size_t Http2Server::Peer::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Http2Server::Peer::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const auto taken = nghttp2_session_mem_recv(
       session_.get(), reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (closed) return bytes.size();
   if (taken < 0) {
-    stream.fail(net::Closed::kReset);
+    stream.fail(net::CloseReason::kReset);
     return bytes.size();
   }
   pump();
   return bytes.size();
 }
 
-void Http2Server::Peer::on_closed(net::Stream& /*stream*/, net::Closed /*why*/) {
+void Http2Server::Peer::on_closed(net::TcpConnection& /*stream*/, net::CloseReason /*why*/) {
   closed = true;
 }
 
--- a/lab/http2_server.hpp
+++ b/lab/http2_server.hpp
@@ -24,7 +24,7 @@
     bool answer_pings = true;
   };
 
-  class Peer : public net::Stream::Owner {
+  class Peer : public net::TcpConnection::Owner {
    public:
     struct Request {
       std::string method, path, body;
@@ -66,15 +66,15 @@
     struct Free {
       void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
     };
-    void on_open(net::Stream& stream) override;
-    std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-    void on_closed(net::Stream& stream, net::Closed why) override;
+    void on_open(net::TcpConnection& stream) override;
+    std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+    void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
     void pump();
     static ssize_t read_body(nghttp2_session*, std::int32_t id, std::uint8_t* to, std::size_t size,
                              std::uint32_t* flags, nghttp2_data_source* source, void* self);
 
     Http2Server& server_;
-    std::shared_ptr<net::Stream> stream_;
+    std::shared_ptr<net::TcpConnection> stream_;
     std::unique_ptr<nghttp2_session, Free> session_;
     std::map<std::int32_t, Body> bodies_;
   };
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -109,7 +109,7 @@
   options.calls_per_s = words.calls_per_s;
   options.traits = traits_of(words);
   // As much room for each router's calls at the servers, however many routers there are.
-  options.traits.most_out = std::max<std::size_t>(options.traits.most_out, words.nodes * 16 / words.servers);
+  options.traits.max_out = std::max<std::size_t>(options.traits.max_out, words.nodes * 16 / words.servers);
   options.schedule = schedule_of(words);
   const auto result = simulate(options);
   std::cout << text_of(result.verdict);
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -33,7 +33,7 @@
   std::vector<asio::ip::udp::endpoint> peers;
   std::optional<asio::ip::udp::endpoint> peers_all;
   std::uint64_t cursor = 0;
-  std::vector<feed::ListNews> known;
+  std::vector<feed::EndpointUpdate> known;
   Settings settings;
   std::string settings_text;  ///< as path=value lines, to tell whether they were changed
   core::Names names;
--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -13,73 +13,75 @@
 namespace amberknot::app {
 namespace {
 
-std::unique_ptr<core::Front> make_jsonl_front(Site& site) {
-  return std::make_unique<jsonl::Front>(site.loop, site.table, site.counters, site.names, site.settings,
-                                        site.bounds, site.config.listen, site.translator.get());
+std::unique_ptr<core::Frontend> make_jsonl_frontend(Site& site) {
+  return std::make_unique<jsonl::Frontend>(site.loop, site.table, site.counters, site.names, site.settings,
+                                           site.bounds, site.config.listen, site.translator.get());
 }
 
-std::unique_ptr<core::Front> make_diameter_front(Site& site) {
+std::unique_ptr<core::Frontend> make_diameter_frontend(Site& site) {
   const auto& setup = site.setup.diameter;
   if (!setup || !setup->listen) return nullptr;
-  auto front = std::make_unique<diameter::Front>(
+  auto front = std::make_unique<diameter::Frontend>(
       site.loop, site.table, site.counters, site.identity, site.names, site.settings, *setup->listen,
       site.bounds.diameter, setup->clients, site.tenant_of,
-      [&servers = site.servers](std::string_view host) -> std::optional<CellNo> {
+      [&servers = site.servers](std::string_view host) -> std::optional<PoolId> {
         const auto* server = servers.find(host);
-        return server != nullptr ? std::optional(server->cell) : std::nullopt;
+        return server != nullptr ? std::optional(server->pool) : std::nullopt;
       },
       site.translator.get());
   net::log::info("diameter: ", site.identity.host, " serves clients at ", front->where());
   return front;
 }
 
-std::unique_ptr<core::Links> make_diameter_links(Site& site) {
+std::unique_ptr<core::UpstreamPool> make_diameter_pool(Site& site) {
   if (!site.setup.diameter) return nullptr;
-  return std::make_unique<diameter::Links>(site.loop, site.table, site.servers, site.counters, site.identity,
-                                           site.config.connect_limit, site.server_changed);
+  return std::make_unique<diameter::ConnectionPool>(site.loop, site.table, site.servers, site.counters,
+                                                    site.identity, site.config.connect_limit,
+                                                    site.on_availability_changed);
 }
 
-std::unique_ptr<core::Links> make_sip_links(Site& site) {
-  return std::make_unique<sip::Links>(site.loop, site.table, site.servers, site.counters, site.bounds,
-                                      site.config.name, site.config.connect_limit);
+std::unique_ptr<core::UpstreamPool> make_sip_pool(Site& site) {
+  return std::make_unique<sip::ConnectionPool>(site.loop, site.table, site.servers, site.counters,
+                                               site.bounds, site.config.name, site.config.connect_limit);
 }
 
-std::unique_ptr<core::Links> make_http2_links(Site& site) {
+std::unique_ptr<core::UpstreamPool> make_http2_pool(Site& site) {
   if (!site.setup.session_api) return nullptr;
   const auto& limits = site.settings.limits;
-  return std::make_unique<http2::Links>(
+  return std::make_unique<http2::ConnectionPool>(
       site.loop, site.table, site.servers, site.counters, site.bounds, *site.translator,
       site.config.connect_limit, limits.max_retry_advice,
       [&setup = *site.setup.session_api, &translator = *site.translator](const std::string& server) {
         const auto* speaks = setup.of(server);
         return speaks != nullptr ? translator.server_no(*speaks) : std::nullopt;
       },
-      site.server_changed);
+      site.on_availability_changed);
 }
 
-bool speaks_session_api(const OperatorFile& setup, const std::string& server) {
+bool is_session_api_server(const OperatorFile& setup, const std::string& server) {
   return setup.session_api && setup.session_api->of(server) != nullptr;
 }
-bool speaks_diameter(const OperatorFile& setup, const std::string& server) {
-  return setup.diameter && setup.diameter->speaks_diameter(server);
+bool is_diameter_server(const OperatorFile& setup, const std::string& server) {
+  return setup.diameter && setup.diameter->is_diameter_server(server);
 }
-bool speaks_sip(const OperatorFile& /*setup*/, const std::string& /*server*/) {
+bool is_sip_server(const OperatorFile& /*setup*/, const std::string& /*server*/) {
   return true;
 }
 
-constexpr std::array kFronts = {FrontKind{"json-lines", make_jsonl_front},
-                                FrontKind{"diameter", make_diameter_front}};
-constexpr std::array kLinks = {LinksKind{"diameter", "diameter-server", speaks_diameter, make_diameter_links},
-                               LinksKind{"session-api", "", speaks_session_api, make_http2_links},
-                               LinksKind{"sip", "sip", speaks_sip, make_sip_links}};
+constexpr std::array kFrontendKinds = {FrontendKind{"json-lines", make_jsonl_frontend},
+                                       FrontendKind{"diameter", make_diameter_frontend}};
+constexpr std::array kUpstreamPoolKinds = {
+    UpstreamPoolKind{"diameter", "diameter-server", is_diameter_server, make_diameter_pool},
+    UpstreamPoolKind{"session-api", "", is_session_api_server, make_http2_pool},
+    UpstreamPoolKind{"sip", "sip", is_sip_server, make_sip_pool}};
 
 }  // namespace
 
-std::span<const FrontKind> front_kinds() {
-  return kFronts;
+std::span<const FrontendKind> frontend_kinds() {
+  return kFrontendKinds;
 }
-std::span<const LinksKind> links_kinds() {
-  return kLinks;
+std::span<const UpstreamPoolKind> upstream_pool_kinds() {
+  return kUpstreamPoolKinds;
 }
 
 std::unique_ptr<translate::Translator> make_translator(const OperatorFile& setup) {
--- a/src/app/kinds.hpp
+++ b/src/app/kinds.hpp
@@ -26,41 +26,41 @@
 struct Site {
   net::Loop& loop;
   core::CallTable& table;
-  core::ServerList& servers;
+  core::EndpointRegistry& servers;
   core::Counters& counters;
   const Config& config;
   const OperatorFile& setup;
-  const net::Bounds& bounds;
+  const net::ResourceLimits& bounds;
   const core::Names& names;
   const Settings& settings;
   /// The tenant that a User-Name, realm or acquirer belongs to; the text itself where nobody knows it.
   std::function<std::string(std::string_view)> tenant_of;
   /// To be told when a server begins or ceases to take new calls, or has started anew.
-  std::function<void(ServerId server, bool started_anew)> server_changed;
+  std::function<void(ServerId server, bool started_anew)> on_availability_changed;
   /// One name and one number space for the Diameter front and links.
   diameter::Identity identity = {};
   /// Null: nothing is translated, and no server speaks the session API.
   std::unique_ptr<translate::Translator> translator = {};
 };
 
-struct FrontKind {
+struct FrontendKind {
   std::string_view name;
   /// Null: the operator's file does not set it up.
-  std::unique_ptr<core::Front> (*make)(Site& site);
+  std::unique_ptr<core::Frontend> (*make)(Site& site);
 };
 
-struct LinksKind {
+struct UpstreamPoolKind {
   std::string_view name;
   std::string_view dialect;  ///< of all its servers; empty: each has its own, which the links find out
   /// Whether the operator's file says that this server speaks it; the last row takes the rest.
   bool (*speaks)(const OperatorFile& setup, const std::string& server);
   /// Null: the operator's file does not set it up.
-  std::unique_ptr<core::Links> (*make)(Site& site);
+  std::unique_ptr<core::UpstreamPool> (*make)(Site& site);
 };
 
 /// The first row is the platform's front.
-std::span<const FrontKind> front_kinds();
-std::span<const LinksKind> links_kinds();
+std::span<const FrontendKind> frontend_kinds();
+std::span<const UpstreamPoolKind> upstream_pool_kinds();
 
 /// The translator that the operator's file asks for; null: nothing is translated. Throws ConfigError where a
 /// mapping is not total.
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -22,7 +22,7 @@
 void print_counters(const app::Router& router) {
   router.counters().print(std::clog);
   std::clog << "; now: unanswered=" << router.table().unanswered()
-            << " standing=" << router.table().standing() << std::endl;
+            << " standing=" << router.table().established() << std::endl;
 }
 
 app::Config read_configuration() {
@@ -47,7 +47,7 @@
     } else if (signal == SIGHUP) {
       reload(router);
     } else {
-      router.stop_when_answered([&loop] { loop.io.stop(); });
+      router.shut_down([&loop] { loop.io.stop(); });
     }
     watch_signals(signals, loop, router);
   });
--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -47,8 +47,8 @@
     const auto* value = find(name);
     if (value == nullptr) return otherwise;
     const auto read = settings::number_of(settings::text_of(*value));
-    constexpr double kMost = 86'400'000;
-    if (!read || *read < static_cast<double>(least.count()) || *read > kMost)
+    constexpr double kMax = 86'400'000;
+    if (!read || *read < static_cast<double>(least.count()) || *read > kMax)
       wrong(field(name), "is out of range");
     return milliseconds{static_cast<std::int64_t>(*read)};
   }
--- a/src/app/operator_file.hpp
+++ b/src/app/operator_file.hpp
@@ -23,7 +23,7 @@
   std::chrono::milliseconds watchdog{30'000};
   std::map<std::string, std::string, std::less<>> tenants;  ///< by User-Name or realm
 
-  [[nodiscard]] bool speaks_diameter(const std::string& server) const {
+  [[nodiscard]] bool is_diameter_server(const std::string& server) const {
     return servers.contains(server) || servers.contains("*");
   }
 };
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -16,10 +16,10 @@
 
 // How often a process looks for what the one that it replaces has left to tell: callers are owed it within 1
 // s.
-constexpr Duration kTakeUntold = milliseconds{50};
-constexpr Duration kLookWhetherDone = milliseconds{20};
+constexpr Duration kStoredReleasesInterval = milliseconds{50};
+constexpr Duration kExitCheckInterval = milliseconds{20};
 // What has gone is remembered for a while, since some of its calls may still want their release.
-constexpr Duration kGoneKept = std::chrono::seconds{20};
+constexpr Duration kRemovedRetention = std::chrono::seconds{20};
 constexpr Duration kForgetEvery = std::chrono::seconds{5};
 
 }  // namespace
@@ -28,7 +28,7 @@
     : loop_(loop),
       config_(config),
       names_(config.names),
-      bounds_(net::Bounds::of(config.memory_mb, config.sockets)),
+      bounds_(net::ResourceLimits::of(config.memory_mb, config.sockets)),
       dispatcher_(config.settings, net::Loop::now()),
       table_(dispatcher_, servers_, loop.wheel, counters_, &net::Loop::now),
       setup_(setup),
@@ -42,43 +42,43 @@
             names_,
             dispatcher_.settings(),
             [this](std::string_view user) { return tenant_of(user); },
-            [this](ServerId id, bool started_anew) { server_changed(id, started_anew); }} {
+            [this](ServerId id, bool started_anew) { on_availability_changed(id, started_anew); }} {
   loop.outgoing.most = bounds_.queued;
-  loop.outgoing.most_on_one = bounds_.queued_on_one;
+  loop.outgoing.max_on_one = bounds_.queued_on_one;
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
-    peers_ = std::make_unique<feed::Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
-                                           [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-                                             table_.peer_said(from, std::move(bytes));
-                                           });
+    gossip_ = std::make_unique<feed::Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
+                                            [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+                                              table_.on_gossip(from, std::move(bytes));
+                                            });
   }
   table_.connect(
       [this](const std::vector<std::uint8_t>& bytes) {
-        if (peers_) peers_->tell_all(bytes);
+        if (gossip_) gossip_->broadcast(bytes);
       },
       [](const std::string& text) { net::log::info(text); });
   prepare(site_);
-  for (const auto& kind : links_kinds()) links_.push_back(kind.make(site_));
+  for (const auto& kind : upstream_pool_kinds()) upstream_pools_.push_back(kind.make(site_));
   if (setup_.ldap) follow_directory();
-  for (const auto& kind : front_kinds()) fronts_.push_back(kind.make(site_));
+  for (const auto& kind : frontend_kinds()) frontends_.push_back(kind.make(site_));
   for (const auto& news : config.known) apply(news);
   config_.known.clear();  // told; a reload brings its own
-  feed_ = std::make_unique<feed::Feed>(loop, counters_, config.channel, config.cursor,
-                                       [this](const feed::ListNews& news) { apply(news); });
-  forget_now_and_then();
+  endpoint_watcher_ = std::make_unique<feed::Feed>(loop, counters_, config.channel, config.cursor,
+                                                   [this](const feed::EndpointUpdate& news) { apply(news); });
+  schedule_forgetting();
   if (config.control) {
     // Its own places, beside the callers' and the servers': a sixteenth of the descriptors, at least eight.
     const std::size_t most = std::max<std::size_t>(8, config.sockets / 16);
-    door_ = std::make_unique<control::Door>(loop, *config.control, most,
-                                            [this](control::Command command) { return answer(command); });
-    net::log::info("control: the operators' door is at ", net::text_of(door_->where()));
+    admin_server_ = std::make_unique<control::Door>(
+        loop, *config.control, most, [this](control::Command command) { return answer(command); });
+    net::log::info("control: the operators' door is at ", net::text_of(admin_server_->where()));
   }
 }
 
 void Router::standby(bool on) {
   if (standby_ == on) return;
   standby_ = on;
-  for (const auto& front : fronts_) {
-    if (front) front->standby(on);
+  for (const auto& frontend : frontends_) {
+    if (frontend) frontend->standby(on);
   }
 }
 
@@ -86,14 +86,14 @@
   switch (command) {
     case control::Command::kStatus:
       if (ready()) return "+OK yes";
-      return done_ ? "-ERR no: stopping" : "-ERR no: standby";
+      return on_exit_ ? "-ERR no: stopping" : "-ERR no: standby";
     case control::Command::kStats: {
       control::Gauges gauges;
-      gauges.open_requests = table_.unanswered() + table_.standing();
+      gauges.open_requests = table_.unanswered() + table_.established();
       for (const auto& [id, server] : servers_.all()) {
-        if (server.state == ListState::kGone) continue;
+        if (server.state == EndpointState::kRemoved) continue;
         ++gauges.registry_entries;
-        if (server.state != ListState::kReady || !server.port->serves(id)) ++gauges.out_of_rotation;
+        if (server.state != EndpointState::kReady || !server.port->is_available(id)) ++gauges.out_of_rotation;
       }
       auto lines = control::statsd_lines(counters_, names_.classes, gauges);
       lines.pop_back();  // the door ends the reply
@@ -135,17 +135,17 @@
       });
 }
 
-void Router::server_changed(ServerId id, bool started_anew) {
+void Router::on_availability_changed(ServerId id, bool started_anew) {
   auto& server = *servers_.find(id);
   if (started_anew) server.started = net::Loop::now();
-  table_.list_changed(false, {facts_of(server)});
+  table_.on_endpoints_changed(false, {facts_of(server)});
 }
 
-void Router::assign_links(core::ListedServer& server) const {
-  const auto kinds = links_kinds();
+void Router::assign_upstream_pool(core::Endpoint& server) const {
+  const auto kinds = upstream_pool_kinds();
   for (std::size_t i = 0; i < kinds.size(); ++i) {
-    if (!links_[i] || !kinds[i].speaks(setup_, server.name)) continue;
-    server.port = links_[i].get();
+    if (!upstream_pools_[i] || !kinds[i].speaks(setup_, server.name)) continue;
+    server.port = upstream_pools_[i].get();
     if (!site_.translator) return;
     const auto dialect = kinds[i].dialect;
     server.version =
@@ -156,14 +156,14 @@
 
 std::size_t Router::callers() const {
   std::size_t open = 0;
-  for (const auto& front : fronts_) open += front ? front->connections() : 0;
+  for (const auto& frontend : frontends_) open += frontend ? frontend->connections() : 0;
   return open;
 }
 
-std::optional<asio::ip::tcp::endpoint> Router::front_at(std::string_view name) const {
-  const auto kinds = front_kinds();
+std::optional<asio::ip::tcp::endpoint> Router::frontend_at(std::string_view name) const {
+  const auto kinds = frontend_kinds();
   for (std::size_t i = 0; i < kinds.size(); ++i) {
-    if (kinds[i].name == name && fronts_[i]) return net::read_endpoint(fronts_[i]->where());
+    if (kinds[i].name == name && frontends_[i]) return net::read_endpoint(frontends_[i]->where());
   }
   return std::nullopt;
 }
@@ -177,46 +177,47 @@
   return std::string(user);  // the tenant's own name
 }
 
-core::ServerFacts Router::facts_of(const core::ListedServer& server) const {
-  core::ServerFacts facts{server.id, server.cell, server.state, server.started, server.version};
+core::ServerFacts Router::facts_of(const core::Endpoint& server) const {
+  core::ServerFacts facts{server.id, server.pool, server.state, server.started, server.version};
   // A server whose links cannot take anything new now, as a Diameter peer that is not up or whose watchdog is
   // silent; what is out there may finish. To the module that is a server that drains.
-  if (facts.state == ListState::kReady && !server.port->serves(server.id)) {
-    facts.state = ListState::kDraining;
+  if (facts.state == EndpointState::kReady && !server.port->is_available(server.id)) {
+    facts.state = EndpointState::kDraining;
   }
   return facts;
 }
 
-void Router::apply(const feed::ListNews& news) {
+void Router::apply(const feed::EndpointUpdate& news) {
   if (!news.has_servers) return;
   std::set<std::string> listed;
-  std::vector<core::ListChange> changes = news.changes;
+  std::vector<core::EndpointChange> changes = news.changes;
   for (const auto& change : changes) listed.insert(change.name);
   if (news.whole_list) {
     // What a whole list does not name is gone.
     for (const auto& [id, server] : servers_.all()) {
-      if (server.state == ListState::kGone || listed.contains(server.name)) continue;
-      changes.push_back({server.name, server.address, static_cast<std::uint32_t>(server.cell),
-                         ListState::kGone, server.started_unix_ms});
+      if (server.state == EndpointState::kRemoved || listed.contains(server.name)) continue;
+      changes.push_back({server.name, server.address, static_cast<std::uint32_t>(server.pool),
+                         EndpointState::kRemoved, server.started_unix_ms});
     }
   }
   std::vector<core::ServerFacts> facts;
-  std::vector<ServerId> gone;
+  std::vector<ServerId> removed;
   std::vector<std::pair<ServerId, Instant>> anew;
   for (const auto& change : changes) {
     auto& server = servers_.of(change.name);
     const bool known = server.port != nullptr;
     const bool started = change.started_unix_ms > server.started_unix_ms;
-    if (change.state == ListState::kGone && server.state != ListState::kGone) gone.push_back(server.id);
+    if (change.state == EndpointState::kRemoved && server.state != EndpointState::kRemoved)
+      removed.push_back(server.id);
     server.address = change.address;
-    server.cell = CellNo{change.cell};
+    server.pool = PoolId{change.pool};
     server.state = change.state;
-    if (change.state != ListState::kGone) {
-      server.gone_at.reset();
-    } else if (!server.gone_at) {
-      server.gone_at = net::Loop::now();
+    if (change.state != EndpointState::kRemoved) {
+      server.removed_at.reset();
+    } else if (!server.removed_at) {
+      server.removed_at = net::Loop::now();
     }
-    if (!known) assign_links(server);
+    if (!known) assign_upstream_pool(server);
     if (started) {
       // Read once for each start: the module takes a later moment for another start.
       server.started_unix_ms = change.started_unix_ms;
@@ -224,80 +225,81 @@
                        milliseconds{std::max<std::int64_t>(0, net::Loop::unix_ms() - change.started_unix_ms)};
     }
     net::log::info("server ", server.name, " at ", server.address,
-                   change.state == ListState::kReady      ? " ready"
-                   : change.state == ListState::kDraining ? " draining"
-                                                          : " gone",
+                   change.state == EndpointState::kReady      ? " ready"
+                   : change.state == EndpointState::kDraining ? " draining"
+                                                              : " gone",
                    started && known ? ", started anew" : "");
     if (started && known) anew.emplace_back(server.id, *server.started);
     // Links to what is new come first, so that the module's sends find them.
-    if (server.state == ListState::kReady) server.port->server_changed(server);
+    if (server.state == EndpointState::kReady) server.port->on_endpoint_changed(server);
     facts.push_back(facts_of(server));
   }
-  table_.list_changed(news.whole_list, facts);
+  table_.on_endpoints_changed(news.whole_list, facts);
   // The module hears of a drain before the links take set-ups back: those are placed anew at once, and must
   // not go there again.
   for (const auto& change : changes) {
-    if (change.state == ListState::kReady) continue;
+    if (change.state == EndpointState::kReady) continue;
     const auto& server = servers_.of(change.name);
-    server.port->server_changed(server);
+    server.port->on_endpoint_changed(server);
   }
   // A process that is no more took its calls along; some may still want their release. Last, when the module
   // has heard all of the news: each end lets it place what is held, and that must not go to what has gone.
-  for (const auto id : gone) table_.cut_all(id, "server gone");
-  for (const auto& [id, started] : anew) table_.cut_before(id, started, "server started anew");
+  for (const auto id : removed) table_.abort_all(id, "server gone");
+  for (const auto& [id, started] : anew) table_.abort_sent_before(id, started, "server started anew");
 }
 
 // Servers come and go under new names all day: one that has gone is forgotten once nothing refers to it.
-void Router::forget_gone(Instant now) {
+void Router::forget_removed(Instant now) {
   std::vector<ServerId> over;
   for (const auto& [id, server] : servers_.all()) {
-    if (server.gone_at && now - *server.gone_at > kGoneKept && !table_.uses(id)) over.push_back(id);
+    if (server.removed_at && now - *server.removed_at > kRemovedRetention && !table_.has_calls_at(id))
+      over.push_back(id);
   }
   for (const auto id : over) {
-    for (const auto& links : links_) {
-      if (links) links->forget_server(id);
+    for (const auto& pool : upstream_pools_) {
+      if (pool) pool->forget_server(id);
     }
     servers_.forget(id);
   }
 }
 
-void Router::forget_now_and_then() {
+void Router::schedule_forgetting() {
   loop_.after(kForgetEvery, [this] {
-    forget_gone(net::Loop::now());
-    forget_now_and_then();
+    forget_removed(net::Loop::now());
+    schedule_forgetting();
   });
 }
 
 void Router::reload(const Config& fresh) {
   ++counters_.reloads;
-  const auto refuse = [](const char* field) {
+  const auto reject = [](const char* field) {
     net::log::warn("reload: ", field, " is changed: refused, it takes a restart");
   };
-  if (fresh.name != config_.name) refuse("name");
-  if (fresh.listen != config_.listen) refuse("listen");
-  if (fresh.peer_listen != config_.peer_listen) refuse("peer_listen");
+  if (fresh.name != config_.name) reject("name");
+  if (fresh.listen != config_.listen) reject("listen");
+  if (fresh.peer_listen != config_.peer_listen) reject("peer_listen");
   if (fresh.settings_text != config_.settings_text) {
     // Checked whole when it was read; what the router cannot change at run time stays and is said.
-    auto retuned = core::retune(names_, dispatcher_.settings(), fresh.names, fresh.settings);
-    names_ = std::move(retuned.names);
-    dispatcher_.retune(retuned.classes, retuned.limits);
+    auto plan = core::plan_reload(names_, dispatcher_.settings(), fresh.names, fresh.settings);
+    names_ = std::move(plan.names);
+    dispatcher_.apply_reload(plan.classes, plan.limits);
     config_.settings_text = fresh.settings_text;
-    for (const auto& note : retuned.notes) net::log::info("reload: ", note);
-    for (const auto& kept : retuned.kept) refuse(kept.c_str());
+    for (const auto& note : plan.notes) net::log::info("reload: ", note);
+    for (const auto& setting : plan.requires_restart) reject(setting.c_str());
   }
-  if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) refuse("limits");
+  if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) reject("limits");
   if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
-    if (peers_ && fresh.peers_all) {
-      peers_->move_to(fresh.peers, *fresh.peers_all);
+    if (gossip_ && fresh.peers_all) {
+      gossip_->move_to(fresh.peers, *fresh.peers_all);
       config_.peers = fresh.peers;
       config_.peers_all = fresh.peers_all;
       net::log::info("reload: ", fresh.peers.size(), " siblings");
     } else {
-      refuse("peers");
+      reject("peers");
     }
   }
-  for (const auto& news : fresh.known) feed_->learn(news);
-  feed_->move_to(fresh.channel);
+  for (const auto& news : fresh.known) endpoint_watcher_->learn(news);
+  endpoint_watcher_->move_to(fresh.channel);
   config_.channel = fresh.channel;
   net::log::info("reload: done");
 }
@@ -309,98 +311,100 @@
 
 void Router::declare(const std::string& folder) {
   std::string error;
-  auto made = store::Presence::declare(
+  auto made = store::InstanceLock::declare(
       folder, {config_.name, net::text_of(callers_at()), net::Loop::unix_us()}, error);
   if (!made) {
     net::log::info("a replacement will not be noticed: ", error);
     return;
   }
-  presence_.emplace(std::move(*made));
+  instance_lock_.emplace(std::move(*made));
   shared_folder_ = folder;
-  take_untold();
+  deliver_stored_releases();
 }
 
 bool Router::is_replaced() const {
-  if (!presence_) return false;
+  if (!instance_lock_) return false;
   std::size_t unreadable = 0;
-  const auto others = presence_->others(unreadable);
+  const auto others = instance_lock_->others(unreadable);
   if (unreadable > 0) net::log::warn("files of other processes in TMPDIR not readable: ", unreadable);
-  return core::replaced_by_any(presence_->self(), others);
+  return core::is_replaced_by_any(instance_lock_->self(), others);
 }
 
 // As long as the process that this one replaces lives, and once more after it: it may have left some at its
 // end.
-void Router::take_untold() {
+void Router::deliver_stored_releases() {
   std::size_t unreadable = 0;
-  const bool more = core::replaces_any(presence_->self(), presence_->others(unreadable));
+  const bool more = core::replaces_any(instance_lock_->self(), instance_lock_->others(unreadable));
   unreadable = 0;
-  const auto releases = store::take_releases(shared_folder_, presence_->self(), unreadable);
+  const auto releases = store::take_releases(shared_folder_, instance_lock_->self(), unreadable);
   if (unreadable > 0) net::log::warn("releases of a replaced process not readable: ", unreadable, " files");
   for (const auto& release : releases) {
-    for (const auto& front : fronts_) {
-      if (front) front->take_over(release);
+    for (const auto& frontend : frontends_) {
+      if (frontend) frontend->take_over(release);
     }
   }
-  if (more) loop_.after(kTakeUntold, [this] { take_untold(); });
+  if (more) loop_.after(kStoredReleasesInterval, [this] { deliver_stored_releases(); });
 }
 
-void Router::leave_untold() {
-  if (untold_.empty()) return;
+void Router::store_undelivered_releases() {
+  if (undelivered_releases_.empty()) return;
   std::string error;
-  if (!store::leave_releases(shared_folder_, presence_->self(), untold_, error)) {
+  if (!store::leave_releases(shared_folder_, instance_lock_->self(), undelivered_releases_, error)) {
     // What is left is kept, and tried again at the next look: a full folder may have room by then.
-    net::log::warn(log_untold_, "releases not left for the other process: ", error);
+    net::log::warn(store_failures_log_, "releases not left for the other process: ", error);
   }
 }
 
-void Router::stop_when_answered(std::function<void()> done) {
-  if (done_) return;
-  done_ = std::move(done);
+void Router::shut_down(std::function<void()> done) {
+  if (on_exit_) return;
+  on_exit_ = std::move(done);
   // The door says no from now on. Where nobody has taken over, the callers' connections stay and what comes
   // is answered; else callers are to go to the other process at once.
   const bool replaced = is_replaced();
-  leaving_ = core::Leaving::plan(net::Loop::now(), dispatcher_.longest_deadline(), replaced);
-  table_.begin_shutdown(leaving_);
-  net::log::info("stopping: ", table_.unanswered(), " unanswered, ", table_.standing(), " standing",
+  shutdown_plan_ = core::GracefulShutdown::plan(net::Loop::now(), dispatcher_.longest_deadline(), replaced);
+  table_.begin_shutdown(shutdown_plan_);
+  net::log::info("stopping: ", table_.unanswered(), " unanswered, ", table_.established(), " standing",
                  replaced ? ", replaced" : "");
   if (replaced) {
-    for (const auto& front : fronts_) {
-      if (front) front->hand_over([this](core::HandedRelease one) { untold_.push_back(std::move(one)); });
+    for (const auto& frontend : frontends_) {
+      if (frontend)
+        frontend->hand_over(
+            [this](core::UndeliveredRelease one) { undelivered_releases_.push_back(std::move(one)); });
     }
   }
-  look_whether_done();
+  check_exit();
 }
 
-void Router::look_whether_done() {
+void Router::check_exit() {
   const Instant now = net::Loop::now();
-  leave_untold();
-  const bool settled = std::all_of(fronts_.begin(), fronts_.end(),
-                                   [](const auto& front) { return !front || front->settled(); });
-  if (leaving_.may_leave(now, table_.unanswered(), table_.standing(), !settled)) {
+  store_undelivered_releases();
+  const bool settled = std::all_of(frontends_.begin(), frontends_.end(),
+                                   [](const auto& frontend) { return !frontend || frontend->settled(); });
+  if (shutdown_plan_.may_exit(now, table_.unanswered(), table_.established(), !settled)) {
     table_.release_all();
-    leave_untold();
-    for (const auto& front : fronts_) {
-      if (front) front->leave();
+    store_undelivered_releases();
+    for (const auto& frontend : frontends_) {
+      if (frontend) frontend->leave();
     }
-    for (const auto& links : links_) {
-      if (links) links->leave();
+    for (const auto& pool : upstream_pools_) {
+      if (pool) pool->leave();
     }
-    end_when_closed(leaving_.end_by(now));
+    exit_when_closed(shutdown_plan_.end_by(now));
     return;
   }
-  loop_.after(kLookWhetherDone, [this] { look_whether_done(); });
+  loop_.after(kExitCheckInterval, [this] { check_exit(); });
 }
 
 // A process that ends with input unread resets its connections, and a reset may overtake the last answer:
 // each is closed by its caller first, or its time is up.
-void Router::end_when_closed(Instant by) {
-  const bool closed = std::all_of(fronts_.begin(), fronts_.end(),
-                                  [](const auto& front) { return !front || front->closed(); });
+void Router::exit_when_closed(Instant by) {
+  const bool closed = std::all_of(frontends_.begin(), frontends_.end(),
+                                  [](const auto& frontend) { return !frontend || frontend->closed(); });
   if (closed || net::Loop::now() >= by) {
-    done_();
+    on_exit_();
     return;
   }
-  loop_.after(core::TimerWheel::kTick, [this, by] { end_when_closed(by); });
+  loop_.after(core::TimerWheel::kTick, [this, by] { exit_when_closed(by); });
 }
 
 }  // namespace amberknot::app
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -29,7 +29,7 @@
   Router(net::Loop& loop, const Config& config, const OperatorFile& setup = {});
 
   /// Goes on serving until all that was taken is answered, then releases what stands and calls `done`.
-  void stop_when_answered(std::function<void()> done);
+  void shut_down(std::function<void()> done);
   /// Says in a folder that the process shares with the one that it replaces, or that will replace it, that it
   /// serves. Takes what a process that it replaces has left to tell.
   void declare(const std::string& folder);
@@ -39,68 +39,69 @@
   /// A new configuration could not be read: the one in force stays.
   void reload_failed(std::string_view why);
   /// Forgets the servers that had been gone for long by then and that nothing refers to.
-  void forget_gone(Instant now);
+  void forget_removed(Instant now);
   /// The operators' door: standby sends callers away, active takes them again (DAYS, drain).
   void standby(bool on);
   /// Whether this process takes clients: it has started, and is neither in standby nor stopping.
-  [[nodiscard]] bool ready() const { return !standby_ && !done_; }
+  [[nodiscard]] bool ready() const { return !standby_ && !on_exit_; }
   /// The reply to one call at the door, without its line feed.
   [[nodiscard]] std::string answer(control::Command command);
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> control_at() const {
-    return door_ ? std::optional(door_->where()) : std::nullopt;
+    return admin_server_ ? std::optional(admin_server_->where()) : std::nullopt;
   }
   /// News of the servers, as from the command channel.
-  void apply(const feed::ListNews& news);
+  void apply(const feed::EndpointUpdate& news);
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
-  [[nodiscard]] const core::ServerList& servers() const { return servers_; }
+  [[nodiscard]] const core::EndpointRegistry& servers() const { return servers_; }
   /// Open connections of callers, by whatever front.
   [[nodiscard]] std::size_t callers() const;
   /// Where the front of that name in the table of kinds listens; empty: it is not set up.
-  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> front_at(std::string_view name) const;
-  [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return *front_at(front_kinds()[0].name); }
-  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const { return front_at("diameter"); }
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> frontend_at(std::string_view name) const;
+  [[nodiscard]] asio::ip::tcp::endpoint callers_at() const { return *frontend_at(frontend_kinds()[0].name); }
+  [[nodiscard]] std::optional<asio::ip::tcp::endpoint> diameter_at() const { return frontend_at("diameter"); }
   /// The tenant that a Diameter client's User-Name or realm belongs to, by the directory or the operator's
   /// file.
   [[nodiscard]] std::string tenant_of(std::string_view user) const;
 
  private:
   void follow_directory();
-  void server_changed(ServerId id, bool started_anew);
-  void assign_links(core::ListedServer& server) const;
-  [[nodiscard]] core::ServerFacts facts_of(const core::ListedServer& server) const;
-  void look_whether_done();
-  void end_when_closed(Instant by);
+  void on_availability_changed(ServerId id, bool started_anew);
+  void assign_upstream_pool(core::Endpoint& server) const;
+  [[nodiscard]] core::ServerFacts facts_of(const core::Endpoint& server) const;
+  void check_exit();
+  void exit_when_closed(Instant by);
   [[nodiscard]] bool is_replaced() const;
-  void leave_untold();
-  void take_untold();
-  void forget_now_and_then();
+  void store_undelivered_releases();
+  void deliver_stored_releases();
+  void schedule_forgetting();
 
   net::Loop& loop_;
   Config config_;  ///< in force
   core::Names names_;
-  net::Bounds bounds_;
+  net::ResourceLimits bounds_;
   core::Counters counters_;
-  core::ServerList servers_;
+  core::EndpointRegistry servers_;
   core::Dispatcher dispatcher_;
   core::CallTable table_;
   OperatorFile setup_;
   Site site_;
-  std::vector<std::unique_ptr<core::Links>> links_;   ///< in the order of the table; null: not set up
-  std::vector<std::unique_ptr<core::Front>> fronts_;  ///< the same
+  std::vector<std::unique_ptr<core::UpstreamPool>>
+      upstream_pools_;                                      ///< in the order of the table; null: not set up
+  std::vector<std::unique_ptr<core::Frontend>> frontends_;  ///< the same
   directory::TenantMap directory_;
   std::unique_ptr<directory::Refresher> refresher_;
-  std::unique_ptr<feed::Peers> peers_;
-  std::unique_ptr<feed::Feed> feed_;
-  std::unique_ptr<control::Door> door_;
+  std::unique_ptr<feed::Peers> gossip_;
+  std::unique_ptr<feed::Feed> endpoint_watcher_;
+  std::unique_ptr<control::Door> admin_server_;
   bool standby_ = false;
-  std::function<void()> done_;
-  core::Leaving leaving_;
-  std::optional<store::Presence> presence_;
+  std::function<void()> on_exit_;
+  core::GracefulShutdown shutdown_plan_;
+  std::optional<store::InstanceLock> instance_lock_;
   std::string shared_folder_;
-  net::log::Few log_untold_;
-  std::vector<core::HandedRelease> untold_;  ///< for the process that replaces this one
+  net::log::RateLimiter store_failures_log_;
+  std::vector<core::UndeliveredRelease> undelivered_releases_;  ///< for the process that replaces this one
 };
 
 }  // namespace amberknot::app
--- a/src/control/command.cpp
+++ b/src/control/command.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 ReadCommand read_command(std::string_view line) {
-  if (line.size() > kMostLine) return {std::nullopt, "line too long"};
+  if (line.size() > kMaxLine) return {std::nullopt, "line too long"};
   while (!line.empty() && blank(line.front())) line.remove_prefix(1);
   while (!line.empty() && blank(line.back())) line.remove_suffix(1);
   if (line.empty()) return {std::nullopt, "empty line"};
--- a/src/control/command.hpp
+++ b/src/control/command.hpp
@@ -17,7 +17,7 @@
 };
 
 /// The longest line that is read; a longer one is refused whole.
-inline constexpr std::size_t kMostLine = 256;
+inline constexpr std::size_t kMaxLine = 256;
 
 /// Reads one line without its line feed; a carriage return at its end and blanks around it are ignored.
 ReadCommand read_command(std::string_view line);
--- a/src/control/door.cpp
+++ b/src/control/door.cpp
@@ -37,7 +37,7 @@
       net::log::info(log_full_, "control: ", open_.size(), " connections open: the oldest is closed");
       drop(oldest->first, false);
     }
-    auto stream = std::make_shared<net::Stream>(loop_, *this);
+    auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
     auto* key = stream.get();
     auto& one = open_[key];
     one.stream = stream;
@@ -53,12 +53,12 @@
   });
 }
 
-std::size_t Door::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Door::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const auto found = open_.find(&stream);
   if (found == open_.end()) return bytes.size();
   const auto end = std::find(bytes.begin(), bytes.end(), '\n');
   if (end == bytes.end()) {
-    if (bytes.size() <= kMostLine) return 0;  // the rest of the line is still on its way
+    if (bytes.size() <= kMaxLine) return 0;  // the rest of the line is still on its way
   }
   const auto line = std::string_view(bytes.data(), static_cast<std::size_t>(end - bytes.begin()));
   const auto read = read_command(line);
@@ -74,11 +74,11 @@
   return bytes.size();
 }
 
-void Door::on_closed(net::Stream& stream, net::Closed /*why*/) {
-  take_out(&stream);
+void Door::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
+  remove_call(&stream);
 }
 
-std::optional<Door::Open> Door::take_out(net::Stream* stream) {
+std::optional<Door::Open> Door::remove_call(net::TcpConnection* stream) {
   const auto found = open_.find(stream);
   if (found == open_.end()) return std::nullopt;
   auto one = std::move(found->second);
@@ -87,8 +87,8 @@
   return one;
 }
 
-void Door::drop(net::Stream* stream, bool with_what_is_queued) {
-  auto one = take_out(stream);
+void Door::drop(net::TcpConnection* stream, bool with_what_is_queued) {
+  auto one = remove_call(stream);
   if (!one) return;
   if (with_what_is_queued) {
     one->stream->finish();
--- a/src/control/door.hpp
+++ b/src/control/door.hpp
@@ -16,7 +16,7 @@
 
 namespace amberknot::control {
 
-class Door : public net::Stream::Owner {
+class Door : public net::TcpConnection::Owner {
  public:
   /// The reply to a call that was read, without its line feed; `stats` ends with its own line `.`.
   using Answer = std::function<std::string(Command)>;
@@ -33,25 +33,25 @@
 
  private:
   struct Open {
-    std::shared_ptr<net::Stream> stream;
+    std::shared_ptr<net::TcpConnection> stream;
     Instant since{};
     core::TimerWheel::Handle deadline = 0;
   };
 
   void accept();
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
   /// Forgets a connection and its deadline; empty: it was not open here.
-  std::optional<Open> take_out(net::Stream* stream);
-  void drop(net::Stream* stream, bool with_what_is_queued);
+  std::optional<Open> remove_call(net::TcpConnection* stream);
+  void drop(net::TcpConnection* stream, bool with_what_is_queued);
 
   net::Loop& loop_;
   asio::ip::tcp::acceptor acceptor_;
   std::size_t most_;
   Answer answer_;
-  std::unordered_map<net::Stream*, Open> open_;
-  std::vector<std::shared_ptr<net::Stream>> finishing_;
-  net::log::Few log_bad_, log_full_;
+  std::unordered_map<net::TcpConnection*, Open> open_;
+  std::vector<std::shared_ptr<net::TcpConnection>> finishing_;
+  net::log::RateLimiter log_bad_, log_full_;
 };
 
 }  // namespace amberknot::control
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -29,119 +29,120 @@
   std::string number;
   std::string description;
   CallFacts facts;  ///< `expires` is when the caller stops waiting
-  std::unique_ptr<const Told> told = {};
+  std::unique_ptr<const ProtocolMessage> message = {};
 };
 
 /// How an attempt ended before or after it stood, as a server's side saw it.
 struct AttemptEnd {
   Outcome outcome = Outcome::kOk;
   Cause cause = Cause::kNormal;
-  bool of_the_call = false;
-  Report load;
+  bool is_caller_fault = false;
+  LoadReport load;
   /// What the error means, where a server answered with one; it then says the outcome.
   std::optional<ErrorMeaning> error = {};
-  std::optional<Duration> stay_away = {};  ///< asked by the server
+  std::optional<Duration> retry_after = {};  ///< asked by the server
 };
 
 class CallTable {
  public:
   using Clock = std::function<Instant()>;
-  using Tell = std::function<void(const std::vector<std::uint8_t>&)>;
-  using Note = std::function<void(const std::string&)>;
+  using BroadcastSink = std::function<void(const std::vector<std::uint8_t>&)>;
+  using LogSink = std::function<void(const std::string&)>;
 
-  CallTable(Dispatcher& dispatcher, ServerList& servers, TimerWheel& wheel, Counters& counters, Clock clock);
+  CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
+            Clock clock);
 
   /// Where the module's messages to its siblings and its log lines go.
-  void connect(Tell tell, Note note);
+  void connect(BroadcastSink send_final_answer, LogSink note);
 
   // From the callers' side.
   /// Enters the call; the front then notes its id and lets it be decided.
-  CallId take(ClientPort& client, NewSetUp set_up);
+  CallId admit(ClientPort& client, NewSetUp set_up);
   /// The process is shutting down: every unanswered call, queued, in flight or still to come, gets its final
   /// answer by `plan.answer_by`, whatever its own deadline. Calls that stand are not touched.
-  void begin_shutdown(const Leaving& plan);
-  void decide(CallId call);
-  void give_up(CallId call);  ///< of no effect after the answer
+  void begin_shutdown(const GracefulShutdown& plan);
+  void route(CallId call);
+  void abandon(CallId call);  ///< of no effect after the answer
   /// Before the answer the set-up is given up, after it the call is released.
   void close_by_client(CallId call, Cause cause);
 
   // From the servers' side.
   /// False: the attempt is over, so the answer is to be acknowledged and released.
-  bool stood(const AttemptRef& attempt, std::string_view description);
-  void ended(const AttemptRef& attempt, const AttemptEnd& end);
+  bool on_established(const AttemptRef& attempt, std::string_view description);
+  void on_attempt_ended(const AttemptRef& attempt, const AttemptEnd& end);
   /// All that stands at a server whose process is known to have died.
-  void cut_all(ServerId server, const char* why) { cut_before(server, Instant::max(), why); }
+  void abort_all(ServerId server, const char* why) { abort_sent_before(server, Instant::max(), why); }
   /// Of these, what was sent before that moment.
-  void cut_before(ServerId server, Instant moment, const char* why);
-  void probed(ServerId server, Outcome outcome, Duration taken, const Report& load);
-  void load_told(ServerId server, const Report& load);
+  void abort_sent_before(ServerId server, Instant moment, const char* why);
+  void on_health_check_result(ServerId server, Outcome outcome, Duration elapsed, const LoadReport& load);
+  void on_load_report(ServerId server, const LoadReport& load);
 
   // From the channel and the siblings.
-  void list_changed(bool whole_list, const std::vector<ServerFacts>& servers);
-  void peer_said(std::uint32_t from, std::vector<std::uint8_t> bytes);
+  void on_endpoints_changed(bool whole_list, const std::vector<ServerFacts>& servers);
+  void on_gossip(std::uint32_t from, std::vector<std::uint8_t> bytes);
 
-  [[nodiscard]] std::size_t unanswered() const { return calls_.size() - standing_; }
-  [[nodiscard]] std::size_t standing() const { return standing_; }
+  [[nodiscard]] std::size_t unanswered() const { return calls_.size() - established_; }
+  [[nodiscard]] std::size_t established() const { return established_; }
   /// Whether a call is out or stands at that server.
-  [[nodiscard]] bool uses(ServerId server) const;
+  [[nodiscard]] bool has_calls_at(ServerId server) const;
   /// Releases all that stands towards both sides: the program ends.
   void release_all();
 
  private:
-  enum class State { kHeld, kOut, kStanding, kReleasing };
+  enum class State { kQueued, kInFlight, kEstablished, kReleasing };
   struct Call {
     NewSetUp set_up;
     ClientPort* client = nullptr;
-    State state = State::kHeld;
+    State state = State::kQueued;
     std::uint32_t attempts = 0;
     ServerId server{};
-    VersionNo version{};  ///< of the latest attempt
+    ProtocolVersion version{};  ///< of the latest attempt
     Placement placement;
     Instant sent{};
     TimerWheel::Handle deadline = 0;
     Instant wakes_at{};  ///< when `deadline` is due
   };
 
-  void enact(Decisions decisions);
-  void carry_out(Decision& decision);
+  void execute(Decisions decisions);
+  void execute_one(Decision& decision);
   void send(const Decision& decision);
   void end_attempt(CallId id, const AttemptEnd& end);
   /// Gives up an attempt that is out towards its server. The outcome is `otherwise`, or moot where nothing of
   /// it had left: then it never ran, and no pause is owed before the next.
-  Outcome call_off(const AttemptRef& attempt, Outcome otherwise);
+  Outcome cancel_attempt(const AttemptRef& attempt, Outcome otherwise);
   /// The one final answer of a held call: refused or failed, as its reason says.
-  void tell(CallId id, Reason otherwise, Duration stay_away);
+  void send_final_answer(CallId id, Reason otherwise, Duration retry_after);
   /// The versions of all servers that have not gone.
-  [[nodiscard]] VersionSet versions() const;
+  [[nodiscard]] ProtocolVersionSet listed_versions() const;
   void set_deadline(CallId id, Call& call, Instant moment);
   void time_out(CallId id);
   /// The final answer of a queued call whose time is over: rejected, and the module forgets it.
   void reject_expired(CallId id);
   /// How long callers rejected by a shutdown should stay away: until this process has exited.
   [[nodiscard]] Duration shutdown_retry_after() const;
-  void arm();
+  void arm_tick();
   ServerPort* port(ServerId server);
   [[nodiscard]] AttemptRef attempt_of(CallId id, const Call& call) const {
     return {id, call.attempts - 1, call.server};
   }
   /// The call whose attempt is out or stands as named; null once that is over.
   Call* find(const AttemptRef& attempt);
-  void count_ended(Outcome outcome, std::size_t call_class);
+  void count_attempt_end(Outcome outcome, std::size_t call_class);
   void forget(CallId id);
 
   Dispatcher& dispatcher_;
-  ServerList& servers_;
+  EndpointRegistry& servers_;
   TimerWheel& wheel_;
   Counters& counters_;
   Clock clock_;
-  Tell tell_;
-  Note note_;
+  BroadcastSink broadcast_;
+  LogSink log_;
   std::unordered_map<CallId, Call> calls_;
-  std::size_t standing_ = 0;
-  std::optional<Leaving> shutdown_;  ///< absent: not shutting down
+  std::size_t established_ = 0;
+  std::optional<GracefulShutdown> shutdown_;  ///< absent: not shutting down
   std::uint32_t next_id_ = 0;
-  std::deque<Decision> to_do_;
-  bool enacting_ = false;
+  std::deque<Decision> pending_decisions_;
+  bool is_executing_ = false;
   TimerWheel::Handle tick_ = 0;
   std::optional<Instant> tick_at_;
 };
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -9,41 +9,41 @@
 namespace {
 
 /// A call with no first choice names a pool that no server is in.
-constexpr CellNo kNoCell{std::numeric_limits<std::uint32_t>::max()};
+constexpr PoolId kNoPool{std::numeric_limits<std::uint32_t>::max()};
 
 struct Translate {
   Decision& to;
-  void operator()(Send& one) const {
-    to.kind = Decision::Kind::kSend;
+  void operator()(ForwardCall& one) const {
+    to.kind = Decision::Kind::kForward;
     to.call = one.call;
     to.server = one.server;
-    to.time = one.within;
+    to.time = one.attempt_timeout;
   }
-  void operator()(Refuse& one) const {
-    to.kind = Decision::Kind::kRefuse;
+  void operator()(RejectCall& one) const {
+    to.kind = Decision::Kind::kReject;
     to.call = one.call;
-    to.time = one.stay_away;
+    to.time = one.retry_after;
   }
-  void operator()(Fail& one) const {
+  void operator()(FailCall& one) const {
     to.kind = Decision::Kind::kFail;
     to.call = one.call;
   }
-  void operator()(Cancel& one) const {
+  void operator()(CancelAttempt& one) const {
     to.kind = Decision::Kind::kCancel;
     to.call = one.call;
     to.attempt = one.attempt;
   }
-  void operator()(Probe& one) const {
-    to.kind = Decision::Kind::kProbe;
+  void operator()(CheckHealth& one) const {
+    to.kind = Decision::Kind::kCheckHealth;
     to.server = one.server;
   }
-  void operator()(TellPeers& one) const {
-    to.kind = Decision::Kind::kTell;
+  void operator()(BroadcastGossip& one) const {
+    to.kind = Decision::Kind::kBroadcast;
     to.bytes = std::move(one.bytes);
   }
-  void operator()(Log& one) const { to.text = std::move(one.text); }
+  void operator()(LogMessage& one) const { to.text = std::move(one.text); }
   // The list is always pushed to a router on sockets.
-  void operator()(WatchList& /*one*/) const { to.text = "the module asked to watch the list"; }
+  void operator()(WatchEndpoints& /*one*/) const { to.text = "the module asked to watch the list"; }
   void operator()(SetTimer& /*one*/) const {}
 };
 
@@ -77,18 +77,18 @@
   NewCall news;
   news.call = call;
   news.expires = facts.expires;
-  news.destination = facts.first_choice.value_or(kNoCell);
+  news.destination = facts.first_choice.value_or(kNoPool);
   news.width = facts.width;
   news.call_class = facts.call_class;
   news.tenant = facts.tenant;
-  news.was_cut = facts.was_cut;
-  news.ruled_out = facts.ruled_out;
+  news.was_aborted = facts.was_aborted;
+  news.excluded_versions = facts.excluded_versions;
   return run(now, news);
 }
 
-Decisions Dispatcher::report_stood(Instant now, CallId call, ServerId server, std::uint32_t attempt,
-                                   Duration taken) {
-  return run(now, Established{call, server, attempt, taken});
+Decisions Dispatcher::report_established(Instant now, CallId call, ServerId server, std::uint32_t attempt,
+                                         Duration elapsed) {
+  return run(now, Established{call, server, attempt, elapsed});
 }
 
 Decisions Dispatcher::report_end(Instant now, CallId call, ServerId server, std::uint32_t attempt,
@@ -98,32 +98,32 @@
   news.server = server;
   news.attempt = attempt;
   news.outcome = facts.outcome;
-  news.taken = facts.taken;
+  news.elapsed = facts.elapsed;
   news.call_ended = facts.call_ended;
-  news.of_the_call = facts.of_the_call;
-  news.rules_out = facts.rules_out;
-  news.asked_wait = facts.asked_wait;
+  news.is_caller_fault = facts.is_caller_fault;
+  news.excludes_versions = facts.excludes_versions;
+  news.retry_after = facts.retry_after;
   news.report = facts.load;
   return run(now, news);
 }
 
-Decisions Dispatcher::report_given_up(Instant now, CallId call) {
-  return run(now, CallGone{call});
+Decisions Dispatcher::report_abandoned(Instant now, CallId call) {
+  return run(now, CallAbandoned{call});
 }
 
-Decisions Dispatcher::report_probe(Instant now, ServerId server, Outcome outcome, Duration taken,
-                                   const Report& load) {
-  return run(now, ProbeAnswer{server, outcome, false, taken, load});
+Decisions Dispatcher::report_health_check(Instant now, ServerId server, Outcome outcome, Duration elapsed,
+                                          const LoadReport& load) {
+  return run(now, HealthCheckResult{server, outcome, false, elapsed, load});
 }
 
-Decisions Dispatcher::report_load(Instant now, ServerId server, const Report& load) {
-  return run(now, ProbeAnswer{server, Outcome::kOk, true, Duration::zero(), load});
+Decisions Dispatcher::report_load(Instant now, ServerId server, const LoadReport& load) {
+  return run(now, HealthCheckResult{server, Outcome::kOk, true, Duration::zero(), load});
 }
 
 Decisions Dispatcher::report_servers(Instant now, bool whole_list, const std::vector<ServerFacts>& servers) {
-  ListNews news{whole_list ? ListScope::kFull : ListScope::kDelta, {}};
+  EndpointUpdate news{whole_list ? EndpointUpdateScope::kFull : EndpointUpdateScope::kDelta, {}};
   for (const auto& one : servers)
-    news.entries.push_back({one.server, one.cell, one.state, one.started, one.version});
+    news.entries.push_back({one.server, one.pool, one.state, one.started, one.version});
   return run(now, news);
 }
 
@@ -136,7 +136,7 @@
   while (!due_.empty() && due_.top().when <= now) {
     const auto handle = due_.top().handle;
     due_.pop();
-    auto more = run(now, TimerDue{handle});
+    auto more = run(now, TimerExpired{handle});
     decisions.insert(decisions.end(), std::make_move_iterator(more.begin()),
                      std::make_move_iterator(more.end()));
   }
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -13,43 +13,43 @@
 namespace amberknot::core {
 
 struct Decision {
-  enum class Kind { kSend, kRefuse, kFail, kCancel, kProbe, kTell, kNote };
-  Kind kind = Kind::kNote;
+  enum class Kind { kForward, kReject, kFail, kCancel, kCheckHealth, kBroadcast, kLog };
+  Kind kind = Kind::kLog;
   CallId call{};
   ServerId server{};
   std::uint32_t attempt = 0;
-  Duration time{};  ///< kSend: the wait, zero for the caller's; kRefuse: the time to stay away
-  std::vector<std::uint8_t> bytes;  ///< kTell
-  std::string text;                 ///< kNote
+  Duration time{};  ///< kForward: the wait, zero for the caller's; kReject: the time to stay away
+  std::vector<std::uint8_t> bytes;  ///< kBroadcast
+  std::string text;                 ///< kLog
 };
 using Decisions = std::vector<Decision>;
 
 struct CallFacts {
   Instant expires{};
-  std::optional<CellNo> first_choice;
+  std::optional<PoolId> first_choice;
   double width = 1;
   std::size_t call_class = 0;
   std::size_t tenant = 0;
-  bool was_cut = false;
-  VersionSet ruled_out = 0;
+  bool was_aborted = false;
+  ProtocolVersionSet excluded_versions = 0;
 };
 
 struct EndFacts {
   Outcome outcome = Outcome::kOk;
-  Duration taken{};
+  Duration elapsed{};
   bool call_ended = false;
-  bool of_the_call = false;
-  VersionSet rules_out = 0;
-  Report load;
-  std::optional<Duration> asked_wait = {};  ///< by a full server, of everybody
+  bool is_caller_fault = false;
+  ProtocolVersionSet excludes_versions = 0;
+  LoadReport load;
+  std::optional<Duration> retry_after = {};  ///< by a full server, of everybody
 };
 
 struct ServerFacts {
   ServerId server{};
-  CellNo cell{};
-  ListState state = ListState::kReady;
+  PoolId pool{};
+  EndpointState state = EndpointState::kReady;
   std::optional<Instant> started;
-  VersionNo version{};
+  ProtocolVersion version{};
 };
 
 class Dispatcher {
@@ -58,12 +58,14 @@
 
   Decisions pick(Instant now, CallId call, const CallFacts& facts);
 
-  Decisions report_stood(Instant now, CallId call, ServerId server, std::uint32_t attempt, Duration taken);
+  Decisions report_established(Instant now, CallId call, ServerId server, std::uint32_t attempt,
+                               Duration elapsed);
   Decisions report_end(Instant now, CallId call, ServerId server, std::uint32_t attempt,
                        const EndFacts& facts);
-  Decisions report_given_up(Instant now, CallId call);
-  Decisions report_probe(Instant now, ServerId server, Outcome outcome, Duration taken, const Report& load);
-  Decisions report_load(Instant now, ServerId server, const Report& load);
+  Decisions report_abandoned(Instant now, CallId call);
+  Decisions report_health_check(Instant now, ServerId server, Outcome outcome, Duration elapsed,
+                                const LoadReport& load);
+  Decisions report_load(Instant now, ServerId server, const LoadReport& load);
   Decisions report_servers(Instant now, bool whole_list, const std::vector<ServerFacts>& servers);
   Decisions report_peer(Instant now, std::uint32_t from, std::vector<std::uint8_t> bytes);
 
@@ -75,8 +77,8 @@
   /// The longest deadline of any class of call: no call waits longer.
   [[nodiscard]] Duration longest_deadline() const;
   /// Classes and limits of new settings; see Admission::retune.
-  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
-    admission_.retune(classes, limits);
+  void apply_reload(const std::vector<CallClass>& classes, const Limits& limits) {
+    admission_.apply_reload(classes, limits);
     settings_.classes = classes;
     settings_.limits = limits;
   }
--- a/src/core/leaving.cpp
+++ b/src/core/leaving.cpp
@@ -12,8 +12,8 @@
 // restart); SIGKILL comes 0.7 s after the longest deadline, which counts as these at most: PROTOCOL's in a
 // plain restart, DAYS' where another process has taken over.
 constexpr Duration kStillComing = milliseconds{700};
-constexpr Duration kMostPlain = seconds{3};
-constexpr Duration kMostReplaced = seconds{5};
+constexpr Duration kMaxPlain = seconds{3};
+constexpr Duration kMaxReplaced = seconds{5};
 // Before SIGKILL may come: what is late is answered, then connections without a pause in their calls can be
 // closed too (within 50 ms, and what crosses a close is sent again for 50 ms more), then the process releases
 // what stands.
@@ -25,30 +25,31 @@
 
 }  // namespace
 
-bool replaced_by_any(const ServingRecord& self, const std::vector<ServingRecord>& alive) {
-  return std::any_of(alive.begin(), alive.end(), [&](const ServingRecord& one) {
+bool is_replaced_by_any(const InstanceRecord& self, const std::vector<InstanceRecord>& alive) {
+  return std::any_of(alive.begin(), alive.end(), [&](const InstanceRecord& one) {
     return one.name == self.name && one.listen == self.listen && one.started_unix_us > self.started_unix_us;
   });
 }
 
-bool replaces_any(const ServingRecord& self, const std::vector<ServingRecord>& alive) {
+bool replaces_any(const InstanceRecord& self, const std::vector<InstanceRecord>& alive) {
   return std::any_of(alive.begin(), alive.end(),
-                     [&](const ServingRecord& one) { return replaced_by_any(one, {self}); });
+                     [&](const InstanceRecord& one) { return is_replaced_by_any(one, {self}); });
 }
 
-Leaving Leaving::plan(Instant now, Duration longest, bool replaced) {
+GracefulShutdown GracefulShutdown::plan(Instant now, Duration longest, bool replaced) {
   const Instant until = now + kStillComing;
-  const Instant killed = until + std::min(longest, replaced ? kMostReplaced : kMostPlain);
+  const Instant killed = until + std::min(longest, replaced ? kMaxReplaced : kMaxPlain);
   return {until, std::max(until, killed - kAnsweredAhead), std::max(until, killed - kLeftAhead)};
 }
 
-bool Leaving::may_leave(Instant now, std::size_t unanswered, std::size_t standing, bool unsettled) const {
-  return now >= callers_until && unanswered == 0 && (standing == 0 || now >= leave_by) &&
+bool GracefulShutdown::may_exit(Instant now, std::size_t unanswered, std::size_t standing,
+                                bool unsettled) const {
+  return now >= accept_until && unanswered == 0 && (standing == 0 || now >= exit_by) &&
          (!unsettled || now >= answer_by);
 }
 
-Instant Leaving::end_by(Instant now) const {
-  return std::min(now + kCloseWithin, std::max(now, leave_by) + kLeftAhead / 2);
+Instant GracefulShutdown::end_by(Instant now) const {
+  return std::min(now + kCloseWithin, std::max(now, exit_by) + kLeftAhead / 2);
 }
 
 }  // namespace amberknot::core
--- a/src/core/leaving.hpp
+++ b/src/core/leaving.hpp
@@ -11,39 +11,39 @@
 namespace amberknot::core {
 
 /// A process that serves, as it says in the folder that it shares with the one it replaces.
-struct ServingRecord {
+struct InstanceRecord {
   std::string name;    ///< of the router
   std::string listen;  ///< the callers' address
   std::int64_t started_unix_us = 0;
-  friend bool operator==(const ServingRecord&, const ServingRecord&) = default;
+  friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
 
 /// Whether one of the processes that are alive beside `self` serves the same callers and started later.
-bool replaced_by_any(const ServingRecord& self, const std::vector<ServingRecord>& alive);
+bool is_replaced_by_any(const InstanceRecord& self, const std::vector<InstanceRecord>& alive);
 /// Whether `self` takes the place of one that is still alive.
-bool replaces_any(const ServingRecord& self, const std::vector<ServingRecord>& alive);
+bool replaces_any(const InstanceRecord& self, const std::vector<InstanceRecord>& alive);
 
 /// What a replaced process has left to say to a caller who has gone to the other one: its call is over.
-struct HandedRelease {
+struct UndeliveredRelease {
   std::string caller;  ///< address
   std::string id;      ///< of the call, as its caller named it
   int cause = 0;       ///< Q.850
-  friend bool operator==(const HandedRelease&, const HandedRelease&) = default;
+  friend bool operator==(const UndeliveredRelease&, const UndeliveredRelease&) = default;
 };
 
 /// The times of a process that SIGTERM reached.
-struct Leaving {
-  Instant callers_until{};  ///< callers go on connecting and asking until then
-  Instant answer_by{};      ///< every call has its final answer by then, whenever it was taken
-  Instant leave_by{};       ///< what stands is not waited for any longer
+struct GracefulShutdown {
+  Instant accept_until{};  ///< callers go on connecting and asking until then
+  Instant answer_by{};     ///< every call has its final answer by then, whenever it was taken
+  Instant exit_by{};       ///< what stands is not waited for any longer
 
   /// `longest` is the longest deadline of a class. SIGKILL comes no sooner than that, or its bound, plus the
   /// time in which callers still come.
-  static Leaving plan(Instant now, Duration longest, bool replaced);
+  static GracefulShutdown plan(Instant now, Duration longest, bool replaced);
 
   /// `unsettled`: set-ups are on their way in, or answers not yet written; waited for until `answer_by`.
-  [[nodiscard]] bool may_leave(Instant now, std::size_t unanswered, std::size_t standing,
-                               bool unsettled = false) const;
+  [[nodiscard]] bool may_exit(Instant now, std::size_t unanswered, std::size_t standing,
+                              bool unsettled = false) const;
   /// Until when callers may take to close their connections, once all is said.
   [[nodiscard]] Instant end_by(Instant now) const;
 };
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -4,20 +4,21 @@
 
 namespace amberknot::core {
 
-Verdict Placement::ended(VersionNo version, const ErrorMeaning& meaning, std::optional<Duration> stay_away) {
+Verdict Placement::on_attempt_ended(ProtocolVersion version, const ErrorMeaning& meaning,
+                                    std::optional<Duration> retry_after) {
   const auto verdict = verdict_of(meaning);
   switch (meaning.about) {
     case About::kServer:
       about_server_ = meaning.reason;
-      if (stay_away) stay_away_ = stay_away_ ? std::min(*stay_away_, *stay_away) : *stay_away;
+      if (retry_after) retry_after_ = retry_after_ ? std::min(*retry_after_, *retry_after) : *retry_after;
       break;
     case About::kVersion:
       about_version_ = meaning.reason;
-      out_ |= set_of(version);
+      excluded_ |= set_of(version);
       break;
     case About::kCall:
       about_call_ = meaning.reason;
-      if (stay_away) stay_away_ = *stay_away;
+      if (retry_after) retry_after_ = *retry_after;
       break;
   }
   return verdict;
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -13,7 +13,7 @@
 
 namespace amberknot::core {
 
-struct ListedServer;
+struct Endpoint;
 
 /// Q.850 causes that travel with releases.
 enum class Cause : int {
@@ -36,9 +36,9 @@
 
 /// A set-up as its front read it, for links that need more of it than the fields below. The core only carries
 /// it.
-class Told {
+class ProtocolMessage {
  public:
-  virtual ~Told() = default;
+  virtual ~ProtocolMessage() = default;
 };
 
 /// What a set-up carries on to a server, unchanged from its caller.
@@ -48,8 +48,8 @@
   std::string_view call_class;
   std::string_view number;
   std::string_view description;
-  Duration wait{};             ///< how long an answer is waited for
-  const Told* told = nullptr;  ///< null: the front keeps no more
+  Duration wait{};                           ///< how long an answer is waited for
+  const ProtocolMessage* message = nullptr;  ///< null: the front keeps no more
 };
 
 /// Towards callers.
@@ -58,8 +58,8 @@
   virtual ~ClientPort() = default;
   /// False: the answer does not fit this side's messages; the call is then failed.
   virtual bool answer(CallId call, std::string_view description) = 0;
-  /// Trying again is harmless; `stay_away` says when, zero: no advice.
-  virtual void refuse(CallId call, Reason reason, Duration stay_away) = 0;
+  /// Trying again is harmless; `retry_after` says when, zero: no advice.
+  virtual void reject(CallId call, Reason reason, Duration retry_after) = 0;
   /// This call is over, and no more is said.
   virtual void fail(CallId call, Reason reason) = 0;
   virtual void release(CallId call, Cause cause) = 0;
@@ -79,7 +79,7 @@
 };
 
 /// One kind of callers' front, as the composition of the program holds it.
-class Front : public ClientPort {
+class Frontend : public ClientPort {
  public:
   /// Where its callers connect, as host:port.
   [[nodiscard]] virtual std::string where() const = 0;
@@ -98,21 +98,21 @@
   /// Another process serves the same callers: no new connection is taken here, and each is closed once no
   /// set-up on it waits for an answer. What stands goes on.
   /// `untold` takes the releases whose callers have no connection here any more.
-  virtual void hand_over(std::function<void(HandedRelease)> /*untold*/) {}
+  virtual void hand_over(std::function<void(UndeliveredRelease)> /*untold*/) {}
   /// Tells a caller what a replaced process could not.
-  virtual void take_over(const HandedRelease& /*release*/) {}
+  virtual void take_over(const UndeliveredRelease& /*release*/) {}
 };
 
 /// The links to all servers of one kind.
-class Links : public ServerPort {
+class UpstreamPool : public ServerPort {
  public:
   /// The list was changed: open links to what is new, close those to what has gone, take back what may not
   /// leave any more.
-  virtual void server_changed(const ListedServer& server) = 0;
+  virtual void on_endpoint_changed(const Endpoint& server) = 0;
   /// It has gone and nothing of it is left: its name, if it comes again, is another server's.
   virtual void forget_server(ServerId server) = 0;
   /// False: nothing new may go there now, whatever the list says.
-  [[nodiscard]] virtual bool serves(ServerId /*server*/) const { return true; }
+  [[nodiscard]] virtual bool is_available(ServerId /*server*/) const { return true; }
   /// The program ends.
   virtual void leave() {}
 };
--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -9,18 +9,18 @@
 };
 constexpr std::array<ReasonRow, kReasons> kReasonRows = {{
     {"normal", {Final::kFailed, Reason::kServerFault}},
-    {"congestion", {Final::kRefused, Reason::kCongestion}},
-    {"no-circuit", {Final::kRefused, Reason::kCongestion}},
-    {"timeout", {Final::kRefused, Reason::kCongestion}},
-    {"over-share", {Final::kRefused, Reason::kCongestion}},
-    {"region-closed", {Final::kRefused, Reason::kCongestion}},
+    {"congestion", {Final::kRejected, Reason::kCongestion}},
+    {"no-circuit", {Final::kRejected, Reason::kCongestion}},
+    {"timeout", {Final::kRejected, Reason::kCongestion}},
+    {"over-share", {Final::kRejected, Reason::kCongestion}},
+    {"region-closed", {Final::kRejected, Reason::kCongestion}},
     {"number-busy", {Final::kFailed, Reason::kServerFault}},
-    {"number-unknown", {Final::kFailed, Reason::kFieldRefused}},
-    {"tenant-unknown", {Final::kFailed, Reason::kFieldRefused}},
+    {"number-unknown", {Final::kFailed, Reason::kFieldRejected}},
+    {"tenant-unknown", {Final::kFailed, Reason::kFieldRejected}},
     {"tenant-suspended", {Final::kFailed, Reason::kTenantUnknown}},
     {"field-refused", {Final::kFailed, Reason::kServerFault}},
-    {"no-server-speaks", {Final::kFailed, Reason::kFieldRefused}},
-    {"duplicate", {Final::kFailed, Reason::kFieldRefused}},
+    {"no-server-speaks", {Final::kFailed, Reason::kFieldRejected}},
+    {"duplicate", {Final::kFailed, Reason::kFieldRejected}},
     {"server-fault", {Final::kFailed, Reason::kServerFault}},
     {"cut", {Final::kFailed, Reason::kServerFault}},
 }};
@@ -48,22 +48,22 @@
       // Full is what the module takes as a reason to leave a server alone for a while, and it proves that
       // nothing ran; an error that may have run counts against the server as one.
       if (meaning.ran == Ran::kMaybe) {
-        verdict.outcome = meaning.reason == Reason::kTimeout ? Outcome::kTimeout
-                          : meaning.reason == Reason::kCut   ? Outcome::kReset
-                                                             : Outcome::kError;
+        verdict.outcome = meaning.reason == Reason::kTimeout   ? Outcome::kTimeout
+                          : meaning.reason == Reason::kAborted ? Outcome::kReset
+                                                               : Outcome::kError;
       } else {
         const bool full = meaning.reason == Reason::kCongestion || meaning.reason == Reason::kNoCircuit;
-        verdict.outcome = full ? Outcome::kFull : Outcome::kMoot;
+        verdict.outcome = full ? Outcome::kFull : Outcome::kNotSent;
       }
       break;
     case About::kVersion:
-      verdict.outcome = meaning.ran == Ran::kNo ? Outcome::kMoot : Outcome::kError;
-      verdict.of_the_call = true;
-      verdict.rules_out_version = true;
+      verdict.outcome = meaning.ran == Ran::kNo ? Outcome::kNotSent : Outcome::kError;
+      verdict.is_caller_fault = true;
+      verdict.excludes_version = true;
       break;
     case About::kCall:
       verdict.outcome = Outcome::kError;
-      verdict.of_the_call = true;
+      verdict.is_caller_fault = true;
       verdict.final_now = true;
       break;
   }
--- a/src/core/reason.hpp
+++ b/src/core/reason.hpp
@@ -15,21 +15,21 @@
 /// Why a call ends, or is not set up. Every error of a server falls on exactly one of these, and every
 /// client's dialect has a word for each, its own or that of the reason above it.
 enum class Reason : std::uint8_t {
-  kNormal,           ///< ended by a side's wish
-  kCongestion,       ///< all servers that may take it are full
-  kNoCircuit,        ///< the server has no free line
-  kTimeout,          ///< no answer within the caller's patience
-  kOverShare,        ///< the tenant is past its share
-  kRegionClosed,     ///< nothing is settled there now
-  kNumberBusy,       ///< all lines of the number are in use
-  kNumberUnknown,    ///< there is no such number
-  kTenantUnknown,    ///< nobody knows the tenant
-  kTenantSuspended,  ///< the tenant may not call now
-  kFieldRefused,     ///< a field has a value that is not taken
-  kNoServerSpeaks,   ///< no server's version can be told what this call needs
-  kDuplicate,        ///< the identity is in use
-  kServerFault,      ///< an error of the server
-  kCut,              ///< its server or link was lost
+  kNormal,              ///< ended by a side's wish
+  kCongestion,          ///< all servers that may take it are full
+  kNoCircuit,           ///< the server has no free line
+  kTimeout,             ///< no answer within the caller's patience
+  kOverQuota,           ///< the tenant is past its share
+  kRegionClosed,        ///< nothing is settled there now
+  kNumberBusy,          ///< all lines of the number are in use
+  kNumberUnknown,       ///< there is no such number
+  kTenantUnknown,       ///< nobody knows the tenant
+  kTenantSuspended,     ///< the tenant may not call now
+  kFieldRejected,       ///< a field has a value that is not taken
+  kNoCompatibleServer,  ///< no server's version can be told what this call needs
+  kDuplicate,           ///< the identity is in use
+  kServerFault,         ///< an error of the server
+  kAborted,             ///< its server or link was lost
 };
 inline constexpr std::size_t kReasons = 15;
 std::string_view name_of(Reason reason);
@@ -37,7 +37,7 @@
 
 /// How the caller is told. A refusal says that trying again is harmless; a failure says no more than that
 /// this call is over.
-enum class Final : std::uint8_t { kRefused, kFailed };
+enum class Final : std::uint8_t { kRejected, kFailed };
 
 struct ReasonFacts {
   Final final_answer;
@@ -71,9 +71,9 @@
 /// What the decision module is told of an attempt that ended so, and whether the call may be placed again.
 struct Verdict {
   Outcome outcome = Outcome::kError;
-  bool of_the_call = false;        ///< no fault of the server: it is not counted against it
-  bool rules_out_version = false;  ///< no server of this version may have the call
-  bool final_now = false;          ///< the call is answered at once, with the reason
+  bool is_caller_fault = false;   ///< no fault of the server: it is not counted against it
+  bool excludes_version = false;  ///< no server of this version may have the call
+  bool final_now = false;         ///< the call is answered at once, with the reason
 };
 Verdict verdict_of(const ErrorMeaning& meaning);
 
--- a/src/core/report.cpp
+++ b/src/core/report.cpp
@@ -4,7 +4,7 @@
 
 namespace amberknot::core {
 
-void set_report_field(Report& report, std::string_view name, double value) {
+void set_load_report_field(LoadReport& report, std::string_view name, double value) {
   // Below zero: this report does not say.
   if (!std::isfinite(value) || value < 0) return;
   if (name == "x0" || name == "idle") report.free_lines = value;
--- a/src/core/report.hpp
+++ b/src/core/report.hpp
@@ -9,6 +9,6 @@
 
 /// Sets the field of that name, as the settings name them; unknown names and values below zero (this report
 /// does not say) are skipped.
-void set_report_field(Report& report, std::string_view name, double value);
+void set_load_report_field(LoadReport& report, std::string_view name, double value);
 
 }  // namespace amberknot::core
--- a/src/core/retune.cpp
+++ b/src/core/retune.cpp
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-Retuned retune(const Names& names, const Settings& now, const Names& fresh_names, const Settings& fresh) {
-  Retuned out;
+ReloadPlan plan_reload(const Names& names, const Settings& now, const Names& fresh_names,
+                       const Settings& fresh) {
+  ReloadPlan out;
   out.names.tenants = names.tenants;
   const bool widths = !names.widths.empty() || !fresh_names.widths.empty();
   for (std::size_t i = 0; i < names.classes.size(); ++i) {
@@ -41,16 +42,18 @@
     out.notes.push_back("class " + name + " added");
   }
   out.limits = fresh.limits;
-  if (fresh.limits.most_tries != now.limits.most_tries) {
-    out.notes.push_back("tries " + std::to_string(now.limits.most_tries) + " -> " +
-                        std::to_string(fresh.limits.most_tries));
+  if (fresh.limits.max_tries != now.limits.max_tries) {
+    out.notes.push_back("tries " + std::to_string(now.limits.max_tries) + " -> " +
+                        std::to_string(fresh.limits.max_tries));
   }
   if (fresh_names.tenants != names.tenants || fresh.tenants.size() != now.tenants.size())
-    out.kept.push_back("tenants");
-  if (fresh.resend != now.resend || fresh.round != now.round) out.kept.push_back("timing");
-  if (!(fresh.invariants == now.invariants)) out.kept.push_back("invariants");
-  if (fresh.over_share_worth != now.over_share_worth) out.kept.push_back("over_share_worth");
-  if (fresh.siblings != now.siblings || fresh.self != now.self) out.kept.push_back("siblings");
+    out.requires_restart.push_back("tenants");
+  if (fresh.retransmit_interval != now.retransmit_interval || fresh.batch_interval != now.batch_interval)
+    out.requires_restart.push_back("timing");
+  if (!(fresh.invariants == now.invariants)) out.requires_restart.push_back("invariants");
+  if (fresh.over_quota_weight != now.over_quota_weight) out.requires_restart.push_back("over_share_worth");
+  if (fresh.peer_count != now.peer_count || fresh.self != now.self)
+    out.requires_restart.push_back("siblings");
   return out;
 }
 
--- a/src/core/server_list.cpp
+++ b/src/core/server_list.cpp
@@ -2,7 +2,7 @@
 
 namespace amberknot::core {
 
-ListedServer& ServerList::of(std::string_view name) {
+Endpoint& EndpointRegistry::of(std::string_view name) {
   if (const auto found = by_name_.find(name); found != by_name_.end()) return *find(found->second);
   const ServerId id{next_id_++};
   auto& server = servers_[id];
@@ -12,22 +12,22 @@
   return server;
 }
 
-ListedServer* ServerList::find(ServerId id) {
+Endpoint* EndpointRegistry::find(ServerId id) {
   const auto found = servers_.find(id);
   return found != servers_.end() ? &found->second : nullptr;
 }
 
-const ListedServer* ServerList::find(ServerId id) const {
+const Endpoint* EndpointRegistry::find(ServerId id) const {
   const auto found = servers_.find(id);
   return found != servers_.end() ? &found->second : nullptr;
 }
 
-const ListedServer* ServerList::find(std::string_view name) const {
+const Endpoint* EndpointRegistry::find(std::string_view name) const {
   const auto found = by_name_.find(name);
   return found != by_name_.end() ? find(found->second) : nullptr;
 }
 
-void ServerList::forget(ServerId id) {
+void EndpointRegistry::forget(ServerId id) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
   by_name_.erase(found->second.name);
--- a/src/core/server_list.hpp
+++ b/src/core/server_list.hpp
@@ -12,41 +12,41 @@
 
 namespace amberknot::core {
 
-struct ListedServer {
+struct Endpoint {
   ServerId id{};
   std::string name;
   std::string address;  ///< host:port
-  CellNo cell{};
-  ListState state = ListState::kReady;
-  std::int64_t started_unix_ms = 0;  ///< zero: long ago
-  std::optional<Instant> started;    ///< the same on the monotonic clock, read once for each start
-  Links* port = nullptr;             ///< whose links lead there
-  VersionNo version{};               ///< of the protocol that it speaks
-  std::optional<Instant> gone_at;    ///< while it is gone
+  PoolId pool{};
+  EndpointState state = EndpointState::kReady;
+  std::int64_t started_unix_ms = 0;   ///< zero: long ago
+  std::optional<Instant> started;     ///< the same on the monotonic clock, read once for each start
+  UpstreamPool* port = nullptr;       ///< whose links lead there
+  ProtocolVersion version{};          ///< of the protocol that it speaks
+  std::optional<Instant> removed_at;  ///< while it is gone
 };
 
 /// One line of news.
-struct ListChange {
+struct EndpointChange {
   std::string name;
   std::string address;
-  std::uint32_t cell = 0;
-  ListState state = ListState::kReady;
+  std::uint32_t pool = 0;
+  EndpointState state = EndpointState::kReady;
   std::int64_t started_unix_ms = 0;
 };
 
-class ServerList {
+class EndpointRegistry {
  public:
   /// The entry of that name, made on first sight. Ids are never used again.
-  ListedServer& of(std::string_view name);
-  [[nodiscard]] ListedServer* find(ServerId id);
-  [[nodiscard]] const ListedServer* find(std::string_view name) const;
-  [[nodiscard]] const ListedServer* find(ServerId id) const;
-  [[nodiscard]] const std::map<ServerId, ListedServer>& all() const { return servers_; }
+  Endpoint& of(std::string_view name);
+  [[nodiscard]] Endpoint* find(ServerId id);
+  [[nodiscard]] const Endpoint* find(std::string_view name) const;
+  [[nodiscard]] const Endpoint* find(ServerId id) const;
+  [[nodiscard]] const std::map<ServerId, Endpoint>& all() const { return servers_; }
   /// Nothing refers to it any more. Its name, if it comes again, gets another id.
   void forget(ServerId id);
 
  private:
-  std::map<ServerId, ListedServer> servers_;
+  std::map<ServerId, Endpoint> servers_;
   std::uint32_t next_id_ = 0;
   std::map<std::string, ServerId, std::less<>> by_name_;
 };
--- a/src/diameter/codec.cpp
+++ b/src/diameter/codec.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t kHeader = 20;
 constexpr std::size_t kAvpHeader = 8;
 constexpr std::size_t kVendorSize = 4;
-constexpr std::size_t kMostAvps = 256;
+constexpr std::size_t kMaxAvps = 256;
 
 constexpr std::uint8_t kRequestBit = 0x80;
 constexpr std::uint8_t kProxiableBit = 0x40;
@@ -86,13 +86,13 @@
 
 Fault judge_avp(const Avp& avp, int depth);
 
-constexpr int kMostDepth = 8;  // of groups within groups
+constexpr int kMaxDepth = 8;  // of groups within groups
 
 /// Reads AVPs up to the first fault. Without `judge` only their lengths count, not what they mean.
 Fault read_avps(std::string_view bytes, std::vector<Avp>& avps, bool judge, int depth = 0) {
   std::size_t at = 0;
   while (at < bytes.size()) {
-    if (bytes.size() - at < kAvpHeader || avps.size() >= kMostAvps) return {Result::kInvalidAvpLength, {}};
+    if (bytes.size() - at < kAvpHeader || avps.size() >= kMaxAvps) return {Result::kInvalidAvpLength, {}};
     Avp avp;
     avp.code = load(bytes, at, 4);
     avp.flags = static_cast<std::uint8_t>(bytes[at + 4]);
@@ -123,7 +123,7 @@
   if (one->kind == Kind::kWideNumber && avp.data.size() != 8) return fault(Result::kInvalidAvpLength);
   // Failed-AVP shows what was wrong, so its inside is not judged.
   if (one->kind != Kind::kGroup || avp.code == static_cast<std::uint32_t>(Code::kFailedAvp)) return {};
-  if (depth >= kMostDepth) return fault(Result::kInvalidAvpLength);
+  if (depth >= kMaxDepth) return fault(Result::kInvalidAvpLength);
   std::vector<Avp> inside;
   const auto within = read_avps(avp.data, inside, true, depth + 1);
   return within.any() ? fault(within.result) : Fault{};  // shown with the group round it
--- a/src/diameter/codec.hpp
+++ b/src/diameter/codec.hpp
@@ -74,7 +74,7 @@
 enum class RequestType : std::uint32_t { kInitial = 1, kUpdate = 2, kTermination = 3, kEvent = 4 };
 
 /// What a Service-Parameter-Info of this router's carries, by its type.
-enum class Parameter : std::uint32_t { kDescription = 1, kWaitMs = 2, kStayAwayMs = 3 };
+enum class Parameter : std::uint32_t { kDescription = 1, kWaitMs = 2, kRetryAfterMs = 3 };
 
 struct Avp {
   std::uint32_t code = 0;
--- a/src/diameter/front.cpp
+++ b/src/diameter/front.cpp
@@ -17,7 +17,7 @@
 
 // An aborted session's termination is answered as known for so long.
 constexpr Duration kAbortedKept = std::chrono::seconds{30};
-constexpr std::size_t kMostSessions = 20'000;
+constexpr std::size_t kMaxSessions = 20'000;
 
 std::string failed(const Message& message, Code code) {
   const auto* avp = message.find(code);
@@ -31,10 +31,10 @@
 
 }  // namespace
 
-Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-             const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
-             std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of,
-             const translate::Translator* translator)
+Frontend::Frontend(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
+                   const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
+                   std::size_t max_connections, std::set<std::string> admitted, TenantOf tenant_of,
+                   PoolOf pool_of, const translate::Translator* translator)
     : loop_(loop),
       table_(table),
       counters_(counters),
@@ -43,7 +43,7 @@
       settings_(settings),
       acceptor_(net::shared_acceptor(loop.io, listen)),
       pause_(loop.io),
-      most_connections_(most_connections),
+      max_connections_(max_connections),
       admitted_(std::move(admitted)),
       tenant_of_(std::move(tenant_of)),
       pool_of_(std::move(pool_of)),
@@ -52,11 +52,11 @@
   accept();
 }
 
-Front::~Front() {
+Frontend::~Frontend() {
   for (const auto& [key, peer] : std::exchange(peers_, {})) peer->close();
 }
 
-void Front::accept() {
+void Frontend::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
@@ -67,7 +67,7 @@
       });
       return;
     }
-    if (peers_.size() >= most_connections_) {
+    if (peers_.size() >= max_connections_) {
       net::log::warn("diameter: connection refused: ", peers_.size(), " are open already");
     } else {
       auto peer = std::make_shared<Peer>(loop_, counters_, identity_, *this);
@@ -78,22 +78,22 @@
   });
 }
 
-void Front::leave() {
+void Frontend::leave() {
   for (const auto& [key, peer] : peers_) peer->disconnect();
 }
 
-Result Front::admit(Peer& peer) {
+Result Frontend::admit(Peer& peer) {
   return admitted_.empty() || admitted_.contains(peer.host()) ? Result::kSuccess : Result::kUnknownPeer;
 }
 
-void Front::on_up(Peer& peer) {
+void Frontend::on_up(Peer& peer) {
   // What was released while this host had no connection is told now.
   for (const auto& [id, session] : sessions_) {
     if (session.aborted && session.host == peer.host()) abort(id, session, peer);
   }
 }
 
-void Front::on_message(Peer& peer, const Message& message) {
+void Frontend::on_message(Peer& peer, const Message& message) {
   if (!message.request) return;  // an answer to our ASR: its termination follows
   if (!message.is(Command::kCreditControl)) {
     reply(peer, message, {Result::kCommandUnsupported, {}});
@@ -122,7 +122,7 @@
   }
 }
 
-void Front::on_initial(Peer& peer, const Message& message) {
+void Frontend::on_initial(Peer& peer, const Message& message) {
   const std::string id(message.text(Code::kSessionId));
   if (sessions_.contains(id)) {
     // Sent again while the first is still with us: it has one answer, on its way already or to come.
@@ -154,7 +154,7 @@
     fault = {Result::kInvalidAvpValue, failed(message, Code::kServiceParameterInfo)};
   } else if (!names_.tenants.empty() && tenant == names_.tenants.end()) {
     fault = {Result::kUserUnknown, {}};
-  } else if (sessions_.size() >= kMostSessions) {
+  } else if (sessions_.size() >= kMaxSessions) {
     fault = {Result::kTooBusy, {}};
   }
   if (fault.any()) {
@@ -179,18 +179,18 @@
   set_up.facts.first_choice = pool_of_(message.text(Code::kDestinationHost));
   if (translator_ != nullptr) {
     using translate::Meaning;
-    auto told = std::make_unique<translate::Message>(
+    auto message = std::make_unique<translate::Message>(
         dialect_, translator_->client(dialect_).of(translate::Kind::kSetUp));
-    told->set(Meaning::kCall, set_up.id);
-    told->set(Meaning::kClass, set_up.call_class);
-    told->set(Meaning::kNumber, set_up.number);
-    told->set(Meaning::kTenant, tenant_name);
-    told->set(Meaning::kDescription, set_up.description);
-    told->set(Meaning::kPatience, patience.count() / 1000);
-    set_up.facts.ruled_out = translator_->rule(*told, scratch_);
-    set_up.told = std::move(told);
+    message->set(Meaning::kCall, set_up.id);
+    message->set(Meaning::kClass, set_up.call_class);
+    message->set(Meaning::kNumber, set_up.number);
+    message->set(Meaning::kTenant, tenant_name);
+    message->set(Meaning::kDescription, set_up.description);
+    message->set(Meaning::kPatience, patience.count() / 1000);
+    set_up.facts.excluded_versions = translator_->rule(*message, scratch_);
+    set_up.message = std::move(message);
   }
-  const CallId call = table_.take(*this, std::move(set_up));
+  const CallId call = table_.admit(*this, std::move(set_up));
   // Only what the answer repeats is kept of the request.
   auto copy =
       Writer::request(Command::kCreditControl, message.application, message.hop_by_hop, message.end_to_end);
@@ -203,10 +203,10 @@
   }
   sessions_[id] = {call, peer.host(), peer.shared_from_this(), copy.finish(), false, false};
   by_call_[call] = id;
-  table_.decide(call);
+  table_.route(call);
 }
 
-void Front::on_later(Peer& peer, const Message& message, RequestType type) {
+void Frontend::on_later(Peer& peer, const Message& message, RequestType type) {
   const std::string id(message.text(Code::kSessionId));
   const auto found = sessions_.find(id);
   const bool ends = type == RequestType::kTermination;
@@ -229,7 +229,7 @@
   reply(peer, message, {Result::kSuccess, {}});
 }
 
-void Front::reply(Peer& peer, const Message& to, const Fault& fault) {
+void Frontend::reply(Peer& peer, const Message& to, const Fault& fault) {
   auto writer = peer.answer(to, fault);
   writer.add(Code::kAuthApplicationId, kCreditControlApplication);
   for (const Code code : {Code::kCcRequestType, Code::kCcRequestNumber}) {
@@ -238,8 +238,8 @@
   peer.send(writer);
 }
 
-bool Front::finish(Session& session, Result result, const std::function<void(Writer&)>& fill) {
-  const auto read = read_message(session.request, net::kMostMessage);
+bool Frontend::finish(Session& session, Result result, const std::function<void(Writer&)>& fill) {
+  const auto read = read_message(session.request, net::kMaxMessage);
   if (!session.peer) return false;
   auto writer = session.peer->answer(read.message, {result, {}});
   writer.add(Code::kAuthApplicationId, kCreditControlApplication);
@@ -249,33 +249,33 @@
   }
   if (fill) fill(writer);
   auto bytes = writer.finish();
-  if (bytes.size() > net::kMostMessage) return false;
+  if (bytes.size() > net::kMaxMessage) return false;
   session.answered = true;
   session.peer->stream().send(std::move(bytes));
   return true;
 }
 
-bool Front::answer(CallId call, std::string_view description) {
+bool Frontend::answer(CallId call, std::string_view description) {
   const auto id = by_call_.find(call);
   if (id == by_call_.end()) return false;
   return finish(sessions_.at(id->second), Result::kSuccess,
                 [&](Writer& writer) { writer.add_parameter(Parameter::kDescription, description); });
 }
 
-void Front::refuse(CallId call, core::Reason reason, Duration stay_away) {
+void Frontend::reject(CallId call, core::Reason reason, Duration retry_after) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
   const std::string id = found->second;
   finish(sessions_.at(id), result_of(reason), [&](Writer& writer) {
-    if (stay_away <= Duration::zero()) return;
-    const auto ms = std::chrono::duration_cast<milliseconds>(stay_away).count();
+    if (retry_after <= Duration::zero()) return;
+    const auto ms = std::chrono::duration_cast<milliseconds>(retry_after).count();
     writer.add(Code::kErrorMessage, "come back in " + std::to_string(ms) + " ms");
-    writer.add_parameter(Parameter::kStayAwayMs, std::to_string(ms));
+    writer.add_parameter(Parameter::kRetryAfterMs, std::to_string(ms));
   });
   forget(id);
 }
 
-void Front::fail(CallId call, core::Reason reason) {
+void Frontend::fail(CallId call, core::Reason reason) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
   const std::string id = found->second;
@@ -283,7 +283,7 @@
   forget(id);
 }
 
-void Front::release(CallId call, core::Cause /*cause*/) {
+void Frontend::release(CallId call, core::Cause /*cause*/) {
   const auto found = by_call_.find(call);
   if (found == by_call_.end()) return;
   const std::string id = found->second;
@@ -298,7 +298,7 @@
   if (const auto peer = peer_of(session.host)) abort(id, session, *peer);
 }
 
-void Front::abort(const std::string& id, const Session& session, Peer& peer) {
+void Frontend::abort(const std::string& id, const Session& session, Peer& peer) {
   auto asr = peer.request(Command::kAbortSession, kCreditControlApplication);
   peer.origin(asr.add(Code::kSessionId, id));
   asr.add(Code::kDestinationRealm, peer.realm()).add(Code::kDestinationHost, session.host);
@@ -306,29 +306,29 @@
   peer.send(asr);
 }
 
-void Front::forget(const std::string& id) {
+void Frontend::forget(const std::string& id) {
   const auto found = sessions_.find(id);
   if (found == sessions_.end()) return;
   by_call_.erase(found->second.call);
   sessions_.erase(found);
 }
 
-std::shared_ptr<Peer> Front::peer_of(const std::string& host) {
+std::shared_ptr<Peer> Frontend::peer_of(const std::string& host) {
   for (const auto& [key, peer] : peers_) {
     if (peer->is_up() && peer->host() == host) return peer;
   }
   return nullptr;
 }
 
-std::uint32_t& Front::last_state(Peer& peer) {
-  constexpr std::size_t kMostHosts = 4096;
-  if (state_ids_.size() > kMostHosts) state_ids_.erase(state_ids_.begin());
+std::uint32_t& Frontend::last_state(Peer& peer) {
+  constexpr std::size_t kMaxHosts = 4096;
+  if (state_ids_.size() > kMaxHosts) state_ids_.erase(state_ids_.begin());
   return state_ids_[peer.host()];
 }
 
 // A client that started anew holds none of its sessions any more: they are released towards the servers, and
 // nobody is left to be told.
-void Front::on_restarted(Peer& peer) {
+void Frontend::on_restarted(Peer& peer) {
   std::vector<std::string> lost;
   for (const auto& [id, session] : sessions_) {
     if (session.host == peer.host()) lost.push_back(id);
@@ -342,7 +342,7 @@
   }
 }
 
-void Front::on_down(Peer& peer, net::Closed why) {
+void Frontend::on_down(Peer& peer, net::CloseReason why) {
   net::log::info("diameter: client ", peer.host(), " ", net::name(why));
   const auto keep = peer.shared_from_this();
   peers_.erase(&peer);
@@ -355,7 +355,7 @@
   for (const auto& id : given_up) {
     const auto call = sessions_.at(id).call;
     forget(id);
-    table_.give_up(call);
+    table_.abandon(call);
   }
 }
 
--- a/src/diameter/front.hpp
+++ b/src/diameter/front.hpp
@@ -17,21 +17,21 @@
 
 namespace amberknot::diameter {
 
-class Front : public core::Front, public Peer::Handler {
+class Frontend : public core::Frontend, public Peer::Handler {
  public:
   /// The tenant that a User-Name or realm belongs to; empty: none.
   using TenantOf = std::function<std::string(std::string_view)>;
   /// The pool of the server that a Destination-Host names.
-  using PoolOf = std::function<std::optional<CellNo>(std::string_view)>;
+  using PoolOf = std::function<std::optional<PoolId>(std::string_view)>;
 
-  Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-        const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
-        std::size_t most_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of,
-        const translate::Translator* translator = nullptr);
-  ~Front() override;
+  Frontend(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
+           const core::Names& names, const Settings& settings, const asio::ip::tcp::endpoint& listen,
+           std::size_t max_connections, std::set<std::string> admitted, TenantOf tenant_of, PoolOf pool_of,
+           const translate::Translator* translator = nullptr);
+  ~Frontend() override;
 
   bool answer(CallId call, std::string_view description) override;
-  void refuse(CallId call, core::Reason reason, Duration stay_away) override;
+  void reject(CallId call, core::Reason reason, Duration retry_after) override;
   void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
@@ -54,7 +54,7 @@
   void on_message(Peer& peer, const Message& message) override;
   std::uint32_t& last_state(Peer& peer) override;
   void on_restarted(Peer& peer) override;
-  void on_down(Peer& peer, net::Closed why) override;
+  void on_down(Peer& peer, net::CloseReason why) override;
 
   void accept();
   void on_initial(Peer& peer, const Message& message);
@@ -74,7 +74,7 @@
   const Settings& settings_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer pause_;
-  std::size_t most_connections_;
+  std::size_t max_connections_;
   std::set<std::string> admitted_;
   TenantOf tenant_of_;
   PoolOf pool_of_;
--- a/src/diameter/links.cpp
+++ b/src/diameter/links.cpp
@@ -12,19 +12,19 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kLeastBackoff = milliseconds{100};
-constexpr Duration kMostBackoff = std::chrono::seconds{30};  // Tc of RFC 6733
-constexpr std::size_t kMostPending = 4096;
+constexpr Duration kMinBackoff = milliseconds{100};
+constexpr Duration kMaxBackoff = std::chrono::seconds{30};  // Tc of RFC 6733
+constexpr std::size_t kMaxPending = 4096;
 constexpr std::uint32_t kLogout = 1;          // Termination-Cause
 constexpr std::uint32_t kEndUserPrivate = 4;  // Subscription-Id-Type: a number of our own
 
 }  // namespace
 
-struct Links::Server : Peer::Handler {
-  Server(Links& all, ServerId id) : all(all), id(id) {}
+struct ConnectionPool::Server : Peer::Handler {
+  Server(ConnectionPool& all, ServerId id) : all(all), id(id) {}
 
   void on_up(Peer& peer) override {
-    backoff = kLeastBackoff;
+    backoff = kMinBackoff;
     for (const auto& session : std::exchange(pending, {})) all.terminate(*this, session);
     if (peer.is_up()) all.on_change_(id, false);
   }
@@ -43,12 +43,13 @@
   void stop_or_go() {
     // The module hears first: what is taken back is placed anew at once and must not go there again.
     all.on_change_(id, false);
-    if (all.serves(id)) return;
+    if (all.is_available(id)) return;
     all.take_back(*this);
-    if (std::exchange(probing, false)) all.table_.probed(id, Outcome::kTimeout, Duration::zero(), {});
+    if (std::exchange(probing, false))
+      all.table_.on_health_check_result(id, Outcome::kTimeout, Duration::zero(), {});
   }
   void on_watchdog(Peer& /*peer*/, Duration taken) override {
-    if (std::exchange(probing, false)) all.table_.probed(id, Outcome::kOk, taken, {});
+    if (std::exchange(probing, false)) all.table_.on_health_check_result(id, Outcome::kOk, taken, {});
   }
   std::uint32_t& last_state(Peer& /*peer*/) override { return state_id; }
   void on_restarted(Peer& /*peer*/) override {
@@ -56,18 +57,18 @@
     net::log::warn("diameter: ", all.servers_.find(id)->name, " has started anew");
     pending.clear();
     all.end_out(*this, Outcome::kReset);
-    all.table_.cut_all(id, "peer started anew");
+    all.table_.abort_all(id, "peer started anew");
     all.on_change_(id, true);
   }
-  void on_down(Peer& gone, net::Closed why) override;
+  void on_down(Peer& gone, net::CloseReason why) override;
 
-  Links& all;
+  ConnectionPool& all;
   ServerId id;
   std::string address;
   bool wanted = false;
   bool ready = false;  ///< by the list
   std::shared_ptr<Peer> peer;
-  Duration backoff = kLeastBackoff;
+  Duration backoff = kMinBackoff;
   core::TimerWheel::Handle retry = 0;
   bool probing = false;
   std::uint32_t state_id = 0;
@@ -77,24 +78,26 @@
   std::deque<std::string> pending;  ///< sessions whose end could not be told
 };
 
-void Links::Server::on_down(Peer& gone, net::Closed why) {
+void ConnectionPool::Server::on_down(Peer& gone, net::CloseReason why) {
   if (peer.get() != &gone) return;
   const auto keep = std::exchange(peer, nullptr);
   net::log::info("diameter: connection to ", all.servers_.find(id)->name, " ", net::name(why));
   all.on_change_(id, false);
-  if (std::exchange(probing, false)) all.table_.probed(id, Outcome::kConnectFailed, Duration::zero(), {});
+  if (std::exchange(probing, false))
+    all.table_.on_health_check_result(id, Outcome::kConnectFailed, Duration::zero(), {});
   all.end_out(*this, Outcome::kReset);
-  if (why == net::Closed::kRefused) all.table_.cut_all(id, "connection refused");
+  if (why == net::CloseReason::kRefused) all.table_.abort_all(id, "connection refused");
   if (!wanted || retry != 0) return;
   retry = all.loop_.after(backoff, [this] {
     retry = 0;
     all.connect(*this);
   });
-  backoff = std::min(backoff * 2, kMostBackoff);
+  backoff = std::min(backoff * 2, kMaxBackoff);
 }
 
-Links::Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-             Identity& identity, Duration connect_limit, OnChange on_change)
+ConnectionPool::ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                               core::Counters& counters, Identity& identity, Duration connect_limit,
+                               OnChange on_change)
     : loop_(loop),
       table_(table),
       servers_(servers),
@@ -103,24 +106,24 @@
       connect_limit_(connect_limit),
       on_change_(std::move(on_change)) {}
 
-Links::~Links() {
+ConnectionPool::~ConnectionPool() {
   for (auto& [id, server] : by_id_) {
     if (server->peer) server->peer->close();
   }
 }
 
-Links::Server& Links::of(ServerId id) {
+ConnectionPool::Server& ConnectionPool::of(ServerId id) {
   auto& server = by_id_[id];
   if (!server) server = std::make_unique<Server>(*this, id);
   return *server;
 }
 
-void Links::server_changed(const core::ListedServer& listed) {
+void ConnectionPool::on_endpoint_changed(const core::Endpoint& listed) {
   auto& server = of(listed.id);
   const bool moved = !server.address.empty() && server.address != listed.address;
   server.address = listed.address;
-  server.ready = listed.state == ListState::kReady;
-  server.wanted = listed.state != ListState::kGone;
+  server.ready = listed.state == EndpointState::kReady;
+  server.wanted = listed.state != EndpointState::kRemoved;
   if (!server.ready) take_back(server);
   if (server.peer && (!server.wanted || moved)) {
     const auto peer = std::exchange(server.peer, nullptr);
@@ -134,7 +137,7 @@
   if (server.wanted && !server.peer && server.retry == 0) connect(server);
 }
 
-void Links::forget_server(ServerId id) {
+void ConnectionPool::forget_server(ServerId id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   loop_.wheel.cancel(found->second->retry);
@@ -142,19 +145,19 @@
   by_id_.erase(found);
 }
 
-bool Links::serves(ServerId id) const {
+bool ConnectionPool::is_available(ServerId id) const {
   const auto found = by_id_.find(id);
   return found != by_id_.end() && found->second->peer && found->second->peer->healthy();
 }
 
-void Links::leave() {
+void ConnectionPool::leave() {
   for (auto& [id, server] : by_id_) {
     server->wanted = false;
     if (server->peer) server->peer->disconnect();
   }
 }
 
-void Links::connect(Server& server) {
+void ConnectionPool::connect(Server& server) {
   const auto to = net::read_endpoint(server.address);
   if (!server.wanted || server.peer) return;
   if (!to) {
@@ -167,11 +170,11 @@
 
 // ---- what the core asks ---------------------------------------------------------------------------------
 
-void Links::set_up(const core::SetUp& set_up) {
+void ConnectionPool::set_up(const core::SetUp& set_up) {
   auto& server = of(set_up.attempt.server);
-  if (!serves(server.id)) {
+  if (!is_available(server.id)) {
     asio::post(loop_.io, [this, ref = set_up.attempt] {
-      table_.ended(ref, {Outcome::kConnectFailed, core::Cause::kOutOfOrder, false, {}});
+      table_.on_attempt_ended(ref, {Outcome::kConnectFailed, core::Cause::kOutOfOrder, false, {}});
     });
     return;
   }
@@ -200,14 +203,14 @@
   peer.send(ccr, tag(set_up.attempt));
 }
 
-bool Links::cancel(const core::AttemptRef& ref) {
+bool ConnectionPool::cancel(const core::AttemptRef& ref) {
   auto& server = of(ref.server);
   const auto* attempt = find(server, ref);
   if (attempt == nullptr) return false;
   const std::string session = attempt->session;
   drop(server, ref.call);
   if (server.peer && server.peer->is_up() && server.peer->stream().take_back(tag(ref))) {
-    ++counters_.taken_back;
+    ++counters_.withdrawn;
     return true;
   }
   // Credit-Control has no cancel: the session is ended, and again if its success still crosses this.
@@ -215,7 +218,7 @@
   return false;
 }
 
-void Links::release(const core::AttemptRef& ref, core::Cause /*cause*/) {
+void ConnectionPool::release(const core::AttemptRef& ref, core::Cause /*cause*/) {
   auto& server = of(ref.server);
   const auto* attempt = find(server, ref);
   if (attempt == nullptr) return;
@@ -224,29 +227,31 @@
   terminate(server, session);
 }
 
-void Links::forget(const core::AttemptRef& ref) {
+void ConnectionPool::forget(const core::AttemptRef& ref) {
   auto& server = of(ref.server);
   if (find(server, ref) != nullptr) drop(server, ref.call);
 }
 
 // The watchdog is the test that every Diameter peer answers.
-void Links::probe(ServerId id) {
+void ConnectionPool::probe(ServerId id) {
   auto& server = of(id);
-  if (!serves(id)) {
-    asio::post(loop_.io, [this, id] { table_.probed(id, Outcome::kConnectFailed, Duration::zero(), {}); });
+  if (!is_available(id)) {
+    asio::post(loop_.io, [this, id] {
+      table_.on_health_check_result(id, Outcome::kConnectFailed, Duration::zero(), {});
+    });
     return;
   }
   server.probing = true;
   server.peer->send_watchdog();
 }
 
-Links::Attempt* Links::find(Server& server, const core::AttemptRef& ref) {
+ConnectionPool::Attempt* ConnectionPool::find(Server& server, const core::AttemptRef& ref) {
   const auto found = server.attempts.find(ref.call);
   return found != server.attempts.end() && found->second.ref.attempt == ref.attempt ? &found->second
                                                                                     : nullptr;
 }
 
-void Links::drop(Server& server, CallId call) {
+void ConnectionPool::drop(Server& server, CallId call) {
   const auto found = server.attempts.find(call);
   if (found == server.attempts.end()) return;
   server.by_hop.erase(found->second.hop_by_hop);
@@ -254,9 +259,9 @@
   server.attempts.erase(found);
 }
 
-void Links::terminate(Server& server, const std::string& session) {
+void ConnectionPool::terminate(Server& server, const std::string& session) {
   if (!server.peer || !server.peer->is_up()) {
-    if (server.pending.size() < kMostPending) server.pending.push_back(session);
+    if (server.pending.size() < kMaxPending) server.pending.push_back(session);
     return;
   }
   auto& peer = *server.peer;
@@ -271,33 +276,33 @@
 }
 
 // The drain rule binds at the write: a set-up still queued on a blocked connection never leaves.
-void Links::take_back(Server& server) {
+void ConnectionPool::take_back(Server& server) {
   if (!server.peer || !server.peer->is_up()) return;
   std::vector<core::AttemptRef> back;
   for (const auto& [call, attempt] : server.attempts) {
     if (!attempt.standing && server.peer->stream().take_back(tag(attempt.ref))) back.push_back(attempt.ref);
   }
   for (const auto& ref : back) {
-    ++counters_.taken_back;
+    ++counters_.withdrawn;
     drop(server, ref.call);
-    table_.ended(ref, {Outcome::kMoot, core::Cause::kOutOfOrder, false, {}});
+    table_.on_attempt_ended(ref, {Outcome::kNotSent, core::Cause::kOutOfOrder, false, {}});
   }
 }
 
-void Links::end_out(Server& server, Outcome outcome) {
+void ConnectionPool::end_out(Server& server, Outcome outcome) {
   std::vector<core::AttemptRef> out;
   for (const auto& [call, attempt] : server.attempts) {
     if (!attempt.standing) out.push_back(attempt.ref);
   }
   for (const auto& ref : out) {
     drop(server, ref.call);
-    table_.ended(ref, {outcome, core::Cause::kTemporaryFailure, false, {}});
+    table_.on_attempt_ended(ref, {outcome, core::Cause::kTemporaryFailure, false, {}});
   }
 }
 
 // ---- what the servers say -------------------------------------------------------------------------------
 
-void Links::on_answer(Server& server, const Message& message) {
+void ConnectionPool::on_answer(Server& server, const Message& message) {
   const auto result = message.number(Code::kResultCode).value_or(0);
   const auto meaning = meaning_of(result);
   const auto found = server.by_hop.find(message.hop_by_hop);
@@ -318,17 +323,18 @@
     attempt.standing = true;
     const std::string session = attempt.session;
     server.by_hop.erase(found);
-    if (table_.stood(ref, message.parameter(Parameter::kDescription).value_or(std::string_view()))) return;
+    if (table_.on_established(ref, message.parameter(Parameter::kDescription).value_or(std::string_view())))
+      return;
     drop(server, ref.call);
     terminate(server, session);
     return;
   }
   drop(server, ref.call);
   net::log::debug("diameter: set-up answered with ", result);
-  table_.ended(ref, {meaning.outcome, core::Cause::kTemporaryFailure, meaning.of_the_user, {}});
+  table_.on_attempt_ended(ref, {meaning.outcome, core::Cause::kTemporaryFailure, meaning.of_the_user, {}});
 }
 
-void Links::on_abort(Server& server, const Message& message) {
+void ConnectionPool::on_abort(Server& server, const Message& message) {
   const std::string session(message.text(Code::kSessionId));
   const auto found = server.by_session.find(session);
   const bool known = found != server.by_session.end();
@@ -341,7 +347,7 @@
   const auto ref = server.attempts.at(found->second).ref;
   drop(server, ref.call);
   terminate(server, session);
-  table_.ended(ref, {Outcome::kReset, core::Cause::kTemporaryFailure, false, {}});
+  table_.on_attempt_ended(ref, {Outcome::kReset, core::Cause::kTemporaryFailure, false, {}});
 }
 
 }  // namespace amberknot::diameter
--- a/src/diameter/links.hpp
+++ b/src/diameter/links.hpp
@@ -15,18 +15,18 @@
 
 namespace amberknot::diameter {
 
-class Links : public core::Links {
+class ConnectionPool : public core::UpstreamPool {
  public:
   /// Told when a server begins or ceases to take new calls, or has started anew.
   using OnChange = std::function<void(ServerId server, bool started_anew)>;
 
-  Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-        Identity& identity, Duration connect_limit, OnChange on_change);
-  ~Links() override;
+  ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                 core::Counters& counters, Identity& identity, Duration connect_limit, OnChange on_change);
+  ~ConnectionPool() override;
 
-  void server_changed(const core::ListedServer& server) override;
+  void on_endpoint_changed(const core::Endpoint& server) override;
   void forget_server(ServerId server) override;
-  [[nodiscard]] bool serves(ServerId server) const override;
+  [[nodiscard]] bool is_available(ServerId server) const override;
   void leave() override;
 
   void set_up(const core::SetUp& set_up) override;
@@ -53,13 +53,13 @@
   void end_out(Server& server, Outcome outcome);
   void on_answer(Server& server, const Message& message);
   void on_abort(Server& server, const Message& message);
-  static net::Stream::Tag tag(const core::AttemptRef& attempt) {
-    return (static_cast<net::Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
+  static net::TcpConnection::Tag tag(const core::AttemptRef& attempt) {
+    return (static_cast<net::TcpConnection::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
   }
 
   net::Loop& loop_;
   core::CallTable& table_;
-  core::ServerList& servers_;
+  core::EndpointRegistry& servers_;
   core::Counters& counters_;
   Identity& identity_;
   Duration connect_limit_;
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -7,7 +7,7 @@
 
 namespace amberknot::diameter {
 
-using net::Closed;
+using net::CloseReason;
 using net::Loop;
 
 namespace {
@@ -19,12 +19,12 @@
 
 void Peer::connect(const asio::ip::tcp::endpoint& to, Duration limit) {
   initiator_ = true;
-  stream_ = std::make_shared<net::Stream>(loop_, *this);
+  stream_ = std::make_shared<net::TcpConnection>(loop_, *this);
   stream_->connect(to, limit);
 }
 
 void Peer::adopt(asio::ip::tcp::socket socket) {
-  stream_ = std::make_shared<net::Stream>(loop_, *this);
+  stream_ = std::make_shared<net::TcpConnection>(loop_, *this);
   stream_->adopt(std::move(socket));
 }
 
@@ -46,11 +46,11 @@
   return writer;
 }
 
-void Peer::on_open(net::Stream& /*stream*/) {
+void Peer::on_open(net::TcpConnection& /*stream*/) {
   // The capabilities exchange comes first, and within its time.
   timer_ = loop_.after(identity_.capabilities, [this, self = shared_from_this()] {
     timer_ = 0;
-    fail(Closed::kNeverUp);
+    fail(CloseReason::kNeverUp);
   });
   if (!initiator_) return;
   auto cer = request(Command::kCapabilitiesExchange, kBaseApplication);
@@ -62,16 +62,16 @@
   send(cer);
 }
 
-std::size_t Peer::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Peer::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const auto self = shared_from_this();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
-    const auto read = read_message({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
+    const auto read = read_message({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessage);
     if (read.state == Read::State::kMore) break;
     if (read.state == Read::State::kBad) {
       ++counters_.unreadable;
       net::log::warn("diameter: over-long message from ", stream.remote(), ": connection closed");
-      fail(Closed::kOverrun);
+      fail(CloseReason::kOverrun);
       return bytes.size();
     }
     on_read(read);
@@ -98,7 +98,7 @@
     } else {
       handler_.on_message(*this, message);  // what it answers has its end, if not the one it was to have
     }
-    if (read.fault.result == Result::kInvalidMessageLength) fail(Closed::kReset);
+    if (read.fault.result == Result::kInvalidMessageLength) fail(CloseReason::kReset);
     return;
   }
   learn_state(message);
@@ -118,7 +118,7 @@
   const auto& message = read.message;
   if (!message.is(Command::kCapabilitiesExchange) || message.request == initiator_) {
     net::log::warn("diameter: ", stream_->remote(), " begins with command ", message.command);
-    fail(Closed::kReset);
+    fail(CloseReason::kReset);
     return;
   }
   host_ = message.text(Code::kOriginHost);
@@ -127,7 +127,7 @@
     const auto result = message.number(Code::kResultCode).value_or(0);
     if (result / 1000 != 2 || read.fault.any()) {
       net::log::warn("diameter: ", stream_->remote(), " answers the capabilities exchange with ", result);
-      fail(Closed::kReset);
+      fail(CloseReason::kReset);
       return;
     }
     learn_state(message);
@@ -159,7 +159,7 @@
   if (fault.any()) {
     net::log::warn("diameter: ", stream_->remote(),
                    " not admitted: ", static_cast<std::uint32_t>(fault.result));
-    fail(Closed::kReset);
+    fail(CloseReason::kReset);
     return;
   }
   learn_state(message);
@@ -187,7 +187,7 @@
     return;
   }
   if (message.is(Command::kDisconnect)) {
-    fail(Closed::kEnded);
+    fail(CloseReason::kEnded);
     return;
   }
   if (!std::exchange(asked_, false)) return;
@@ -230,7 +230,7 @@
     handler_.on_health(*this, false);
   } else if (Loop::now() - heard_at_ >= identity_.watchdog) {
     net::log::warn("diameter: ", host_, " is silent: connection closed");
-    fail(Closed::kReset);
+    fail(CloseReason::kReset);
     return;
   } else {
     // Other messages still come: asked anew, it may show that its watchdog is back.
@@ -262,13 +262,13 @@
   if (stream_) stream_->close();
 }
 
-void Peer::fail(Closed why) {
+void Peer::fail(CloseReason why) {
   const auto self = shared_from_this();
   stream_->close();
   on_closed(*stream_, why);
 }
 
-void Peer::on_closed(net::Stream& /*stream*/, Closed why) {
+void Peer::on_closed(net::TcpConnection& /*stream*/, CloseReason why) {
   const auto self = shared_from_this();
   loop_.wheel.cancel(std::exchange(timer_, 0));
   up_ = false;
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -24,7 +24,7 @@
   std::uint32_t next_end_to_end = 0;
 };
 
-class Peer : public net::Stream::Owner, public std::enable_shared_from_this<Peer> {
+class Peer : public net::TcpConnection::Owner, public std::enable_shared_from_this<Peer> {
  public:
   class Handler {
    public:
@@ -43,7 +43,7 @@
     virtual std::uint32_t& last_state(Peer& peer) = 0;
     /// Its Origin-State-Id went up: it has lost all its sessions.
     virtual void on_restarted(Peer& peer) = 0;
-    virtual void on_down(Peer& peer, net::Closed why) = 0;
+    virtual void on_down(Peer& peer, net::CloseReason why) = 0;
   };
 
   Peer(net::Loop& loop, core::Counters& counters, Identity& identity, Handler& handler);
@@ -54,7 +54,7 @@
   /// A request's Origin-Host and Origin-Realm are added behind its Session-Id by the caller: see origin().
   Writer request(Command command, std::uint32_t application, std::uint32_t* hop_by_hop = nullptr);
   Writer& origin(Writer& writer) const;
-  void send(Writer& writer, net::Stream::Tag tag = 0) { stream_->send(writer.finish(), {}, tag); }
+  void send(Writer& writer, net::TcpConnection::Tag tag = 0) { stream_->send(writer.finish(), {}, tag); }
   /// An answer of the same kind with origin and, where there is one, Failed-AVP.
   Writer answer(const Message& to, const Fault& fault) const;
   void send_watchdog();
@@ -65,12 +65,12 @@
   [[nodiscard]] bool healthy() const { return up_ && healthy_ && !leaving_; }
   [[nodiscard]] const std::string& host() const { return host_; }
   [[nodiscard]] const std::string& realm() const { return realm_; }
-  [[nodiscard]] net::Stream& stream() { return *stream_; }
+  [[nodiscard]] net::TcpConnection& stream() { return *stream_; }
 
  private:
-  void on_open(net::Stream& stream) override;
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  void on_open(net::TcpConnection& stream) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
   void on_read(const Read& read);
   void on_capabilities(const Read& read);
   void on_base(const Message& message);
@@ -78,13 +78,13 @@
   void up();
   void set_watchdog();
   void on_watchdog_due();
-  void fail(net::Closed why);
+  void fail(net::CloseReason why);
 
   net::Loop& loop_;
   core::Counters& counters_;
   Identity& identity_;
   Handler& handler_;
-  std::shared_ptr<net::Stream> stream_;
+  std::shared_ptr<net::TcpConnection> stream_;
   bool initiator_ = false;
   bool up_ = false;
   bool healthy_ = true;
--- a/src/directory/tenants.cpp
+++ b/src/directory/tenants.cpp
@@ -9,7 +9,7 @@
 namespace amberknot::directory {
 namespace {
 
-constexpr std::size_t kMostTenants = 100'000;
+constexpr std::size_t kMaxTenants = 100'000;
 
 struct Unbind {
   void operator()(LDAP* ldap) const { ldap_unbind_ext_s(ldap, nullptr, nullptr); }
@@ -82,7 +82,7 @@
     const auto names = values(ldap.get(), entry, tenant);
     if (names.empty()) continue;
     for (auto& one : values(ldap.get(), entry, key)) {
-      if (tenants.size() >= kMostTenants) return fail("search", LDAP_SIZELIMIT_EXCEEDED);
+      if (tenants.size() >= kMaxTenants) return fail("search", LDAP_SIZELIMIT_EXCEEDED);
       tenants[std::move(one)] = names.front();
     }
   }
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -16,28 +16,28 @@
 constexpr Duration kSilence = milliseconds{2500};
 constexpr Duration kPause = milliseconds{100};
 // An event that cannot be read is asked for again so many times.
-constexpr int kMostTorn = 3;
+constexpr int kMaxTorn = 3;
 
 }  // namespace
 
 Feed::Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
-           OnNews on_news)
+           OnUpdate on_update)
     : loop_(loop),
       counters_(counters),
       channel_(std::move(channel)),
       last_(last),
-      on_news_(std::move(on_news)) {
+      on_update_(std::move(on_update)) {
   connect();
 }
 
 void Feed::connect() {
-  if (std::exchange(connected_before_, true)) ++counters_.feed_restarts;
+  if (std::exchange(connected_before_, true)) ++counters_.endpoint_watch_restarts;
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   reader_ = {};
   ended_ = false;
   torn_ = false;
-  stream_ = std::make_shared<net::Stream>(loop_, *this);
+  stream_ = std::make_shared<net::TcpConnection>(loop_, *this);
   stream_->connect(channel_, kConnectLimit);
 }
 
@@ -71,7 +71,7 @@
   });
 }
 
-void Feed::on_open(net::Stream& stream) {
+void Feed::on_open(net::TcpConnection& stream) {
   std::ostringstream head;
   head << "GET /cmd/next HTTP/1.1\r\nHost: " << channel_ << "\r\nAccept: text/event-stream\r\n"
        << "Last-Event-ID: " << last_ << "\r\n\r\n";
@@ -79,7 +79,7 @@
   watch();
 }
 
-std::size_t Feed::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Feed::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   watch();
   static const http_parser_settings settings = [] {
     http_parser_settings made;
@@ -101,7 +101,7 @@
   return bytes.size();
 }
 
-void Feed::on_closed(net::Stream& /*stream*/, net::Closed why) {
+void Feed::on_closed(net::TcpConnection& /*stream*/, net::CloseReason why) {
   again(name(why));
 }
 
@@ -125,14 +125,14 @@
 
 void Feed::on_event(const SseEvent& event) {
   if (torn_) return;
-  auto news = read_list_news(event.data);
+  auto news = read_endpoint_update(event.data);
   const auto id = settings::number_of(event.id);
   const bool has_id = id && *id >= 0;
   if (!news) {
     // Torn on the way, most likely: asked for again, and skipped only if it is no better then. What follows
     // it is not taken before, since its number would hide this one for good.
     ++counters_.unreadable;
-    torn_ = ++torn_in_row_ <= kMostTorn;
+    torn_ = ++torn_in_row_ <= kMaxTorn;
     net::log::warn("command channel: event ", event.id, " cannot be read",
                    torn_ ? ", asked for again" : ", skipped: the list may be wrong");
     if (torn_ || !has_id) return;
@@ -146,11 +146,11 @@
   learn(*news);
 }
 
-void Feed::learn(const ListNews& news) {
+void Feed::learn(const EndpointUpdate& news) {
   if (news.cursor <= last_) return;
   last_ = news.cursor;
-  ++counters_.feed_events;
-  on_news_(news);
+  ++counters_.endpoint_events;
+  on_update_(news);
 }
 
 }  // namespace amberknot::feed
--- a/src/feed/feed.hpp
+++ b/src/feed/feed.hpp
@@ -14,26 +14,26 @@
 
 namespace amberknot::feed {
 
-class Feed : public net::Stream::Owner {
+class Feed : public net::TcpConnection::Owner {
  public:
-  using OnNews = std::function<void(const ListNews&)>;
+  using OnUpdate = std::function<void(const EndpointUpdate&)>;
 
   Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
-       OnNews on_news);
+       OnUpdate on_update);
 
   [[nodiscard]] std::uint64_t last() const { return last_; }
   /// The channel has another address from now on; the numbers of its events go on.
   void move_to(const asio::ip::tcp::endpoint& channel);
   /// An event from wherever it came; what is no news is skipped.
-  void learn(const ListNews& news);
+  void learn(const EndpointUpdate& news);
 
  private:
   void connect();
   void again(const char* why);
   void watch();
-  void on_open(net::Stream& stream) override;
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  void on_open(net::TcpConnection& stream) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
   void on_event(const SseEvent& event);
   static int on_body(http_parser* parser, const char* at, std::size_t size);
   static int on_head(http_parser* parser);
@@ -43,8 +43,8 @@
   core::Counters& counters_;
   asio::ip::tcp::endpoint channel_;
   std::uint64_t last_;
-  OnNews on_news_;
-  std::shared_ptr<net::Stream> stream_;
+  OnUpdate on_update_;
+  std::shared_ptr<net::TcpConnection> stream_;
   http_parser parser_{};
   SseReader reader_;
   bool ended_ = false;
--- a/src/feed/parse.cpp
+++ b/src/feed/parse.cpp
@@ -2,14 +2,14 @@
 
 namespace amberknot::feed {
 
-std::optional<ListNews> read_list_news(std::string json) {
+std::optional<EndpointUpdate> read_endpoint_update(std::string json) {
   rapidjson::Document document;
   if (!settings::parse_in_place(json, document) || !document.IsObject()) return std::nullopt;
-  return read_list_news(document);
+  return read_endpoint_update(document);
 }
 
-std::optional<ListNews> read_list_news(const rapidjson::Value& event) {
-  ListNews news;
+std::optional<EndpointUpdate> read_endpoint_update(const rapidjson::Value& event) {
+  EndpointUpdate news;
   const auto cursor = settings::number_of(settings::text_in(event, "cursor"));
   if (!cursor || *cursor < 0) return std::nullopt;
   news.cursor = static_cast<std::uint64_t>(*cursor);
@@ -21,21 +21,21 @@
   if (endpoints == nullptr || !endpoints->IsArray()) return std::nullopt;
   news.has_servers = true;
   for (const auto& entry : endpoints->GetArray()) {
-    core::ListChange change;
+    core::EndpointChange change;
     change.name = settings::text_in(entry, "name");
     change.address = settings::text_in(entry, "address");
-    const auto cell = settings::number_of(settings::text_in(entry, "group")).value_or(0);
-    change.cell = cell >= 0 && cell < 4e9 ? static_cast<std::uint32_t>(cell) : 0;
+    const auto pool = settings::number_of(settings::text_in(entry, "group")).value_or(0);
+    change.pool = pool >= 0 && pool < 4e9 ? static_cast<std::uint32_t>(pool) : 0;
     change.started_unix_ms =
         static_cast<std::int64_t>(settings::number_of(settings::text_in(entry, "since_ms")).value_or(0));
     const auto state = settings::text_in(entry, "status");
     if (change.name.empty()) continue;
     if (state == "ready") {
-      change.state = ListState::kReady;
+      change.state = EndpointState::kReady;
     } else if (state == "draining") {
-      change.state = ListState::kDraining;
+      change.state = EndpointState::kDraining;
     } else if (state == "gone") {
-      change.state = ListState::kGone;
+      change.state = EndpointState::kRemoved;
     } else {
       continue;
     }
--- a/src/feed/parse.hpp
+++ b/src/feed/parse.hpp
@@ -16,15 +16,15 @@
 using settings::SseEvent;
 using settings::SseReader;
 
-struct ListNews {
+struct EndpointUpdate {
   std::uint64_t cursor = 0;
   bool whole_list = false;
   bool has_servers = false;
-  std::vector<core::ListChange> changes;
+  std::vector<core::EndpointChange> changes;
 };
 
 /// One event's data. Empty: it cannot be read. Entries with an unknown state or no name are left out.
-std::optional<ListNews> read_list_news(std::string json);
-std::optional<ListNews> read_list_news(const rapidjson::Value& event);
+std::optional<EndpointUpdate> read_endpoint_update(std::string json);
+std::optional<EndpointUpdate> read_endpoint_update(const rapidjson::Value& event);
 
 }  // namespace amberknot::feed
--- a/src/feed/peers.cpp
+++ b/src/feed/peers.cpp
@@ -9,7 +9,7 @@
 namespace amberknot::feed {
 
 namespace {
-constexpr std::size_t kMostBytes = 256;
+constexpr std::size_t kMaxBytes = 256;
 }
 
 Peers::Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen,
@@ -23,8 +23,8 @@
   read();
 }
 
-void Peers::tell_all(const std::vector<std::uint8_t>& bytes) {
-  if (bytes.size() > kMostBytes) {
+void Peers::broadcast(const std::vector<std::uint8_t>& bytes) {
+  if (bytes.size() > kMaxBytes) {
     net::log::error("message to the siblings dropped: ", bytes.size(), " bytes");
     return;
   }
@@ -37,7 +37,7 @@
                              [this](const asio::error_code& error, std::size_t got) {
                                if (error == asio::error::operation_aborted) return;
                                const auto at = std::find(peers_.begin(), peers_.end(), from_);
-                               if (!error && at != peers_.end() && got <= kMostBytes) {
+                               if (!error && at != peers_.end() && got <= kMaxBytes) {
                                  on_message_(static_cast<std::uint32_t>(at - peers_.begin()),
                                              {in_.begin(), in_.begin() + static_cast<std::ptrdiff_t>(got)});
                                }
--- a/src/feed/peers.hpp
+++ b/src/feed/peers.hpp
@@ -22,7 +22,7 @@
     peers_ = std::move(peers);
     everyone_ = everyone;
   }
-  void tell_all(const std::vector<std::uint8_t>& bytes);
+  void broadcast(const std::vector<std::uint8_t>& bytes);
 
  private:
   void read();
--- a/src/http2/body.cpp
+++ b/src/http2/body.cpp
@@ -171,7 +171,7 @@
   using Kind = SessionEvent::Kind;
   SessionEvent event;
   event.kind = name == "released"   ? Kind::kReleased
-               : name == "cut"      ? Kind::kCut
+               : name == "cut"      ? Kind::kAborted
                : name == "load"     ? Kind::kLoad
                : name == "lost"     ? Kind::kLost
                : name == "draining" ? Kind::kDraining
@@ -184,7 +184,7 @@
       event.cause = document["cause"].GetInt();
       event.id = document["id"].GetString();
       break;
-    case Kind::kCut:
+    case Kind::kAborted:
       event.id = document["id"].GetString();
       break;
     case Kind::kLost:
--- a/src/http2/body.hpp
+++ b/src/http2/body.hpp
@@ -32,7 +32,7 @@
 
 /// One event of the stream, by its name.
 struct SessionEvent {
-  enum class Kind { kReleased, kCut, kLoad, kLost, kDraining, kUnknown };
+  enum class Kind { kReleased, kAborted, kLoad, kLost, kDraining, kUnknown };
   Kind kind = Kind::kUnknown;
   std::string id;
   int cause = 0;
--- a/src/http2/connection.cpp
+++ b/src/http2/connection.cpp
@@ -22,7 +22,10 @@
 }  // namespace
 
 Connection::Connection(net::Loop& loop, Handler& handler, Limits limits)
-    : loop_(loop), handler_(handler), limits_(limits), stream_(std::make_shared<net::Stream>(loop, *this)) {
+    : loop_(loop),
+      handler_(handler),
+      limits_(limits),
+      stream_(std::make_shared<net::TcpConnection>(loop, *this)) {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
   nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, frame_received);
@@ -120,7 +123,7 @@
 
 // What nghttp2 has to say is taken only while nothing is queued: until then it may be changed by a cancel,
 // and a server that does not read makes nothing grow here.
-void Connection::pump(net::Stream::Tag tag) {
+void Connection::pump(net::TcpConnection::Tag tag) {
   if (is_closed()) return;
   std::string bytes;
   for (;;) {
@@ -132,18 +135,18 @@
   if (!bytes.empty()) stream_->send(std::move(bytes), {}, tag);
 }
 
-void Connection::on_open(net::Stream& /*stream*/) {
+void Connection::on_open(net::TcpConnection& /*stream*/) {
   pump();
 }
 
-std::size_t Connection::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Connection::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const auto keep = shared_from_this();
   const auto taken = nghttp2_session_mem_recv(
       session_.get(), reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (taken < 0) {
     // A broken frame or a server that speaks something else: what came before it is told first.
     tell();
-    if (!stream.is_closed()) stream.fail(net::Closed::kReset);
+    if (!stream.is_closed()) stream.fail(net::CloseReason::kReset);
     return bytes.size();
   }
   if (!is_blocked()) pump();
@@ -151,19 +154,19 @@
   if (stream.is_closed()) return bytes.size();
   // After an error of the connection nghttp2 has said GOAWAY and wants no more.
   if (nghttp2_session_want_read(session_.get()) == 0 && nghttp2_session_want_write(session_.get()) == 0) {
-    stream.fail(net::Closed::kEnded);
+    stream.fail(net::CloseReason::kEnded);
   }
   return bytes.size();
 }
 
-void Connection::on_drained(net::Stream& /*stream*/) {
+void Connection::on_drained(net::TcpConnection& /*stream*/) {
   const auto keep = shared_from_this();
   pump();
   news_.push_back({News::What::kRoom});
   tell();
 }
 
-void Connection::on_closed(net::Stream& stream, net::Closed why) {
+void Connection::on_closed(net::TcpConnection& stream, net::CloseReason why) {
   const auto keep = shared_from_this();
   loop_.wheel.cancel(std::exchange(timer_, 0));
   std::vector<Key> unsent;
@@ -370,7 +373,7 @@
     const Instant now = net::Loop::now();
     if (!up_ && now - connected_ > limits_.connect) {
       // Connected, and no SETTINGS: nobody there speaks HTTP/2.
-      stream_->fail(net::Closed::kNeverUp);
+      stream_->fail(net::CloseReason::kNeverUp);
       return;
     }
     ping();
@@ -392,7 +395,7 @@
   }
   const Duration silent = now - ping_sent_;
   if (silent > 2 * limits_.ping_patience) {
-    stream_->fail(net::Closed::kReset);
+    stream_->fail(net::CloseReason::kReset);
   } else if (silent > limits_.ping_patience && std::exchange(healthy_, false)) {
     News one{News::What::kHealth};
     one.healthy = false;
--- a/src/http2/connection.hpp
+++ b/src/http2/connection.hpp
@@ -39,7 +39,7 @@
   kTooLarge,  ///< its head or body is larger than is believed: it may have run
 };
 
-class Connection : public net::Stream::Owner, public std::enable_shared_from_this<Connection> {
+class Connection : public net::TcpConnection::Owner, public std::enable_shared_from_this<Connection> {
  public:
   /// A request by the owner's own number; never used twice on one connection.
   using Key = std::uint64_t;
@@ -63,13 +63,13 @@
     /// GOAWAY: nothing new goes here, and what is below its last stream may finish.
     virtual void on_going_away(Connection& connection) = 0;
     /// All that was out has been told as failed before.
-    virtual void on_down(Connection& connection, net::Closed why) = 0;
+    virtual void on_down(Connection& connection, net::CloseReason why) = 0;
   };
 
   struct Limits {
-    std::size_t streams = 64;              ///< requests out at a time, whatever the server allows
-    std::size_t head = 8 * 1024;           ///< bytes of an answer's head, names included
-    std::size_t body = net::kMostMessage;  ///< of its body
+    std::size_t streams = 64;             ///< requests out at a time, whatever the server allows
+    std::size_t head = 8 * 1024;          ///< bytes of an answer's head, names included
+    std::size_t body = net::kMaxMessage;  ///< of its body
     Duration connect = std::chrono::milliseconds{500};  ///< for the connection and for its SETTINGS
     Duration ping_every = std::chrono::seconds{1};      ///< while it is open
     Duration ping_patience =
@@ -92,7 +92,7 @@
   /// Closed without a word to the handler; what is out is forgotten.
   void close();
   /// Closed as if the other side had: the handler is told all.
-  void fail(net::Closed why) { stream_->fail(why); }
+  void fail(net::CloseReason why) { stream_->fail(why); }
 
   [[nodiscard]] bool is_up() const { return up_ && !stream_->is_closed(); }
   [[nodiscard]] bool is_closed() const { return stream_->is_closed(); }
@@ -126,15 +126,15 @@
     int status = 0;
     std::string chunk = {};
     bool healthy = true;
-    net::Closed why = net::Closed::kEnded;
+    net::CloseReason why = net::CloseReason::kEnded;
   };
 
-  void on_open(net::Stream& stream) override;
-  std::size_t on_bytes(net::Stream& stream, std::span<char> bytes) override;
-  void on_drained(net::Stream& stream) override;
-  void on_closed(net::Stream& stream, net::Closed why) override;
+  void on_open(net::TcpConnection& stream) override;
+  std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
+  void on_drained(net::TcpConnection& stream) override;
+  void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
 
-  void pump(net::Stream::Tag tag = 0);
+  void pump(net::TcpConnection::Tag tag = 0);
   void tell();
   void ping();
   void watch();
@@ -152,7 +152,7 @@
   net::Loop& loop_;
   Handler& handler_;
   Limits limits_;
-  std::shared_ptr<net::Stream> stream_;
+  std::shared_ptr<net::TcpConnection> stream_;
   std::unique_ptr<nghttp2_session, Free> session_;
   std::unordered_map<std::int32_t, std::unique_ptr<Exchange>> by_id_;
   std::unordered_map<Key, Exchange*> by_key_;
