--- a/src/http2/links.cpp
+++ b/src/http2/links.cpp
@@ -18,13 +18,13 @@
 using translate::Meaning;
 
 constexpr std::size_t kWarmConnections = 2;
-constexpr std::size_t kMostConnections = 4;
-constexpr Duration kLeastBackoff = milliseconds{100};
-constexpr Duration kMostBackoff = seconds{1};
+constexpr std::size_t kMaxConnections = 4;
+constexpr Duration kMinBackoff = milliseconds{100};
+constexpr Duration kMaxBackoff = seconds{1};
 // What was never taken goes by another connection of its server so many times, then it is the module's.
-constexpr int kMostMoved = 3;
+constexpr int kMaxMoved = 3;
 // A release is told so many times; its server may hold what nobody can release.
-constexpr int kMostReleaseTries = 20;
+constexpr int kMaxReleaseTries = 20;
 constexpr Duration kReleaseAgain = milliseconds{300};
 // After "enhance your calm" on a connection nothing new is sent to that server for so long.
 constexpr Duration kCalm = seconds{1};
@@ -43,17 +43,18 @@
 }
 
 core::AttemptEnd error_of(const core::ErrorMeaning& meaning,
-                          std::optional<Duration> stay_away = std::nullopt) {
+                          std::optional<Duration> retry_after = std::nullopt) {
   auto end = end_of(Outcome::kError);
   end.error = meaning;
-  end.stay_away = stay_away;
+  end.retry_after = retry_after;
   return end;
 }
 
 }  // namespace
 
-struct Links::Conn : Connection::Handler {
-  Conn(Links& all, Server& server, std::uint64_t number) : all(all), server(server), number(number) {}
+struct ConnectionPool::Conn : Connection::Handler {
+  Conn(ConnectionPool& all, Server& server, std::uint64_t number)
+      : all(all), server(server), number(number) {}
   void on_up(Connection& /*c*/) override { all.on_up(*this); }
   void on_response(Connection& /*c*/, Key key, Response& response) override {
     all.on_response(*this, key, response);
@@ -67,16 +68,16 @@
   void on_room(Connection& /*c*/) override;
   void on_health(Connection& /*c*/, bool /*healthy*/) override;
   void on_going_away(Connection& /*c*/) override;
-  void on_down(Connection& /*c*/, net::Closed why) override { all.on_down(*this, why); }
+  void on_down(Connection& /*c*/, net::CloseReason why) override { all.on_down(*this, why); }
 
-  Links& all;
+  ConnectionPool& all;
   Server& server;
   std::uint64_t number;
   std::shared_ptr<Connection> connection;
   Instant up{};
 };
 
-struct Links::Server {
+struct ConnectionPool::Server {
   explicit Server(ServerId id) : id(id) {}
   ServerId id;
   std::string name;
@@ -94,34 +95,35 @@
   core::TimerWheel::Handle retry = 0;
   core::TimerWheel::Handle calm = 0;
   core::TimerWheel::Handle release_timer = 0;
-  Duration backoff = kLeastBackoff;
+  Duration backoff = kMinBackoff;
   // The stream of events.
   Key events = 0;  // zero: none is read
   core::TimerWheel::Handle events_timer = 0;
   std::uint64_t last_event = 0;
   bool resumable = false;
-  settings::SseReader reader{net::kMostMessage};
+  settings::SseReader reader{net::kMaxMessage};
   std::deque<std::string> to_check;
   core::TimerWheel::Handle check_timer = 0;
 };
 
-void Links::Conn::on_room(Connection& /*c*/) {
+void ConnectionPool::Conn::on_room(Connection& /*c*/) {
   all.pump(server);
 }
-void Links::Conn::on_health(Connection& /*c*/, bool healthy) {
+void ConnectionPool::Conn::on_health(Connection& /*c*/, bool healthy) {
   net::log::info(all.log_link_, "session api: ", server.name,
                  healthy ? " answers its ping again" : " leaves a ping unanswered");
   all.pump(server);
 }
-void Links::Conn::on_going_away(Connection& /*c*/) {
+void ConnectionPool::Conn::on_going_away(Connection& /*c*/) {
   // Another one is made at once, so that the next set-up does not wait for it.
   all.keep_warm(server);
   if (all.out_.contains(server.events)) all.again_events(server);
 }
 
-Links::Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-             const net::Bounds& bounds, const translate::Translator& translator, Duration connect_limit,
-             Duration most_stay_away, Configured configured, OnChange on_change)
+ConnectionPool::ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                               core::Counters& counters, const net::ResourceLimits& bounds,
+                               const translate::Translator& translator, Duration connect_limit,
+                               Duration max_stay_away, Configured configured, OnChange on_change)
     : loop_(loop),
       table_(table),
       servers_(servers),
@@ -129,7 +131,7 @@
       bounds_(bounds),
       translator_(translator),
       connect_limit_(connect_limit),
-      most_stay_away_(most_stay_away),
+      max_stay_away_(max_stay_away),
       configured_(std::move(configured)),
       on_change_(std::move(on_change)),
       versions_({}, [&translator] {
@@ -142,7 +144,7 @@
         return ranks;
       }()) {}
 
-Links::~Links() {
+ConnectionPool::~ConnectionPool() {
   loop_.wheel.cancel(look_);
   for (auto& [id, server] : by_id_) {
     stop_timers(*server);
@@ -150,14 +152,14 @@
   }
 }
 
-void Links::stop_timers(const Server& server) {
+void ConnectionPool::stop_timers(const Server& server) {
   for (const auto timer :
        {server.retry, server.calm, server.release_timer, server.events_timer, server.check_timer}) {
     loop_.wheel.cancel(timer);
   }
 }
 
-Links::Server& Links::of(ServerId id) {
+ConnectionPool::Server& ConnectionPool::of(ServerId id) {
   auto& server = by_id_[id];
   if (!server) server = std::make_unique<Server>(id);
   return *server;
@@ -165,15 +167,15 @@
 
 // ---- the list -------------------------------------------------------------------------------------------
 
-void Links::server_changed(const core::ListedServer& listed) {
+void ConnectionPool::on_endpoint_changed(const core::Endpoint& listed) {
   auto& server = of(listed.id);
   server.name = listed.name;
   const bool moved = !server.address.empty() && server.address != listed.address;
   const bool anew = listed.started_unix_ms > server.started;
   server.address = listed.address;
   server.started = listed.started_unix_ms;
-  server.ready = listed.state == ListState::kReady;
-  server.wanted = listed.state != ListState::kGone;
+  server.ready = listed.state == EndpointState::kReady;
+  server.wanted = listed.state != EndpointState::kRemoved;
   if (anew) server.draining = false;
   // The drain rule binds at the write: what has not left does not leave.
   if (!server.ready) take_back(server);
@@ -207,7 +209,7 @@
   keep_warm(server);
 }
 
-void Links::forget_server(ServerId id) {
+void ConnectionPool::forget_server(ServerId id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   auto& server = *found->second;
@@ -221,13 +223,13 @@
   by_id_.erase(found);
 }
 
-bool Links::serves(ServerId id) const {
+bool ConnectionPool::is_available(ServerId id) const {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return false;
   return versions_.speaks(id).has_value() && !found->second->draining;
 }
 
-void Links::forget_out(Server& server, const Conn& conn) {
+void ConnectionPool::forget_out(Server& server, const Conn& conn) {
   std::erase_if(out_, [&](const auto& item) {
     const auto& out = item.second;
     if (out.connection != conn.number) return false;
@@ -236,17 +238,17 @@
   });
 }
 
-void Links::end_waiting(Server& server) {
+void ConnectionPool::end_waiting(Server& server) {
   const auto back = std::exchange(server.waiting, {});
   for (const auto call : back) {
     const auto found = attempts_.find(call);
     if (found == attempts_.end()) continue;
-    ++counters_.taken_back;
-    end(found->second.ref, end_of(Outcome::kMoot, core::Cause::kOutOfOrder));
+    ++counters_.withdrawn;
+    end(found->second.ref, end_of(Outcome::kNotSent, core::Cause::kOutOfOrder));
   }
 }
 
-void Links::take_back(Server& server) {
+void ConnectionPool::take_back(Server& server) {
   end_waiting(server);
   // A set-up that was handed over while the socket took it whole may still wait in part: nothing can be taken
   // out of a connection's order of frames, so the connection itself is given up where that lasts.
@@ -257,7 +259,7 @@
       if (found == by_id_.end() || found->second->ready) return;
       for (const auto& one : std::vector(found->second->connections)) {
         if (one->number == number && one->connection->is_blocked())
-          one->connection->fail(net::Closed::kReset);
+          one->connection->fail(net::CloseReason::kReset);
       }
     });
   }
@@ -265,7 +267,7 @@
 
 // ---- versions -------------------------------------------------------------------------------------------
 
-void Links::apply(translate::Versions::Actions actions) {
+void ConnectionPool::apply(translate::Versions::Actions actions) {
   for (const auto& action : actions) {
     const auto found = by_id_.find(action.server);
     if (found == by_id_.end()) continue;
@@ -293,7 +295,7 @@
   look_at_versions();
 }
 
-void Links::look_at_versions() {
+void ConnectionPool::look_at_versions() {
   const auto next = versions_.next_tick();
   if (!next || look_ != 0) return;
   look_ = loop_.wheel.at(std::min(*next, net::Loop::now() + seconds{1}), [this] {
@@ -306,7 +308,7 @@
 
 // ---- connections ----------------------------------------------------------------------------------------
 
-void Links::keep_warm(Server& server) {
+void ConnectionPool::keep_warm(Server& server) {
   if (!server.wanted || server.retry != 0) return;
   const auto usable = [](const auto& conn) {
     return !conn->connection->is_closed() && !conn->connection->is_going_away();
@@ -319,14 +321,14 @@
   }
 }
 
-void Links::connect(Server& server) {
+void ConnectionPool::connect(Server& server) {
   const auto to = net::read_endpoint(server.address);
   if (!to) {
     net::log::warn("server address cannot be read: ", server.address);
     return;
   }
-  if (connections_ >= bounds_.links && !server.connections.empty()) return;
-  if (server.connections.size() >= kMostConnections + kWarmConnections) return;  // some may be going away
+  if (connections_ >= bounds_.upstream_connections && !server.connections.empty()) return;
+  if (server.connections.size() >= kMaxConnections + kWarmConnections) return;  // some may be going away
   Connection::Limits limits;
   limits.connect = connect_limit_;
   limits.streams = bounds_.streams_of_one;
@@ -337,10 +339,10 @@
   conn->connection->connect(*to);
 }
 
-void Links::on_up(Conn& conn) {
+void ConnectionPool::on_up(Conn& conn) {
   auto& server = conn.server;
   conn.up = net::Loop::now();
-  server.backoff = kLeastBackoff;
+  server.backoff = kMinBackoff;
   translate::Versions::Actions actions;
   versions_.connected(conn.up, server.id, conn.number, actions);
   apply(std::move(actions));
@@ -348,7 +350,7 @@
   pump(server);
 }
 
-void Links::on_down(Conn& gone, net::Closed why) {
+void ConnectionPool::on_down(Conn& gone, net::CloseReason why) {
   auto& server = gone.server;
   const auto at = std::find_if(server.connections.begin(), server.connections.end(),
                                [&](const auto& one) { return one.get() == &gone; });
@@ -368,17 +370,17 @@
       const auto attempt = attempts_.find(call);
       if (attempt != attempts_.end()) end(attempt->second.ref, end_of(Outcome::kConnectFailed));
     }
-    if (why == net::Closed::kRefused) table_.cut_all(server.id, "connection refused");
+    if (why == net::CloseReason::kRefused) table_.abort_all(server.id, "connection refused");
   }
   if (server.retry != 0) return;
-  server.retry = loop_.after(was_up ? kLeastBackoff / 10 : server.backoff, [this, &server] {
+  server.retry = loop_.after(was_up ? kMinBackoff / 10 : server.backoff, [this, &server] {
     server.retry = 0;
     keep_warm(server);
   });
-  if (!was_up) server.backoff = std::min(server.backoff * 2, kMostBackoff);
+  if (!was_up) server.backoff = std::min(server.backoff * 2, kMaxBackoff);
 }
 
-Links::Conn* Links::pick(Server& server) {
+ConnectionPool::Conn* ConnectionPool::pick(Server& server) {
   Conn* best = nullptr;
   for (const auto& conn : server.connections) {
     if (!conn->connection->has_room()) continue;
@@ -388,7 +390,7 @@
 }
 
 // What waits leaves as far as there is room: releases first, since they free what others wait for.
-void Links::pump(Server& server) {
+void ConnectionPool::pump(Server& server) {
   if (net::Loop::now() < server.calm_until) return;
   for (auto& [id, release] : server.releases) {
     if (release.out) continue;
@@ -425,19 +427,19 @@
   }
   // What finds no room asks for one more connection.
   if (!server.waiting.empty() && server.wanted && server.retry == 0 &&
-      server.connections.size() < kMostConnections) {
+      server.connections.size() < kMaxConnections) {
     connect(server);
   }
 }
 
 // ---- what the core asks ---------------------------------------------------------------------------------
 
-void Links::set_up(const core::SetUp& set_up) {
+void ConnectionPool::set_up(const core::SetUp& set_up) {
   auto& server = of(set_up.attempt.server);
   const auto version = versions_.speaks(server.id);
-  const auto* message = dynamic_cast<const translate::Message*>(set_up.told);
+  const auto* message = dynamic_cast<const translate::Message*>(set_up.message);
   if (!version || message == nullptr || !server.wanted) {
-    end_later(set_up.attempt, end_of(Outcome::kMoot, core::Cause::kOutOfOrder));
+    end_later(set_up.attempt, end_of(Outcome::kNotSent, core::Cause::kOutOfOrder));
     return;
   }
   const auto* mapping = translator_.mapping(message->client(), *version);
@@ -445,7 +447,7 @@
   if (!said) {
     // The front has ruled this version out; a server that has changed it since gets here.
     end_later(set_up.attempt,
-              error_of({core::Reason::kNoServerSpeaks, core::Ran::kNo, core::About::kVersion}));
+              error_of({core::Reason::kNoCompatibleServer, core::Ran::kNo, core::About::kVersion}));
     return;
   }
   const auto& fields = translator_.server(*version).of(Kind::kSetUp);
@@ -465,13 +467,13 @@
   pump(server);
 }
 
-bool Links::cancel(const core::AttemptRef& ref) {
+bool ConnectionPool::cancel(const core::AttemptRef& ref) {
   auto* attempt = find(ref);
   if (attempt == nullptr) return false;
   auto& server = of(ref.server);
   const std::string id = attempt->id;
   if (attempt->conn == nullptr) {
-    ++counters_.taken_back;
+    ++counters_.withdrawn;
     std::erase(server.waiting, ref.call);
     drop(ref.call);
     return true;
@@ -486,7 +488,7 @@
   return false;
 }
 
-void Links::release(const core::AttemptRef& ref, core::Cause cause) {
+void ConnectionPool::release(const core::AttemptRef& ref, core::Cause cause) {
   auto* attempt = find(ref);
   if (attempt == nullptr) return;
   const std::string id = attempt->id;
@@ -494,21 +496,21 @@
   delete_session(of(ref.server), id, cause);
 }
 
-void Links::forget(const core::AttemptRef& ref) {
+void ConnectionPool::forget(const core::AttemptRef& ref) {
   if (find(ref) != nullptr) drop(ref.call);
 }
 
 // A release that is lost leaves a session standing for good: it is kept until it is confirmed.
-void Links::delete_session(Server& server, const std::string& id, core::Cause cause) {
+void ConnectionPool::delete_session(Server& server, const std::string& id, core::Cause cause) {
   if (!server.wanted || server.releases.size() >= bounds_.waiting_of_one) return;
   server.releases[id] = {cause, false, 0};
   pump(server);
 }
 
-void Links::release_out(Server& server, const std::string& id, bool confirmed) {
+void ConnectionPool::release_out(Server& server, const std::string& id, bool confirmed) {
   const auto found = server.releases.find(id);
   if (found == server.releases.end()) return;
-  if (confirmed || found->second.tries >= kMostReleaseTries) {
+  if (confirmed || found->second.tries >= kMaxReleaseTries) {
     server.releases.erase(found);
     return;
   }
@@ -520,13 +522,14 @@
   });
 }
 
-void Links::probe(ServerId id) {
+void ConnectionPool::probe(ServerId id) {
   auto& server = of(id);
   auto* conn = pick(server);
   if (conn == nullptr) {
     const bool connecting = !server.connections.empty();
     asio::post(loop_.io, [this, id, connecting] {
-      table_.probed(id, connecting ? Outcome::kTimeout : Outcome::kConnectFailed, Duration::zero(), {});
+      table_.on_health_check_result(id, connecting ? Outcome::kTimeout : Outcome::kConnectFailed,
+                                    Duration::zero(), {});
     });
     return;
   }
@@ -535,11 +538,11 @@
   conn->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   loop_.after(milliseconds{250}, [this, id, key] {
     if (out_.erase(key) == 0) return;
-    table_.probed(id, Outcome::kTimeout, milliseconds{250}, {});
+    table_.on_health_check_result(id, Outcome::kTimeout, milliseconds{250}, {});
   });
 }
 
-Links::Attempt* Links::find(const core::AttemptRef& ref) {
+ConnectionPool::Attempt* ConnectionPool::find(const core::AttemptRef& ref) {
   const auto found = attempts_.find(ref.call);
   if (found == attempts_.end() || found->second.ref.attempt != ref.attempt ||
       found->second.ref.server != ref.server) {
@@ -548,7 +551,7 @@
   return &found->second;
 }
 
-void Links::drop(CallId call) {
+void ConnectionPool::drop(CallId call) {
   const auto found = attempts_.find(call);
   if (found == attempts_.end()) return;
   const auto at = by_session_.find({found->second.ref.server, found->second.id});
@@ -557,19 +560,19 @@
   attempts_.erase(found);
 }
 
-void Links::end(core::AttemptRef ref, core::AttemptEnd what) {
+void ConnectionPool::end(core::AttemptRef ref, core::AttemptEnd what) {
   if (find(ref) == nullptr) return;
   drop(ref.call);
-  table_.ended(ref, what);
+  table_.on_attempt_ended(ref, what);
 }
 
-void Links::end_later(core::AttemptRef ref, core::AttemptEnd what) {
-  asio::post(loop_.io, [this, ref, what] { table_.ended(ref, what); });
+void ConnectionPool::end_later(core::AttemptRef ref, core::AttemptEnd what) {
+  asio::post(loop_.io, [this, ref, what] { table_.on_attempt_ended(ref, what); });
 }
 
 // ---- what the servers say -------------------------------------------------------------------------------
 
-void Links::on_response(Conn& conn, Key key, Response& response) {
+void ConnectionPool::on_response(Conn& conn, Key key, Response& response) {
   const auto found = out_.find(key);
   if (found == out_.end()) return;
   const Out out = std::move(found->second);
@@ -584,9 +587,9 @@
       release_out(server, out.id, response.status == 204 || response.status == 404);
       break;
     case What::kProbe:
-      table_.probed(server.id,
-                    response.status == 503 || response.status == 429 ? Outcome::kFull : Outcome::kOk,
-                    net::Loop::now() - out.sent, {});
+      table_.on_health_check_result(
+          server.id, response.status == 503 || response.status == 429 ? Outcome::kFull : Outcome::kOk,
+          net::Loop::now() - out.sent, {});
       break;
     case What::kVersions: {
       std::vector<DialectNo> spoken;
@@ -610,7 +613,7 @@
       }
       if (!server.process.empty() && process != server.process) {
         net::log::warn("session api: ", server.name, " is another process now");
-        table_.cut_before(server.id, conn.up, "process replaced");
+        table_.abort_sent_before(server.id, conn.up, "process replaced");
       }
       server.process = process;
       translate::Versions::Actions actions;
@@ -629,7 +632,7 @@
   }
 }
 
-void Links::on_set_up_answer(Conn& conn, CallId call, Response& response) {
+void ConnectionPool::on_set_up_answer(Conn& conn, CallId call, Response& response) {
   const auto found = attempts_.find(call);
   if (found == attempts_.end()) return;
   auto& attempt = found->second;
@@ -643,8 +646,8 @@
       if (const auto problem = reader_.read_problem({response.body.data(), response.body.size()}, fault))
         type = problem->type;
     }
-    const auto stay_away =
-        translate::read_retry_after(response.retry_after, net::Loop::unix_ms(), most_stay_away_);
+    const auto retry_after =
+        translate::read_retry_after(response.retry_after, net::Loop::unix_ms(), max_stay_away_);
     const auto meaning = translate::meaning_of(dialect, static_cast<std::uint32_t>(response.status), type);
     translate::Versions::Actions actions;
     if (response.status == 505) {
@@ -652,12 +655,12 @@
     }
     // The module hears first that the version is gone: the call may wait for what the server says next.
     apply(std::move(actions));
-    end(ref, error_of(meaning, stay_away));
+    end(ref, error_of(meaning, retry_after));
     return;
   }
   const auto version = dialect.version;
   if (!reader_.read_answer(version, {response.body.data(), response.body.size()}, record_, fault)) {
-    ++counters_.spoilt_answers;
+    ++counters_.malformed_answers;
     net::log::warn(log_bad_, "session api: answer of ", server.name, " to ", attempt.id,
                    " cannot be taken: ", fault);
     const std::string id = attempt.id;
@@ -671,9 +674,9 @@
   const bool same = record_.text(translate::index_of(fields, Meaning::kCall)) == attempt.id;
   if (!said || !same) {
     // It stands there and cannot be told here, or is another session's: it is released, and the call is over.
-    ++counters_.spoilt_answers;
+    ++counters_.malformed_answers;
     const std::string id = attempt.id;
-    end(ref, error_of({same ? core::Reason::kFieldRefused : core::Reason::kServerFault, core::Ran::kMaybe,
+    end(ref, error_of({same ? core::Reason::kFieldRejected : core::Reason::kServerFault, core::Ran::kMaybe,
                        same ? core::About::kCall : core::About::kServer}));
     delete_session(server, id, core::Cause::kInvalidContents);
     return;
@@ -685,7 +688,7 @@
   attempt.key = 0;
   const auto over = attempt.over;
   const std::string id = attempt.id;
-  if (!table_.stood(ref, description)) {
+  if (!table_.on_established(ref, description)) {
     drop(call);
     delete_session(server, id, core::Cause::kInvalidContents);
     return;
@@ -694,7 +697,7 @@
   if (over) end(ref, end_of(over->first, over->second));
 }
 
-void Links::on_failure(Conn& conn, Key key, Failure failure) {
+void ConnectionPool::on_failure(Conn& conn, Key key, Failure failure) {
   const auto found = out_.find(key);
   if (found == out_.end()) return;
   const Out out = std::move(found->second);
@@ -727,7 +730,7 @@
           delete_session(server, id, core::Cause::kInvalidContents);
           break;
         case Failure::kReset:
-          end(attempt.ref, error_of({core::Reason::kCut, core::Ran::kMaybe, core::About::kServer}));
+          end(attempt.ref, error_of({core::Reason::kAborted, core::Ran::kMaybe, core::About::kServer}));
           // A reset of the stream leaves in doubt whether it stands there.
           delete_session(server, id, core::Cause::kTemporaryFailure);
           break;
@@ -745,7 +748,7 @@
       check_sessions(server);
       break;
     case What::kProbe:
-      table_.probed(server.id, Outcome::kReset, net::Loop::now() - out.sent, {});
+      table_.on_health_check_result(server.id, Outcome::kReset, net::Loop::now() - out.sent, {});
       break;
     case What::kVersions:
       break;
@@ -754,20 +757,20 @@
 
 // ---- events ---------------------------------------------------------------------------------------------
 
-void Links::follow_events(Server& server) {
+void ConnectionPool::follow_events(Server& server) {
   if (server.events != 0) return;
   auto* conn = pick(server);
   if (conn == nullptr) return;
   const Key key = next_key_++;
   Request request{"GET", "/events", {{"accept", "text/event-stream"}}, {}, true};
   if (server.resumable) request.headers.emplace_back("last-event-id", std::to_string(server.last_event));
-  server.reader = settings::SseReader(net::kMostMessage);
+  server.reader = settings::SseReader(net::kMaxMessage);
   server.events = key;
   out_[key] = {What::kEvents, {}, {}, net::Loop::now(), conn->number};
   conn->connection->request(key, request);
 }
 
-void Links::again_events(Server& server) {
+void ConnectionPool::again_events(Server& server) {
   if (server.events != 0) {
     out_.erase(server.events);
     for (const auto& conn : server.connections) conn->connection->cancel(server.events);
@@ -782,7 +785,7 @@
   });
 }
 
-bool Links::on_chunk(Conn& conn, Key key, int status, std::string_view chunk) {
+bool ConnectionPool::on_chunk(Conn& conn, Key key, int status, std::string_view chunk) {
   const auto found = out_.find(key);
   if (found == out_.end()) return false;
   auto& server = conn.server;
@@ -807,7 +810,7 @@
   return false;
 }
 
-void Links::on_event(Server& server, const settings::SseEvent& event) {
+void ConnectionPool::on_event(Server& server, const settings::SseEvent& event) {
   std::uint64_t number = 0;
   const auto [end, bad] = std::from_chars(event.id.data(), event.id.data() + event.id.size(), number);
   const bool numbered = bad == std::errc{} && end == event.id.data() + event.id.size();
@@ -835,13 +838,13 @@
     case SessionEvent::Kind::kReleased:
       session_over(server, read->id, Outcome::kOk, static_cast<core::Cause>(read->cause));
       break;
-    case SessionEvent::Kind::kCut:
+    case SessionEvent::Kind::kAborted:
       session_over(server, read->id, Outcome::kReset, core::Cause::kTemporaryFailure);
       break;
     case SessionEvent::Kind::kLoad: {
-      Report report;
-      for (const auto& [name, value] : read->load) core::set_report_field(report, name, value);
-      table_.load_told(server.id, report);
+      LoadReport report;
+      for (const auto& [name, value] : read->load) core::set_load_report_field(report, name, value);
+      table_.on_load_report(server.id, report);
       break;
     }
     case SessionEvent::Kind::kLost:
@@ -860,7 +863,7 @@
   }
 }
 
-void Links::session_over(Server& server, const std::string& id, Outcome outcome, core::Cause cause) {
+void ConnectionPool::session_over(Server& server, const std::string& id, Outcome outcome, core::Cause cause) {
   const auto found = by_session_.find({server.id, id});
   if (found == by_session_.end()) {
     ++counters_.unknown_ids;
@@ -874,7 +877,7 @@
   end(attempt.ref, end_of(outcome, cause));
 }
 
-void Links::check_sessions(Server& server) {
+void ConnectionPool::check_sessions(Server& server) {
   if (server.check_timer != 0 || server.to_check.empty()) return;
   server.check_timer = loop_.after(kCheckEvery, [this, &server] {
     server.check_timer = 0;
--- a/src/http2/links.hpp
+++ b/src/http2/links.hpp
@@ -24,21 +24,22 @@
 
 namespace amberknot::http2 {
 
-class Links : public core::Links {
+class ConnectionPool : public core::UpstreamPool {
  public:
   /// Told when a server begins or ceases to take new calls, or speaks another version.
   using OnChange = std::function<void(ServerId server, bool started_anew)>;
   /// What the operator's file says that a server speaks; empty: it is asked.
-  using Configured = std::function<std::optional<VersionNo>(const std::string& server)>;
+  using Configured = std::function<std::optional<ProtocolVersion>(const std::string& server)>;
 
-  Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-        const net::Bounds& bounds, const translate::Translator& translator, Duration connect_limit,
-        Duration most_stay_away, Configured configured, OnChange on_change);
-  ~Links() override;
+  ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                 core::Counters& counters, const net::ResourceLimits& bounds,
+                 const translate::Translator& translator, Duration connect_limit, Duration max_stay_away,
+                 Configured configured, OnChange on_change);
+  ~ConnectionPool() override;
 
-  void server_changed(const core::ListedServer& listed) override;
+  void on_endpoint_changed(const core::Endpoint& listed) override;
   void forget_server(ServerId server) override;
-  [[nodiscard]] bool serves(ServerId server) const override;
+  [[nodiscard]] bool is_available(ServerId server) const override;
 
   void set_up(const core::SetUp& set_up) override;
   bool cancel(const core::AttemptRef& attempt) override;
@@ -57,7 +58,7 @@
     core::AttemptRef ref;
     std::string id;
     std::string body;
-    VersionNo version{};
+    ProtocolVersion version{};
     std::size_t client = 0;
     Conn* conn = nullptr;  ///< by which it left; null while it waits and once it stands
     Key key = 0;
@@ -90,7 +91,7 @@
   void on_response(Conn& conn, Key key, Response& response);
   void on_failure(Conn& conn, Key key, Failure failure);
   bool on_chunk(Conn& conn, Key key, int status, std::string_view chunk);
-  void on_down(Conn& conn, net::Closed why);
+  void on_down(Conn& conn, net::CloseReason why);
   void on_set_up_answer(Conn& conn, CallId call, Response& response);
   void on_event(Server& server, const settings::SseEvent& event);
   void session_over(Server& server, const std::string& id, Outcome outcome, core::Cause cause);
@@ -115,12 +116,12 @@
 
   net::Loop& loop_;
   core::CallTable& table_;
-  core::ServerList& servers_;
+  core::EndpointRegistry& servers_;
   core::Counters& counters_;
-  net::Bounds bounds_;
+  net::ResourceLimits bounds_;
   const translate::Translator& translator_;
   Duration connect_limit_;
-  Duration most_stay_away_;
+  Duration max_stay_away_;
   Configured configured_;
   OnChange on_change_;
   translate::Versions versions_;
@@ -134,7 +135,7 @@
   std::uint64_t next_connection_ = 1;
   std::size_t connections_ = 0;
   core::TimerWheel::Handle look_ = 0;
-  net::log::Few log_bad_, log_link_;
+  net::log::RateLimiter log_bad_, log_link_;
 };
 
 }  // namespace amberknot::http2
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/front.cpp
@@ -26,7 +26,7 @@
 // this age; so many are remembered for a connection. Callers need not confirm: one that never does hears some
 // twice.
 constexpr Duration kHeardWithin = seconds{3};
-constexpr std::size_t kMostTold = 256;
+constexpr std::size_t kMaxTold = 256;
 constexpr Duration kSweepEvery = milliseconds{200};
 // In standby: how often connections that owe nothing are looked for, and how long a new one has to say its
 // first line. The front keeps sending new connections for 0.2 s after the drain, and at 4 s none that is idle
@@ -34,16 +34,16 @@
 constexpr Duration kStandbyEvery = milliseconds{50};
 constexpr Duration kFirstLineWithin = milliseconds{150};
 // Lines that one connection may have read before the others get their turn.
-constexpr int kMostLinesATurn = 16;
+constexpr int kMaxLinesATurn = 16;
 // Of its class's deadline a caller may say to wait so many times.
-constexpr double kMostLeft = 2.0;
+constexpr double kMaxLeft = 2.0;
 // What a call holds beside its texts, in all tables together.
 constexpr std::size_t kCallBytes = 1024;
 
 // Marks of queued lines: answers by their call, releases counted from here on.
-constexpr net::Stream::Tag kReleaseTags = net::Stream::Tag{1} << 40U;
-net::Stream::Tag answer_tag(CallId id) {
-  return static_cast<net::Stream::Tag>(id) + 1;
+constexpr net::TcpConnection::Tag kReleaseTags = net::TcpConnection::Tag{1} << 40U;
+net::TcpConnection::Tag answer_tag(CallId id) {
+  return static_cast<net::TcpConnection::Tag>(id) + 1;
 }
 
 std::optional<std::size_t> index_of(const std::vector<std::string>& names, std::string_view name) {
@@ -59,9 +59,9 @@
 
 }  // namespace
 
-Front::Front(net::Loop& loop, core::CallTable& table, core::Counters& counters, const core::Names& names,
-             const Settings& settings, const net::Bounds& bounds, const asio::ip::tcp::endpoint& listen,
-             const translate::Translator* translator)
+Frontend::Frontend(net::Loop& loop, core::CallTable& table, core::Counters& counters,
+                   const core::Names& names, const Settings& settings, const net::ResourceLimits& bounds,
+                   const asio::ip::tcp::endpoint& listen, const translate::Translator* translator)
     : loop_(loop),
       table_(table),
       counters_(counters),
@@ -79,7 +79,7 @@
 
 // ---- connections ----------------------------------------------------------------------------------------
 
-void Front::accept() {
+void Frontend::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
@@ -97,17 +97,17 @@
   });
 }
 
-void Front::take_or_turn_away(asio::ip::tcp::socket socket) {
+void Frontend::take_or_turn_away(asio::ip::tcp::socket socket) {
   if (make_room()) {
     take(std::move(socket));
   } else {
-    ++counters_.turned_away;
+    ++counters_.rejected_for_capacity;
     net::log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
   }
 }
 
-void Front::take(asio::ip::tcp::socket socket) {
-  auto stream = std::make_shared<net::Stream>(loop_, *this);
+void Frontend::take(asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
   auto& connection = connections_[stream.get()];
   connection.stream = stream;
   connection.accepted = net::Loop::now();
@@ -128,7 +128,7 @@
 // oldest that has said nothing of use, then the one that has been idle longest, those with calls that stand
 // last, since their callers wait there for the release. One in the middle of a message only where there is no
 // other; one with a set-up open never.
-bool Front::make_room() {
+bool Frontend::make_room() {
   std::erase_if(lingering_, [](const auto& stream) { return !stream->is_lingering(); });
   if (connections_.size() + lingering_.size() < bounds_.callers) return true;
   if (!lingering_.empty()) {
@@ -137,14 +137,14 @@
     return true;
   }
   Connection* least = nullptr;
-  std::tuple<bool, bool, bool, Instant> least_rank;
+  std::tuple<bool, bool, bool, Instant> min_rank;
   for (auto& [key, one] : connections_) {
     if (one.unanswered > 0) continue;
     const std::tuple rank(is_busy(one), one.useful, !one.calls.empty(),
                           one.useful ? one.stream->used_at() : one.accepted);
-    if (least != nullptr && rank >= least_rank) continue;
+    if (least != nullptr && rank >= min_rank) continue;
     least = &one;
-    least_rank = rank;
+    min_rank = rank;
   }
   if (least == nullptr) return false;
   ++counters_.evicted;
@@ -152,7 +152,7 @@
   return true;
 }
 
-void Front::leave(Connection& connection, bool with_what_is_queued) {
+void Frontend::leave(Connection& connection, bool with_what_is_queued) {
   const auto stream = connection.stream;
   forget(*stream, with_what_is_queued);
   if (with_what_is_queued) {
@@ -163,18 +163,18 @@
   }
 }
 
-bool Front::is_busy(const Connection& one) {
+bool Frontend::is_busy(const Connection& one) {
   return one.half_line_since || one.stream->queued() > 0 || one.stream->has_unread();
 }
 
-std::size_t Front::on_bytes(net::Stream& stream, std::span<char> bytes) {
+std::size_t Frontend::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   auto& from = connections_.at(&stream);
   std::size_t taken = 0;
-  for (int lines = 0; lines < kMostLinesATurn; ++lines) {
+  for (int lines = 0; lines < kMaxLinesATurn; ++lines) {
     const auto rest = bytes.subspan(taken);
     const auto end = std::find(rest.begin(), rest.end(), '\n');
     const auto size = static_cast<std::size_t>(end - rest.begin());
-    if (size > net::kMostMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
+    if (size > net::kMaxMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
       ++counters_.unreadable;
       net::log::warn(log_unreadable_, "unreadable line from ", stream.remote(), ": connection closed");
       leave(from, true);
@@ -199,7 +199,7 @@
   return taken;
 }
 
-bool Front::on_line(Connection& from, std::span<char> line, char* end) {
+bool Frontend::on_line(Connection& from, std::span<char> line, char* end) {
   if (std::all_of(line.begin(), line.end(), [](char c) { return c == ' ' || c == '\r' || c == '\t'; }))
     return true;
   const auto read = reader_.read(line, end);
@@ -222,12 +222,12 @@
   return true;
 }
 
-void Front::on_closed(net::Stream& stream, net::Closed why) {
+void Frontend::on_closed(net::TcpConnection& stream, net::CloseReason why) {
   net::log::debug("caller ", stream.remote(), " ", name(why));
   forget(stream, false);
 }
 
-void Front::forget(net::Stream& stream, bool was_written) {
+void Frontend::forget(net::TcpConnection& stream, bool was_written) {
   const auto found = connections_.find(&stream);
   if (found == connections_.end()) return;
   const auto gone = std::move(found->second);
@@ -244,12 +244,12 @@
     call.on = nullptr;
     const bool unheard = call.answered && !was_written && stream.is_unsent(answer_tag(id));
     if (call.answered && !unheard) continue;
-    take_out(id);
+    remove_call(id);
     (unheard ? unwritten : given_up).push_back(id);
   }
-  for (const CallId id : given_up) table_.give_up(id);
+  for (const CallId id : given_up) table_.abandon(id);
   // Its caller cannot have heard that the call stands, and will never end it.
-  counters_.unheard += unwritten.size();
+  counters_.undelivered_answers += unwritten.size();
   for (const CallId id : unwritten) table_.close_by_client(id, core::Cause::kNormal);
   if (was_written) return;  // closed from here, once all has left
   // What was told on it and not confirmed may be lost with it: told again elsewhere, as servers' releases
@@ -262,10 +262,10 @@
 
 // Guards against connections that hold a place and say nothing, or never end a line: descriptors are few, and
 // their other side is owed a close.
-void Front::sweep() {
+void Frontend::sweep() {
   loop_.after(kSweepEvery, [this] {
     const Instant now = net::Loop::now();
-    std::vector<net::Stream*> out;
+    std::vector<net::TcpConnection*> out;
     for (const auto& [key, one] : connections_) {
       const bool silent = !one.useful && now - one.accepted > kProveWithin;
       const bool halted = one.half_line_since && now - *one.half_line_since > kLineWithin;
@@ -278,7 +278,7 @@
       const auto found = connections_.find(key);
       if (found == connections_.end()) continue;
       if (!found->second.useful) {
-        ++counters_.silent;
+        ++counters_.idle_closed;
         net::log::info(log_silent_, "caller ", key->remote(), " has said nothing of use: connection closed");
       }
       leave(found->second, true);
@@ -293,7 +293,7 @@
   });
 }
 
-void Front::standby(bool on) {
+void Frontend::standby(bool on) {
   if (standby_ == on) return;
   standby_ = on;
   net::log::info(on ? "standby: callers are sent away" : "active: callers are taken again");
@@ -302,7 +302,7 @@
   if (on) close_what_owes_nothing_now_and_then();
 }
 
-void Front::hand_over(std::function<void(core::HandedRelease)> untold) {
+void Frontend::hand_over(std::function<void(core::UndeliveredRelease)> untold) {
   if (std::exchange(handing_over_, true)) return;
   untold_ = std::move(untold);
   // The kernel deals new connections out among all that listen, and resets those that wait at a listener that
@@ -319,7 +319,7 @@
   close_what_owes_nothing_now_and_then();
 }
 
-void Front::take_waiting() {
+void Frontend::take_waiting() {
   acceptor_.non_blocking(true);
   for (;;) {
     asio::error_code none;
@@ -329,7 +329,7 @@
   }
 }
 
-bool Front::settled() {
+bool Frontend::settled() {
   if (acceptor_.is_open()) take_waiting();
   return std::none_of(connections_.begin(), connections_.end(),
                       [](const auto& item) { return is_busy(item.second); }) &&
@@ -337,28 +337,28 @@
                       [](const auto& stream) { return stream->queued() > 0; });
 }
 
-void Front::leave() {
+void Frontend::leave() {
   acceptor_.close();
-  std::vector<net::Stream*> all;
+  std::vector<net::TcpConnection*> all;
   for (const auto& [key, one] : connections_) all.push_back(key);
   for (auto* key : all) leave(connections_.at(key), true);
 }
 
-bool Front::closed() const {
+bool Frontend::closed() const {
   return std::none_of(lingering_.begin(), lingering_.end(),
                       [](const auto& stream) { return stream->is_lingering(); });
 }
 
-bool Front::owes_nothing(const Connection& one, Instant now) const {
+bool Frontend::owes_nothing(const Connection& one, Instant now) const {
   const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
   // A set-up that has begun to come is read whole and answered here.
   const bool owes = handing_over_ ? one.unanswered > 0 : !one.calls.empty();
   return !fresh && !owes && !one.half_line_since && !one.stream->has_unread();
 }
 
-void Front::close_answered() {
+void Frontend::close_answered() {
   const Instant now = net::Loop::now();
-  std::vector<net::Stream*> out;
+  std::vector<net::TcpConnection*> out;
   for (const auto& [key, one] : connections_) {
     if (owes_nothing(one, now)) out.push_back(key);
   }
@@ -368,21 +368,21 @@
   }
 }
 
-void Front::close_what_owes_nothing_now_and_then() {
+void Frontend::close_what_owes_nothing_now_and_then() {
   if (!standby_ && !handing_over_) return;
   close_answered();
   closing_ = loop_.after(kStandbyEvery, [this] { close_what_owes_nothing_now_and_then(); });
 }
 
-std::shared_ptr<net::Stream> Front::any_of(const asio::ip::address& caller) {
+std::shared_ptr<net::TcpConnection> Frontend::any_of(const asio::ip::address& caller) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return nullptr;
   // One that has served calls, and the latest used, is the likeliest to be read: others may come from the
   // same address and never ask for anything.
-  const auto rank = [this](net::Stream* one) {
+  const auto rank = [this](net::TcpConnection* one) {
     return std::pair(connections_.at(one).useful, one->used_at());
   };
-  net::Stream* best = nullptr;
+  net::TcpConnection* best = nullptr;
   for (auto* one : found->second) {
     if (one->is_open() && (best == nullptr || rank(best) < rank(one))) best = one;
   }
@@ -391,7 +391,7 @@
 
 // ---- what callers say -----------------------------------------------------------------------------------
 
-const char* Front::check(const JsonLine& line, core::NewSetUp& to) const {
+const char* Frontend::check(const JsonLine& line, core::NewSetUp& to) const {
   const auto cls = names_.class_no(line.call_class);
   if (!cls) return "class";
   const auto tenant =
@@ -400,12 +400,12 @@
   const auto& rules = settings_.classes[*cls];
   // A caller keeps trying as long as its class's deadline: no try lasts much longer.
   const auto left = settings::number_of(line.left);
-  const double most_left = kMostLeft * static_cast<double>(rules.deadline.count()) / 1000.0;
-  if (!left || *left < 0 || *left > most_left) return "left";
+  const double max_left = kMaxLeft * static_cast<double>(rules.deadline.count()) / 1000.0;
+  if (!left || *left < 0 || *left > max_left) return "left";
   if (!core::is_number_called(line.key)) return "key";
   const auto extras = read_extras(line.extras);
   if (line.extras.empty() || !extras || !extras->dest) return "extras";
-  const CellNo dest{*extras->dest};
+  const PoolId dest{*extras->dest};
   if (!rules.pools.empty() && std::find(rules.pools.begin(), rules.pools.end(), dest) == rules.pools.end()) {
     return "extras dest";
   }
@@ -418,27 +418,27 @@
   to.facts.expires = net::Loop::now() + Duration{static_cast<std::int64_t>(*left * 1000.0)};
   to.facts.first_choice = dest;
   to.facts.width = extras->width;
-  to.facts.was_cut = extras->again;
+  to.facts.was_aborted = extras->again;
   to.facts.call_class = *cls;
   to.facts.tenant = *tenant;
   if (translator_ != nullptr) {
     using translate::Meaning;
-    auto told = std::make_unique<translate::Message>(
+    auto message = std::make_unique<translate::Message>(
         dialect_, translator_->client(dialect_).of(translate::Kind::kSetUp));
-    told->set(Meaning::kCall, line.sid);
-    told->set(Meaning::kClass, line.call_class);
-    told->set(Meaning::kPatience, static_cast<std::int64_t>(*left));
-    told->set(Meaning::kTenant, line.tenant);
-    told->set(Meaning::kNumber, line.key);
-    told->set(Meaning::kDescription, line.text);
-    told->set(Meaning::kAgain, extras->again ? 1 : 0);
-    to.facts.ruled_out = translator_->rule(*told, scratch_);
-    to.told = std::move(told);
+    message->set(Meaning::kCall, line.sid);
+    message->set(Meaning::kClass, line.call_class);
+    message->set(Meaning::kPatience, static_cast<std::int64_t>(*left));
+    message->set(Meaning::kTenant, line.tenant);
+    message->set(Meaning::kNumber, line.key);
+    message->set(Meaning::kDescription, line.text);
+    message->set(Meaning::kAgain, extras->again ? 1 : 0);
+    to.facts.excluded_versions = translator_->rule(*message, scratch_);
+    to.message = std::move(message);
   }
   return nullptr;
 }
 
-void Front::open(Connection& from, const JsonLine& line) {
+void Frontend::open(Connection& from, const JsonLine& line) {
   const std::string sid(line.sid);
   if (const auto live = by_sid_.find(sid); live != by_sid_.end()) {
     open_again(from, sid, live->second);
@@ -452,30 +452,30 @@
     return;
   }
   from.useful = true;
-  const std::size_t told = set_up.told ? sizeof(translate::Message) + 2 * set_up.description.size() : 0;
+  const std::size_t told = set_up.message ? sizeof(translate::Message) + 2 * set_up.description.size() : 0;
   const std::size_t held = kCallBytes + 2 * (set_up.description.size() + set_up.number.size()) + told;
   if (held_ + held > bounds_.calls || from.held + held > bounds_.calls_of_one) {
     // There is no memory to hold it: refused at once, with the time to stay away.
-    ++counters_.turned_away;
+    ++counters_.rejected_for_capacity;
     net::log::warn(log_full_, "set-up refused: ", held_, " bytes are held for unanswered calls");
     from.stream->send(close_line(
         sid, core::Cause::kCongestion,
         settings_.limits.retry_advice ? std::optional(settings_.limits.max_retry_advice) : std::nullopt));
     return;
   }
-  const CallId id = table_.take(*this, std::move(set_up));
+  const CallId id = table_.admit(*this, std::move(set_up));
   by_sid_[sid] = id;
   calls_[id] = {sid, &from, from.stream->remote().address(), false, held};
   from.calls.insert(id);
   ++from.unanswered;
   from.held += held;
   held_ += held;
-  table_.decide(id);
+  table_.route(id);
 }
 
 // Two set-ups under one id. On one connection its caller could not tell their answers apart: both end with
 // the one that the id is owed. A stranger is answered where it asked, and the live call goes on.
-void Front::open_again(Connection& from, const std::string& sid, CallId live) {
+void Frontend::open_again(Connection& from, const std::string& sid, CallId live) {
   ++counters_.repeated_ids;
   net::log::warn(log_repeated_, "set-up with the id of a live call failed: ", sid);
   if (calls_.at(live).on == &from) {
@@ -486,7 +486,7 @@
   }
 }
 
-void Front::close(Connection& from, const JsonLine& line) {
+void Frontend::close(Connection& from, const JsonLine& line) {
   const auto found = by_sid_.find(std::string(line.sid));
   // Also where the id is not known: a release crosses ours, and its sender is owed that it was heard.
   from.stream->send(closed_line(line.sid));
@@ -496,14 +496,14 @@
   }
   from.useful = true;
   const CallId id = found->second;
-  take_out(id);
+  remove_call(id);
   table_.close_by_client(id, static_cast<core::Cause>(line.code.value_or(16)));
 }
 
 // ---- what the core says ---------------------------------------------------------------------------------
 
 // The call is answered or over: what it held is free.
-void Front::settled(Call& call) {
+void Frontend::settled(Call& call) {
   if (std::exchange(call.answered, true)) return;
   held_ -= call.held;
   if (call.on == nullptr) return;
@@ -511,7 +511,7 @@
   call.on->held -= call.held;
 }
 
-Front::Call Front::take_out(CallId id) {
+Frontend::Call Frontend::remove_call(CallId id) {
   const auto found = calls_.find(id);
   auto call = std::move(found->second);
   calls_.erase(found);
@@ -523,39 +523,39 @@
   return call;
 }
 
-bool Front::answer(CallId id, std::string_view description) {
+bool Frontend::answer(CallId id, std::string_view description) {
   const auto found = calls_.find(id);
   if (found == calls_.end() || found->second.on == nullptr) return false;
   // A connection that cannot be written any more is lost, and its end about to be told.
   if (!found->second.on->stream->is_open()) return false;
   auto line = ready_line(found->second.sid, description);
-  if (line.size() > net::kMostMessage) return false;
+  if (line.size() > net::kMaxMessage) return false;
   settled(found->second);
   found->second.on->stream->send(std::move(line), {}, answer_tag(id));
   return true;
 }
 
-void Front::refuse(CallId id, core::Reason reason, Duration stay_away) {
-  finish(id, cause_of(reason), stay_away > Duration::zero() ? std::optional(stay_away) : std::nullopt);
+void Frontend::reject(CallId id, core::Reason reason, Duration retry_after) {
+  finish(id, cause_of(reason), retry_after > Duration::zero() ? std::optional(retry_after) : std::nullopt);
 }
 
-void Front::fail(CallId id, core::Reason reason) {
+void Frontend::fail(CallId id, core::Reason reason) {
   finish(id, cause_of(reason));
 }
 
-void Front::release(CallId id, core::Cause cause) {
+void Frontend::release(CallId id, core::Cause cause) {
   finish(id, cause);
 }
 
-void Front::finish(CallId id, core::Cause cause, std::optional<Duration> wait) {
+void Frontend::finish(CallId id, core::Cause cause, std::optional<Duration> wait) {
   if (!calls_.contains(id)) return;
-  const auto call = take_out(id);
+  const auto call = remove_call(id);
   const auto to = call.on != nullptr ? call.on->stream : nullptr;
   if (!call.answered) {
     if (to) to->send(close_line(call.sid, cause, wait));
     return;
   }
-  core::HandedRelease release{call.caller.to_string(), call.sid, static_cast<int>(cause)};
+  core::UndeliveredRelease release{call.caller.to_string(), call.sid, static_cast<int>(cause)};
   if (to && to->is_open()) {
     send_release(*to, std::move(release));
   } else {
@@ -563,24 +563,23 @@
   }
 }
 
-void Front::take_over(const core::HandedRelease& release) {
+void Frontend::take_over(const core::UndeliveredRelease& release) {
   asio::error_code bad;
   asio::ip::make_address(release.caller, bad);
   if (bad || !is_call_id(release.id)) return;
   tell_release(release);
 }
 
-void Front::send_release(net::Stream& stream, core::HandedRelease release) {
+void Frontend::send_release(net::TcpConnection& stream, core::UndeliveredRelease release) {
   auto& told = connections_.at(&stream).told;
   const Instant now = net::Loop::now();
-  while (!told.empty() && (told.size() >= kMostTold || now - told.front().at > kHeardWithin))
-    told.pop_front();
+  while (!told.empty() && (told.size() >= kMaxTold || now - told.front().at > kHeardWithin)) told.pop_front();
   const auto tag = kReleaseTags + next_release_++;
   stream.send(close_line(release.id, static_cast<core::Cause>(release.cause)), {}, tag);
   told.push_back({tag, std::move(release), now});
 }
 
-void Front::tell_release(core::HandedRelease release) {
+void Frontend::tell_release(core::UndeliveredRelease release) {
   const auto caller = asio::ip::make_address(release.caller);
   if (const auto to = any_of(caller)) {
     send_release(*to, std::move(release));
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -33,7 +33,7 @@
 
 /// For lines that an outsider can cause at will: so many a second pass, and the next one tells how many did
 /// not. Written one by one they would take the time of all others.
-class Few {
+class RateLimiter {
  public:
   bool pass() {
     const auto now = std::chrono::steady_clock::now();
@@ -42,24 +42,24 @@
       since_ = now;
       passed_ = held_back_ = 0;
     }
-    if (passed_ < kMost) return ++passed_ > 0;
+    if (passed_ < kMax) return ++passed_ > 0;
     ++held_back_;
     return false;
   }
 
  private:
-  static constexpr std::uint32_t kMost = 5;
+  static constexpr std::uint32_t kMax = 5;
   std::chrono::steady_clock::time_point since_{};
   std::uint32_t passed_ = 0;
   std::uint64_t held_back_ = 0;
 };
 
 template <typename... Parts>
-void warn(Few& few, const Parts&... parts) {
+void warn(RateLimiter& few, const Parts&... parts) {
   if (few.pass()) line(Level::kWarn, parts...);
 }
 template <typename... Parts>
-void info(Few& few, const Parts&... parts) {
+void info(RateLimiter& few, const Parts&... parts) {
   if (Level::kInfo <= level() && few.pass()) line(Level::kInfo, parts...);
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -10,14 +10,14 @@
 
 namespace amberknot::net {
 
-class Stream;
+class TcpConnection;
 
 /// What waits to be written, on all connections together.
 struct Outgoing {
   std::size_t bytes = 0;
   std::size_t most = 4 * 1024 * 1024;
-  std::size_t most_on_one = 256 * 1024;
-  std::unordered_set<Stream*> blocked;  ///< those whose other side does not read
+  std::size_t max_on_one = 256 * 1024;
+  std::unordered_set<TcpConnection*> blocked;  ///< those whose other side does not read
 };
 
 class Loop {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kFirstBuffer = 4096;
-constexpr std::size_t kMostBuffer = kMostMessage + 1024;
+constexpr std::size_t kMaxBuffer = kMaxMessage + 1024;
 // Bytes behind what was read, for parsers that look ahead a little (RapidJSON's check of UTF-8).
 constexpr std::size_t kPad = 4;
 // After a failed write what has come is read on for so long.
@@ -24,29 +24,29 @@
 
 }  // namespace
 
-const char* name(Closed why) {
+const char* name(CloseReason why) {
   static constexpr const char* kNames[] = {"ended", "reset", "refused", "never up", "overrun"};
   return kNames[static_cast<int>(why)];
 }
 
-void Stream::adopt(asio::ip::tcp::socket socket) {
+void TcpConnection::adopt(asio::ip::tcp::socket socket) {
   socket_ = std::move(socket);
   asio::error_code ignored;
   remote_ = socket_.remote_endpoint(ignored);
   begin();
 }
 
-void Stream::connect(const asio::ip::tcp::endpoint& to, Duration limit, Duration late) {
+void TcpConnection::connect(const asio::ip::tcp::endpoint& to, Duration limit, Duration late) {
   remote_ = to;
   limit_ = loop_.after(limit, [self = shared_from_this(), late] {
     self->limit_ = 0;
     if (late <= Duration::zero()) {
-      self->fail(Closed::kNeverUp);
+      self->fail(CloseReason::kNeverUp);
       return;
     }
     self->limit_ = self->loop_.after(late, [self] {
       self->limit_ = 0;
-      self->fail(Closed::kNeverUp);
+      self->fail(CloseReason::kNeverUp);
     });
     self->owner_->on_late(*self);
   });
@@ -54,16 +54,16 @@
     if (self->is_closed()) return;
     self->loop_.wheel.cancel(std::exchange(self->limit_, 0));
     if (error) {
-      self->fail(error == asio::error::connection_refused ? Closed::kRefused
-                 : error == asio::error::connection_reset ? Closed::kReset
-                                                          : Closed::kNeverUp);
+      self->fail(error == asio::error::connection_refused ? CloseReason::kRefused
+                 : error == asio::error::connection_reset ? CloseReason::kReset
+                                                          : CloseReason::kNeverUp);
       return;
     }
     self->begin();
   });
 }
 
-void Stream::begin() {
+void TcpConnection::begin() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
@@ -80,7 +80,7 @@
 // Waited for and then read in one step: what has come is either in the kernel, where has_unread() sees it, or
 // with the owner. An asynchronous read would take it at once and deliver it later, and a close in between
 // would lose it unseen.
-void Stream::read() {
+void TcpConnection::read() {
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const asio::error_code& failed) {
@@ -97,7 +97,7 @@
                      });
 }
 
-void Stream::read_now() {
+void TcpConnection::read_now() {
   asio::error_code error;
   const std::size_t got =
       socket_.read_some(asio::buffer(in_.data() + filled_, in_.size() - kPad - filled_), error);
@@ -114,7 +114,7 @@
   deliver();
 }
 
-void Stream::deliver() {
+void TcpConnection::deliver() {
   yielded_ = false;
   const std::size_t taken = owner_->on_bytes(*this, std::span(in_.data(), filled_));
   if (is_closed()) {
@@ -132,18 +132,18 @@
   }
   if (filled_ + kPad == in_.size()) {
     // A long message: most connections never see one, and their buffers stay small.
-    if (in_.size() >= kMostBuffer + kPad) {
-      fail(Closed::kOverrun);
+    if (in_.size() >= kMaxBuffer + kPad) {
+      fail(CloseReason::kOverrun);
       return;
     }
-    in_.resize(std::min(2 * in_.size(), kMostBuffer + kPad));
+    in_.resize(std::min(2 * in_.size(), kMaxBuffer + kPad));
   }
   read();
 }
 
 // For a stream that is finished: what comes is read and dropped until the other side closes too.
-void Stream::drop_input() {
-  constexpr std::size_t kMostDropped = 256 * 1024;
+void TcpConnection::drop_input() {
+  constexpr std::size_t kMaxDropped = 256 * 1024;
   if (!lingering_ || reading_) return;
   reading_ = true;
   socket_.async_read_some(asio::buffer(in_),
@@ -151,7 +151,7 @@
                             self->reading_ = false;
                             if (!self->lingering_) return;
                             self->dropped_ += got;
-                            if (error || self->dropped_ > kMostDropped) {
+                            if (error || self->dropped_ > kMaxDropped) {
                               self->close();
                             } else {
                               self->drop_input();
@@ -159,12 +159,12 @@
                           });
 }
 
-void Stream::count_out(std::size_t bytes) {
+void TcpConnection::count_out(std::size_t bytes) {
   queued_ -= bytes;
   loop_.outgoing.bytes -= bytes;
 }
 
-void Stream::send(std::string head, std::string body, Tag tag) {
+void TcpConnection::send(std::string head, std::string body, Tag tag) {
   if (is_closed() || output_closed_) return;
   queued_ += head.size() + body.size();
   loop_.outgoing.bytes += head.size() + body.size();
@@ -172,17 +172,17 @@
   flush();
   // Another side that does not read: what waits for it must not grow without bound, nor what waits for all.
   auto& all = loop_.outgoing;
-  Stream* worst = queued_ > all.most_on_one ? this : nullptr;
+  TcpConnection* worst = queued_ > all.max_on_one ? this : nullptr;
   if (worst == nullptr && all.bytes > all.most) {
     for (auto* one : all.blocked) {
       if (worst == nullptr || one->queued_ > worst->queued_) worst = one;
     }
   }
   if (worst == nullptr || worst->is_closed()) return;
-  asio::post(loop_.io, [self = worst->shared_from_this()] { self->fail(Closed::kOverrun); });
+  asio::post(loop_.io, [self = worst->shared_from_this()] { self->fail(CloseReason::kOverrun); });
 }
 
-bool Stream::take_back(Tag tag) {
+bool TcpConnection::take_back(Tag tag) {
   for (auto at = out_.begin(); at != out_.end(); ++at) {
     if (at->tag != tag || (at == out_.begin() && begun_ > 0)) continue;
     count_out(at->size());
@@ -192,29 +192,29 @@
   return false;
 }
 
-bool Stream::is_queued(Tag tag) const {
+bool TcpConnection::is_queued(Tag tag) const {
   for (auto at = out_.begin(); at != out_.end(); ++at) {
     if (at->tag == tag) return at != out_.begin() || begun_ == 0;
   }
   return false;
 }
 
-bool Stream::is_unsent(Tag tag) const {
+bool TcpConnection::is_unsent(Tag tag) const {
   return std::any_of(out_.begin(), out_.end(), [tag](const Message& one) { return one.tag == tag; });
 }
 
-bool Stream::has_unread() const {
+bool TcpConnection::has_unread() const {
   asio::error_code none;
   return !is_closed() && socket_.is_open() && socket_.available(none) > 0 && !none;
 }
 
-bool Stream::has_ended() {
+bool TcpConnection::has_ended() {
   if (!open_) return false;
   char byte = 0;
   return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-std::vector<Stream::Message> Stream::take_unsent() {
+std::vector<TcpConnection::Message> TcpConnection::take_unsent() {
   std::vector<Message> unsent;
   const std::size_t first = begun_ > 0 ? 1 : 0;
   while (out_.size() > first) {
@@ -227,21 +227,21 @@
 
 // Gathered: as many heads and bodies in one write as the system takes. The write is tried at once and never
 // left to Asio, which would hold on to the buffers while the socket is blocked.
-void Stream::flush() {
+void TcpConnection::flush() {
   while (open_ && !waiting_to_write_ && !output_closed_ && !out_.empty()) {
-    constexpr std::size_t kMostPieces = 32;
-    std::array<asio::const_buffer, kMostPieces> pieces;
+    constexpr std::size_t kMaxPieces = 32;
+    std::array<asio::const_buffer, kMaxPieces> pieces;
     std::size_t count = 0;
     std::size_t skip = begun_;
     const auto add = [&](const std::string& text) {
       const std::size_t gone = std::min(skip, text.size());
       skip -= gone;
-      if (text.size() > gone && count < kMostPieces) {
+      if (text.size() > gone && count < kMaxPieces) {
         pieces[count++] = asio::buffer(text.data() + gone, text.size() - gone);
       }
     };
     for (const auto& message : out_) {
-      if (count + 2 > kMostPieces) break;
+      if (count + 2 > kMaxPieces) break;
       add(message.head);
       add(message.body);
     }
@@ -283,7 +283,7 @@
 
 // What cannot be written does not undo what has come: answers that wait to be read are read first, and the
 // end of the input tells the owner. It is told through the loop, never from inside its own call.
-void Stream::stop_writing(Closed why) {
+void TcpConnection::stop_writing(CloseReason why) {
   if (lingering_) {
     close();
     return;
@@ -295,7 +295,7 @@
   });
 }
 
-void Stream::fail(Closed why) {
+void TcpConnection::fail(CloseReason why) {
   if (is_closed()) return;
   auto* owner = owner_;
   const auto self = shared_from_this();
@@ -305,7 +305,7 @@
   drop_queue();
 }
 
-void Stream::close_output() {
+void TcpConnection::close_output() {
   if (!open_) return;
   output_closed_ = true;
   drop_queue();
@@ -314,12 +314,12 @@
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-void Stream::close() {
+void TcpConnection::close() {
   shut();
   drop_queue();
 }
 
-void Stream::shut() {
+void TcpConnection::shut() {
   owner_ = nullptr;
   open_ = false;
   lingering_ = false;
@@ -329,19 +329,19 @@
   socket_.close(ignored);
 }
 
-void Stream::drop_queue() {
+void TcpConnection::drop_queue() {
   count_out(queued_);
   out_.clear();
   begun_ = 0;
 }
 
-void Stream::reset() {
+void TcpConnection::reset() {
   asio::error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   close();
 }
 
-void Stream::finish() {
+void TcpConnection::finish() {
   if (is_closed()) return;
   if (!open_ || output_closed_) {
     close();
@@ -358,13 +358,13 @@
   asio::post(loop_.io, [self = shared_from_this()] { self->drop_input(); });
 }
 
-Stream::~Stream() {
+TcpConnection::~TcpConnection() {
   loop_.outgoing.bytes -= queued_;
   loop_.outgoing.blocked.erase(this);
 }
 
-Closed Stream::reason(const asio::error_code& error) {
-  return error == asio::error::eof ? Closed::kEnded : Closed::kReset;
+CloseReason TcpConnection::reason(const asio::error_code& error) {
+  return error == asio::error::eof ? CloseReason::kEnded : CloseReason::kReset;
 }
 
 std::optional<asio::ip::tcp::endpoint> read_endpoint(std::string_view text) {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -15,30 +15,30 @@
 
 namespace amberknot::net {
 
-enum class Closed { kEnded, kReset, kRefused, kNeverUp, kOverrun };
-const char* name(Closed why);
+enum class CloseReason { kEnded, kReset, kRefused, kNeverUp, kOverrun };
+const char* name(CloseReason why);
 
-class Stream : public std::enable_shared_from_this<Stream> {
+class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
  public:
   class Owner {
    public:
     virtual ~Owner() = default;
-    virtual void on_open(Stream& /*stream*/) {}
+    virtual void on_open(TcpConnection& /*stream*/) {}
     /// Returns how many bytes it took; the rest comes again with what follows. A message that does not fit
     /// is the owner's to refuse.
-    virtual std::size_t on_bytes(Stream& stream, std::span<char> bytes) = 0;
+    virtual std::size_t on_bytes(TcpConnection& stream, std::span<char> bytes) = 0;
     /// The connection is not up in its time, and may still come up: on_open or on_closed follows.
-    virtual void on_late(Stream& /*stream*/) {}
+    virtual void on_late(TcpConnection& /*stream*/) {}
     /// What was blocked has left, and nothing is queued. Not called from inside send().
-    virtual void on_drained(Stream& /*stream*/) {}
+    virtual void on_drained(TcpConnection& /*stream*/) {}
     /// The connection is gone by the other side's doing. Not called after close().
-    virtual void on_closed(Stream& stream, Closed why) = 0;
+    virtual void on_closed(TcpConnection& stream, CloseReason why) = 0;
   };
   /// Marks what is queued, to find it again.
   using Tag = std::uint64_t;
 
-  Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(&owner), socket_(loop.io) {}
-  ~Stream();
+  TcpConnection(Loop& loop, Owner& owner) : loop_(loop), owner_(&owner), socket_(loop.io) {}
+  ~TcpConnection();
 
   /// For an accepted connection.
   void adopt(asio::ip::tcp::socket socket);
@@ -68,7 +68,7 @@
   /// it says until it closes too still comes to the owner.
   void close_output();
   /// Closes as if the other side had: the owner is told, and may take back what never left.
-  void fail(Closed why);
+  void fail(CloseReason why);
   /// Closes with a reset, whatever is under way.
   void reset();
   /// Closes once what is queued has left, and drops what still comes for a while: a close with unread input
@@ -91,11 +91,11 @@
   void deliver();
   void drop_input();
   void flush();
-  void stop_writing(Closed why);
+  void stop_writing(CloseReason why);
   void count_out(std::size_t bytes);
   void shut();
   void drop_queue();
-  static Closed reason(const asio::error_code& error);
+  static CloseReason reason(const asio::error_code& error);
 
   Loop& loop_;
   Owner* owner_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -27,14 +27,14 @@
 // Tokens per server, as a multiple of a calm processor's in-flight set-ups from this sender (design: 3 to 5).
 constexpr double kTokensPerCalmSetup = 4.0;
 // Tokens, at least (design).
-constexpr double kLeastTokens = 4.0;
+constexpr double kMinTokens = 4.0;
 // A server's wait is calm up to this share of the shorter of resend time and least aim.
 constexpr double kCalmShare = 0.5;
 // Under pressure the queue aimed at keeps set-ups this share of the same time above calm.
 constexpr double kAimedShare = 0.3;
 // Of an equal part of our calls, a server may be sent this many times as much before its delay is known.
-constexpr double kMostPart = 1.5;
-constexpr double kLeastPart = 0.25;
+constexpr double kMaxPart = 1.5;
+constexpr double kMinPart = 0.25;
 // Of its lines this share counts for the size of a server that has fewer calls standing.
 constexpr double kIdleLines = 0.2;
 // The part moves by a factor e in this time, in multiples of the same, at a delay of half or twice the aim.
@@ -52,7 +52,7 @@
 constexpr int kErrorsOfFault = 3;
 // After "processor full" a server is shut for this share of the same, doubled each time up to the most.
 constexpr double kShutSpans = 0.5;
-constexpr double kMostShutSpans = 4.0;
+constexpr double kMaxShutSpans = 4.0;
 // A tenant's calls here past this multiple of an equal part of its share count as past it: senders differ.
 constexpr double kPastShare = 1.5;
 // Tokens that must be free before a late call takes one.
@@ -71,14 +71,14 @@
 // when the delay is no longer calm.
 constexpr double kColdGrowth = 1.1;
 // A cold server may be paced for so many times the mean warm one by what it carried, and by its lines.
-constexpr double kMostLikelySize = 4.0;
-constexpr double kMostPlannedSize = 1.5;
+constexpr double kMaxLikelySize = 4.0;
+constexpr double kMaxPlannedSize = 1.5;
 // Senders that know no warm server's rate send a cold one, all together, this many set-ups in a fall span.
 constexpr double kBlindColdSetUps = 2.0;
 // Look at held calls and silent servers this often, in rounds.
 constexpr int kLookRounds = 4;
 // A server that has gone is remembered this long: its processor may come back under the same id.
-constexpr Duration kGoneKept = std::chrono::seconds{60};
+constexpr Duration kRemovedRetention = std::chrono::seconds{60};
 // One log line of a kind at most in this time.
 constexpr Duration kLogGap = std::chrono::seconds{5};
 
@@ -93,23 +93,23 @@
 
 struct Server {
   ServerId id{};
-  CellNo cell{};
-  ListState state = ListState::kReady;
-  Instant gone_at{};
+  PoolId pool{};
+  EndpointState state = EndpointState::kReady;
+  Instant removed_at{};
   std::optional<Instant> cold_since;
-  VersionNo version{};
+  ProtocolVersion version{};
   std::optional<double> free_lines;
   std::optional<double> lines;
-  double most_standing = 0;  // calls of all senders, since its start
-  double carried = 0;        // the same, before its latest start
+  double max_standing = 0;  // calls of all senders, since its start
+  double carried = 0;       // the same, before its latest start
 
   std::set<std::pair<Instant, CallId>> out;  // set-ups in progress: one token each
   Duration calm_delay{};                     // least set-up delay seen; zero before the first
   Duration excess{};                         // delay above calm when last heard
   Instant excess_at{};
   Instant heard_at{};
-  Instant stood_sent{};     // when the latest set-up that stood was sent
-  double part = kMostPart;  // of an equal part of our calls, while its delay is as aimed at
+  Instant stood_sent{};    // when the latest set-up that stood was sent
+  double part = kMaxPart;  // of an equal part of our calls, while its delay is as aimed at
   Instant part_at{};
   Instant last_send{};
   Instant shut_until{};
@@ -121,7 +121,7 @@
   Instant next_cold_send{};  // while cold, nothing before this
   double cold_pace = 1.0;    // what its own calm answers have earned it
 
-  [[nodiscard]] bool usable_state() const { return state == ListState::kReady; }
+  [[nodiscard]] bool usable_state() const { return state == EndpointState::kReady; }
 };
 
 // A rate that forgets exponentially.
@@ -145,12 +145,12 @@
   NewCall facts;
   std::shared_ptr<const CallClass> cls;  // as it was when the call came
   Instant arrived{};
-  Instant give_up{};    // held no longer than this
-  Instant late_from{};  // set-ups that begin later would stand after the aim
-  double worth = 0;     // of standing now
+  Instant reject_after{};      // held no longer than this
+  Instant late_from{};         // set-ups that begin later would stand after the aim
+  double priority_weight = 0;  // of standing now
   bool late = false;
   Instant not_before{};  // release awaited until then
-  std::uint32_t tries = 0;
+  std::uint32_t attempts = 0;
   std::optional<ServerId> at;  // where the attempt is out
   Instant sent{};
   bool cancelling = false;
@@ -165,7 +165,7 @@
   explicit Impl(Settings settings) : set_(std::move(settings)), random_(set_.seed) { take_classes(); }
 
   // Classes only grow, and calls under way keep theirs as it was; tokens and servers stay as they are.
-  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
+  void apply_reload(const std::vector<CallClass>& classes, const Limits& limits) {
     if (classes.size() < set_.classes.size()) throw std::invalid_argument("a class was taken away");
     set_.classes = classes;
     set_.limits = limits;
@@ -174,13 +174,13 @@
 
   void take_classes() {
     if (set_.classes.empty()) throw std::invalid_argument("settings hold no class of call");
-    least_aim_ = set_.classes.front().aim;
+    min_aim_ = set_.classes.front().latency_objective;
     classes_.clear();
     for (const auto& one : set_.classes) {
-      least_aim_ = std::min(least_aim_, one.aim);
+      min_aim_ = std::min(min_aim_, one.latency_objective);
       classes_.push_back(std::make_shared<const CallClass>(one));
     }
-    span_ = set_.resend ? std::min(*set_.resend, least_aim_) : least_aim_;
+    span_ = set_.retransmit_interval ? std::min(*set_.retransmit_interval, min_aim_) : min_aim_;
   }
 
   void start(Instant now, std::vector<Action>& actions) {
@@ -188,7 +188,7 @@
     now_ = now;
     arrivals_.at = served_.at = arrivals_.from = served_.from = now;
     by_tenant_.assign(set_.tenants.size(), arrivals_);
-    if (!set_.list_is_pushed) act(WatchList{});
+    if (!set_.endpoint_list_is_pushed) act(WatchEndpoints{});
   }
 
   void handle(Instant now, const Event& event, std::vector<Action>& actions) {
@@ -199,30 +199,31 @@
     look_around();
   }
 
-  [[nodiscard]] std::uint64_t looks() const { return looks_; }
+  [[nodiscard]] std::uint64_t server_evaluations() const { return server_evaluations_; }
 
   [[nodiscard]] std::size_t known_servers() const { return servers_.size(); }
 
  private:
   // ---- per-server view: list, delay, suspicion, warm-up -------------------------------------------------
 
-  void on(const ListNews& news) {
-    if (news.scope == ListScope::kFailed) {
-      if (!set_.list_is_pushed) act(WatchList{});
+  void on(const EndpointUpdate& news) {
+    if (news.scope == EndpointUpdateScope::kFailed) {
+      if (!set_.endpoint_list_is_pushed) act(WatchEndpoints{});
       return;
     }
-    if (news.scope != ListScope::kDelta) {
+    if (news.scope != EndpointUpdateScope::kDelta) {
       for (auto& [id, server] : servers_) {
-        if (server.state != ListState::kGone) server.gone_at = now_;
-        server.state = ListState::kGone;
+        if (server.state != EndpointState::kRemoved) server.removed_at = now_;
+        server.state = EndpointState::kRemoved;
       }
     }
     for (const auto& entry : news.entries) {
       auto& server = servers_[entry.server];
       server.id = entry.server;
-      server.cell = entry.cell;
+      server.pool = entry.pool;
       server.version = entry.version;
-      if (entry.state == ListState::kGone && server.state != ListState::kGone) server.gone_at = now_;
+      if (entry.state == EndpointState::kRemoved && server.state != EndpointState::kRemoved)
+        server.removed_at = now_;
       server.state = entry.state;
       // A fresh start time is a cold processor, whether or not its stop was ever listed.
       if (entry.started && (!server.cold_since || *server.cold_since < *entry.started)) {
@@ -231,29 +232,30 @@
         server.heard_at = now_;
       }
     }
-    forget_gone();
+    forget_removed();
   }
 
   // Ids of servers are always new: without this the table would grow all day.
-  void forget_gone() {
+  void forget_removed() {
     std::erase_if(servers_, [this](const auto& item) {
       const auto& server = item.second;
-      return server.state == ListState::kGone && server.out.empty() && now_ - server.gone_at > kGoneKept;
+      return server.state == EndpointState::kRemoved && server.out.empty() &&
+             now_ - server.removed_at > kRemovedRetention;
     });
   }
 
-  void heard(Server& server, const Report& report) {
+  void heard(Server& server, const LoadReport& report) {
     server.heard_at = now_;
     if (report.wait) learn_excess(server, *report.wait);
     learn_lines(server, report);
     if (server.suspect) clear_suspicion(server);
   }
 
-  static void learn_lines(Server& server, const Report& report) {
+  static void learn_lines(Server& server, const LoadReport& report) {
     if (report.free_lines) server.free_lines = *report.free_lines;
     if (report.lines) server.lines = *report.lines;
     if (server.free_lines && server.lines) {
-      server.most_standing = std::max(server.most_standing, *server.lines - *server.free_lines);
+      server.max_standing = std::max(server.max_standing, *server.lines - *server.free_lines);
     }
   }
 
@@ -336,7 +338,7 @@
     server.suspect = false;
     log("suspect answers again");
     // Departure: a server silent for long may have restarted unlisted; it is met as if just started.
-    if (now_ - server.suspect_since > least_aim_) meet_cold(server, now_);
+    if (now_ - server.suspect_since > min_aim_) meet_cold(server, now_);
   }
 
   // ---- tokens and choice --------------------------------------------------------------------------------
@@ -355,7 +357,7 @@
 
   [[nodiscard]] double count(const Server& server) const {
     const double calm = arrivals_.per_s(now_) / ready_servers() * seconds(server.calm_delay);
-    return std::max(kLeastTokens, std::round(kTokensPerCalmSetup * calm));
+    return std::max(kMinTokens, std::round(kTokensPerCalmSetup * calm));
   }
 
   // What all senders together have standing at a server tells its size; a fresh start has nothing yet.
@@ -390,7 +392,7 @@
     const double spans = seconds(now_ - server.part_at) / (kSettleSpans * seconds(span_));
     server.part_at = now_;
     server.part *= std::exp(std::clamp(ease - 1.0, -1.0, 1.0) * std::min(spans, 1.0));
-    server.part = std::clamp(server.part, kLeastPart, kMostPart);
+    server.part = std::clamp(server.part, kMinPart, kMaxPart);
     if (now_ >= pressed_until_) return count(server);
     return std::min(count(server), server.part * arrivals_.per_s(now_) * fair_part(server) * aimed * ease);
   }
@@ -403,7 +405,7 @@
     const double out = static_cast<double>(server.out.size());
     if (out + 1.0 <= tokens) return true;
     // A lone set-up that stays out while news since tells of no queue may be lost: another one shows.
-    const Duration patience = scaled(least_aim_, kSilenceShare);
+    const Duration patience = scaled(min_aim_, kSilenceShare);
     if (server.out.size() == 1 && now_ - server.last_send > patience &&
         server.excess_at > server.last_send + patience / 2 &&
         server.calm_delay + own_excess(server) < scaled(span_, kCalmShare)) {
@@ -422,19 +424,20 @@
     if (now_ < server.shut_until) return;
     const Duration pause = scaled(span_, server.shut_spans);
     server.shut_until = now_ + std::max(pause, asked.value_or(Duration::zero()));
-    server.shut_spans = std::min(2.0 * server.shut_spans, kMostShutSpans);
+    server.shut_spans = std::min(2.0 * server.shut_spans, kMaxShutSpans);
   }
 
   [[nodiscard]] static bool speaks_to(const Server& server, const Call& call) {
-    return (call.facts.ruled_out >> static_cast<unsigned>(server.version) & 1U) == 0;
+    return (call.facts.excluded_versions >> static_cast<unsigned>(server.version) & 1U) == 0;
   }
 
   // Departure: no server there is can be told what the call needs. Holding it would not change that.
-  [[nodiscard]] bool stranded(const Call& call) const {
-    if (call.facts.ruled_out == 0 || call.facts.ruled_out == kAllVersions) return call.facts.ruled_out != 0;
+  [[nodiscard]] bool is_unroutable(const Call& call) const {
+    if (call.facts.excluded_versions == 0 || call.facts.excluded_versions == kAllVersions)
+      return call.facts.excluded_versions != 0;
     bool any = false;
     for (const auto& [id, server] : servers_) {
-      if (server.state == ListState::kGone) continue;
+      if (server.state == EndpointState::kRemoved) continue;
       if (speaks_to(server, call)) return false;
       any = true;
     }
@@ -443,14 +446,14 @@
 
   [[nodiscard]] bool may_take(const Server& server, const Call& call) const {
     if (!server.usable_state() || !speaks_to(server, call)) return false;
-    if (set_.own_cell && server.cell == *set_.own_cell) return false;
-    if (call.facts.in_transit) return server.cell == call.facts.destination;
+    if (set_.own_pool && server.pool == *set_.own_pool) return false;
+    if (call.facts.is_in_transit) return server.pool == call.facts.destination;
     const auto& pools = call.cls->pools;
-    return pools.empty() || std::find(pools.begin(), pools.end(), server.cell) != pools.end();
+    return pools.empty() || std::find(pools.begin(), pools.end(), server.pool) != pools.end();
   }
 
   [[nodiscard]] bool has_room(Server& server, const Call& call) {
-    ++looks_;
+    ++server_evaluations_;
     if (!may_take(server, call) || server.suspect) return false;
     if (server.free_lines && *server.free_lines < call.facts.width) return false;
     if (!has_token(server) || !cold_budget_left(server)) return false;
@@ -466,7 +469,7 @@
   // Nor may the caller hang up first: callers of little patience would leave dead work behind.
   [[nodiscard]] Instant stand_by(const Call& call) const {
     if (call.late) return {};  // all that are late are alike
-    return std::min(call.arrived + call.cls->aim, call.facts.expires);
+    return std::min(call.arrived + call.cls->latency_objective, call.facts.expires);
   }
 
   // First choice while it has room; otherwise a draw among those with room, weighted by own set-up delay.
@@ -476,15 +479,15 @@
   // tokens.
   Server* choose(const Call& call) {
     const auto [refused, fresh] = no_room_.try_emplace(
-        Wish{call.cls.get(), call.late, call.facts.ruled_out, call.facts.width,
-             call.facts.in_transit ? std::optional(call.facts.destination) : std::nullopt},
+        Wish{call.cls.get(), call.late, call.facts.excluded_versions, call.facts.width,
+             call.facts.is_in_transit ? std::optional(call.facts.destination) : std::nullopt},
         Instant::min());
     if (!fresh && stand_by(call) <= refused->second) return nullptr;
     std::vector<std::pair<Server*, double>> others;
     double total = 0;
     for (auto& [id, server] : servers_) {
       if (!has_room(server, call)) continue;
-      if (server.cell == call.facts.destination) return &server;
+      if (server.pool == call.facts.destination) return &server;
       const double weight = std::pow(std::max(seconds(delay(server)), 1e-3), -kDrawPower);
       total += weight;
       others.emplace_back(&server, weight);
@@ -512,22 +515,23 @@
     call.arrived = call.not_before = now_;
     call.cls = classes_[news.call_class];
     const auto& cls = *call.cls;
-    call.give_up = news.expires - 2 * set_.round;
+    call.reject_after = news.expires - 2 * set_.batch_interval;
     // A marked redial belongs to a first try whose aim has most likely gone by.
-    call.late_from = news.redialled && !news.was_cut ? now_ : now_ + scaled(cls.aim, 1.0 - kHoldMargin);
+    call.late_from =
+        news.is_redial && !news.was_aborted ? now_ : now_ + scaled(cls.latency_objective, 1.0 - kHoldMargin);
     call.late = now_ >= call.late_from;
-    call.worth = call.late ? cls.worth * cls.late_worth : cls.worth;
-    if (past_share(news.tenant)) call.worth *= set_.over_share_worth;
+    call.priority_weight = call.late ? cls.priority_weight * cls.late_weight_fraction : cls.priority_weight;
+    if (past_share(news.tenant)) call.priority_weight *= set_.over_quota_weight;
     calls_.emplace(news.call, call);
-    hold(news.call);
+    enqueue(news.call);
     // Those held before have been tried at this instant; nothing came free since.
     if (tried_at_ == now_ && !freed_) {
-      if (try_held(news.call)) {
-        unhold(news.call);
+      if (try_queued(news.call)) {
+        dequeue(news.call);
         answer(news.call);
       }
     } else {
-      place_held();
+      place_queued();
     }
   }
 
@@ -535,18 +539,18 @@
   // tenant's traffic only; past a multiple of an equal part of the share, so many calls count as past it as
   // are.
   bool past_share(std::size_t tenant) {
-    if (tenant >= set_.tenants.size() || !set_.tenants[tenant].quota_per_s || set_.siblings == 0)
+    if (tenant >= set_.tenants.size() || !set_.tenants[tenant].quota_per_s || set_.peer_count == 0)
       return false;
     auto& rate = by_tenant_[tenant];
     rate.count(now_);
-    const double part = kPastShare * *set_.tenants[tenant].quota_per_s / set_.siblings;
+    const double part = kPastShare * *set_.tenants[tenant].quota_per_s / set_.peer_count;
     return std::uniform_real_distribution<double>(0.0, 1.0)(random_) * rate.per_s(now_) > part;
   }
 
   void on(const Established& news) {
     if (auto* server = find_server(news.server)) {
       heard(*server, {});
-      learn_delay(*server, news.taken);
+      learn_delay(*server, news.elapsed);
       server->shut_spans = std::max(kShutSpans, server->shut_spans / 2.0);
       server->errors_in_row = 0;
       if (warmth(*server) >= 1.0) {
@@ -573,23 +577,23 @@
     if (call == nullptr || !attempt_is(*call, news.server, news.attempt)) return;
     return_token(*call);
     call->at.reset();
-    call->facts.ruled_out |= news.rules_out;
+    call->facts.excluded_versions |= news.excludes_versions;
     if (news.call_ended) {
       finish(news.call);
       return;
     }
     const bool never_ran = news.outcome == Outcome::kFull || news.outcome == Outcome::kConnectFailed ||
-                           news.outcome == Outcome::kMoot;
+                           news.outcome == Outcome::kNotSent;
     if (!never_ran) call->may_have_run = true;
     if (news.outcome == Outcome::kTimeout || news.outcome == Outcome::kReset ||
         news.outcome == Outcome::kCancelled) {
-      call->not_before = now_ + set_.invariants.release_wait;
+      call->not_before = now_ + set_.invariants.retry_pause;
     }
-    const bool may_repeat = !call->may_have_run || call->cls->repeatable;
-    const bool tries_left = call->tries < set_.limits.most_tries;
-    if (may_repeat && tries_left && call->not_before < call->give_up) {
-      hold(news.call);
-      place_held();
+    const bool may_repeat = !call->may_have_run || call->cls->idempotent;
+    const bool has_attempts_left = call->attempts < set_.limits.max_tries;
+    if (may_repeat && has_attempts_left && call->not_before < call->reject_after) {
+      enqueue(news.call);
+      place_queued();
     } else {
       answer(news.call);
     }
@@ -602,11 +606,11 @@
         break;
       case Outcome::kFull:
         heard(server, news.report);
-        shut(server, news.asked_wait);
+        shut(server, news.retry_after);
         break;
       case Outcome::kTimeout:
       case Outcome::kCancelled:
-      case Outcome::kMoot:
+      case Outcome::kNotSent:
         learn_lines(server, news.report);
         if (news.report.wait) learn_excess(server, *news.report.wait);
         break;
@@ -614,7 +618,7 @@
         break;
       case Outcome::kError:
         heard(server, news.report);
-        if (!news.of_the_call && ++server.errors_in_row >= kErrorsOfFault) shut(server, std::nullopt);
+        if (!news.is_caller_fault && ++server.errors_in_row >= kErrorsOfFault) shut(server, std::nullopt);
         break;
       case Outcome::kOk:
         heard(server, news.report);
@@ -622,23 +626,23 @@
     }
   }
 
-  void on(const CallGone& news) {
+  void on(const CallAbandoned& news) {
     auto* call = find_call(news.call);
     if (call == nullptr) return;
     if (call->at && !call->stands && set_.limits.cancel && !call->cancelling)
-      act(Cancel{news.call, call->tries - 1});
+      act(CancelAttempt{news.call, call->attempts - 1});
     return_token(*call);
     finish(news.call);
   }
 
-  void on(const TimerDue& /*due*/) {
+  void on(const TimerExpired& /*due*/) {
     if (timer_at_ && now_ >= *timer_at_) timer_at_.reset();
   }
 
-  void on(const ProbeAnswer& news) {
+  void on(const HealthCheckResult& news) {
     auto* server = find_server(news.server);
     if (server == nullptr) return;
-    if (news.unasked) {
+    if (news.is_unsolicited) {
       learn_lines(*server, news.report);
     } else if (news.outcome == Outcome::kOk) {
       heard(*server, news.report);
@@ -656,21 +660,21 @@
 
   void on(const PeerMessage& /*news*/) {}
 
-  void hold(CallId id) {
+  void enqueue(CallId id) {
     const auto& call = calls_.at(id);
-    held_.insert({-call.worth, Instant{} - call.arrived, id});
+    queue_.insert({-call.priority_weight, Instant{} - call.arrived, id});
   }
 
-  void unhold(CallId id) {
+  void dequeue(CallId id) {
     const auto& call = calls_.at(id);
-    held_.erase({-call.worth, Instant{} - call.arrived, id});
+    queue_.erase({-call.priority_weight, Instant{} - call.arrived, id});
   }
 
   // True when the call need not be held longer: it was sent, or it can no longer stand in time.
-  bool try_held(CallId id) {
+  bool try_queued(CallId id) {
     auto& call = calls_.at(id);
-    if (now_ >= call.give_up || stranded(call)) return true;
-    next_look_ = std::min(next_look_, call.give_up);  // sooner than the usual look
+    if (now_ >= call.reject_after || is_unroutable(call)) return true;
+    next_look_ = std::min(next_look_, call.reject_after);  // sooner than the usual look
     if (call.not_before > now_) return false;
     Server* server = choose(call);
     return server != nullptr && send(id, *server);
@@ -680,33 +684,33 @@
   // waits: refused at its aim it would redial at once and pass for a fresh call where redials are not marked.
   void mark_late() {
     std::vector<CallId> late;
-    for (const auto& item : held_) {
+    for (const auto& item : queue_) {
       const auto& call = calls_.at(std::get<CallId>(item));
       if (now_ >= call.late_from && !call.late) late.push_back(call.facts.call);
     }
     for (const CallId id : late) {
-      unhold(id);
+      dequeue(id);
       auto& call = calls_.at(id);
       call.late = true;
-      call.worth *= call.cls->late_worth;
-      hold(id);
+      call.priority_weight *= call.cls->late_weight_fraction;
+      enqueue(id);
     }
   }
 
   // Held calls are placed by worth, then newest first: when not all can be, the oldest would stand just late.
-  void place_held() {
+  void place_queued() {
     tried_at_ = now_;
     freed_ = false;
     no_room_.clear();
-    next_look_ = now_ + set_.round * kLookRounds;
+    next_look_ = now_ + set_.batch_interval * kLookRounds;
     mark_late();
-    for (auto at = held_.begin(); at != held_.end();) {
+    for (auto at = queue_.begin(); at != queue_.end();) {
       const CallId id = std::get<CallId>(*at);
-      if (!try_held(id)) {
+      if (!try_queued(id)) {
         ++at;
         continue;
       }
-      at = held_.erase(at);
+      at = queue_.erase(at);
       answer(id);
     }
   }
@@ -716,7 +720,7 @@
     for (auto& [id, server] : servers_) {
       if (!server.out.empty()) {
         watching = true;
-        const Duration patience = scaled(least_aim_, kSilenceShare);
+        const Duration patience = scaled(min_aim_, kSilenceShare);
         const Instant quiet_since = std::max(server.heard_at, server.out.begin()->first);
         if (server.usable_state() && !server.suspect && now_ - quiet_since > patience) doubt(server);
       }
@@ -726,11 +730,11 @@
         if (now_ >= server.next_trial) look_at_suspect(server);
       }
     }
-    if (!held_.empty()) {
+    if (!queue_.empty()) {
       watching = true;
-      if (tried_at_ != now_ || freed_) place_held();
+      if (tried_at_ != now_ || freed_) place_queued();
     } else {
-      next_look_ = now_ + set_.round * kLookRounds;
+      next_look_ = now_ + set_.batch_interval * kLookRounds;
     }
     if (watching && (!timer_at_ || next_look_ < *timer_at_)) {
       timer_at_ = std::max(next_look_, now_ + Duration{1});
@@ -743,7 +747,7 @@
   void call_off_lost(Server& server) {
     if (server.out.empty()) return;
     const auto [sent, id] = *server.out.begin();
-    if (sent < server.stood_sent && now_ - sent > scaled(least_aim_, kSilenceShare)) {
+    if (sent < server.stood_sent && now_ - sent > scaled(min_aim_, kSilenceShare)) {
       cancel(id);
       return;
     }
@@ -751,9 +755,9 @@
     // does not go on being fed by what it has made late. Of no use where a processor works on what was given
     // up.
     const auto* call = find_call(id);
-    if (call == nullptr || call->late || held_.empty()) return;
-    const bool in_time_waits = !calls_.at(std::get<CallId>(*held_.begin())).late;
-    if (in_time_waits && now_ - call->arrived > call->cls->aim) cancel(id);
+    if (call == nullptr || call->late || queue_.empty()) return;
+    const bool in_time_waits = !calls_.at(std::get<CallId>(*queue_.begin())).late;
+    if (in_time_waits && now_ - call->arrived > call->cls->latency_objective) cancel(id);
   }
 
   // A long queue is silent too: where a probe is allowed it decides.
@@ -761,15 +765,15 @@
     if (!set_.limits.probes) {
       suspect(server, "silent");
     } else if (now_ >= server.next_trial) {
-      server.next_trial = now_ + scaled(least_aim_, kTrialShare);
-      act(Probe{server.id});
+      server.next_trial = now_ + scaled(min_aim_, kTrialShare);
+      act(CheckHealth{server.id});
     }
   }
 
   void look_at_suspect(Server& server) {
-    server.next_trial = now_ + scaled(least_aim_, kTrialShare);
+    server.next_trial = now_ + scaled(min_aim_, kTrialShare);
     if (set_.limits.probes) {
-      act(Probe{server.id});
+      act(CheckHealth{server.id});
     } else if (server.out.empty()) {
       clear_suspicion(server);
     }
@@ -778,18 +782,19 @@
   // ---- rule guards: every send and every answer passes here ---------------------------------------------
 
   [[nodiscard]] double warmth(const Server& server) const {
-    if (!server.cold_since || set_.invariants.ramp_time <= Duration::zero()) return 1.0;
-    const double age = seconds(now_ - *server.cold_since) / seconds(set_.invariants.ramp_time);
-    return std::min(1.0, set_.invariants.cold_from + (1.0 - set_.invariants.cold_from) * std::max(0.0, age));
+    if (!server.cold_since || set_.invariants.slow_start_duration <= Duration::zero()) return 1.0;
+    const double age = seconds(now_ - *server.cold_since) / seconds(set_.invariants.slow_start_duration);
+    return std::min(1.0, set_.invariants.slow_start_initial_capacity +
+                             (1.0 - set_.invariants.slow_start_initial_capacity) * std::max(0.0, age));
   }
 
   // Rule 4: a cold server is sent set-ups evenly spaced, at the rate at which a warm one lets our calls stand
-  // now, times the warmth. All senders together then stay a `fall_multiple` below the limit, also while the
-  // whole fleet is slow or callers redial (arrivals would overstate what a processor bears). As servers may
-  // be unequal, its own calm answers raise the pace; a queue shows long before the multiple is reached.
+  // now, times the warmth. All senders together then stay a `overload_multiple` below the limit, also while
+  // the whole fleet is slow or callers redial (arrivals would overstate what a processor bears). As servers
+  // may be unequal, its own calm answers raise the pace; a queue shows long before the multiple is reached.
   [[nodiscard]] Duration cold_gap(const Server& server) const {
-    const double siblings = std::max<double>(1.0, set_.siblings);
-    const double blind = kBlindColdSetUps / (siblings * seconds(set_.invariants.fall_span));
+    const double peer_count = std::max<double>(1.0, set_.peer_count);
+    const double blind = kBlindColdSetUps / (peer_count * seconds(set_.invariants.overload_window));
     const double known = kColdShare * warmth(server) * served_.per_s(served_known_at()) * likely_size(server);
     const double rate = std::max(known, blind) * server.cold_pace;
     return Duration{static_cast<std::int64_t>(1e6 / rate)};
@@ -804,13 +809,13 @@
     for (const auto& [id, one] : servers_) {
       if (!one.usable_state() || one.suspect || (warm_servers() > 0 && warmth(one) < 1.0)) continue;
       if (!one.lines) return 1.0;
-      carried += std::max(one.most_standing, one.carried);
+      carried += std::max(one.max_standing, one.carried);
       lines += *one.lines;
       ++warm;
     }
     if (warm <= 0 || !server.lines) return 1.0;
-    if (server.carried > 0 && carried > 0) return std::min(server.carried * warm / carried, kMostLikelySize);
-    return std::min(*server.lines * warm / lines, kMostPlannedSize);
+    if (server.carried > 0 && carried > 0) return std::min(server.carried * warm / carried, kMaxLikelySize);
+    return std::min(*server.lines * warm / lines, kMaxPlannedSize);
   }
 
   // While no server is warm, what the last warm ones bore goes on to count.
@@ -823,8 +828,8 @@
   // Senders learn of a start at the same moment: each waits for a random part of its first gap.
   void meet_cold(Server& server, Instant since) {
     server.cold_since = since;
-    server.carried = std::max(server.carried, server.most_standing);
-    server.most_standing = 0;
+    server.carried = std::max(server.carried, server.max_standing);
+    server.max_standing = 0;
     server.cold_pace = 1.0;
     const double part = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
     server.next_cold_send = now_ + scaled(cold_gap(server), part);
@@ -835,17 +840,17 @@
 
   bool send(CallId id, Server& server) {
     auto& call = calls_.at(id);
-    const bool allowed = !call.at && call.tries < set_.limits.most_tries && call.not_before <= now_ &&
+    const bool allowed = !call.at && call.attempts < set_.limits.max_tries && call.not_before <= now_ &&
                          now_ < call.facts.expires && may_take(server, call) && cold_budget_left(server);
     if (!allowed) return false;
     call.at = server.id;
     call.cancelling = call.stands = false;
-    ++call.tries;
+    ++call.attempts;
     server.out.insert({now_, id});
     call.sent = now_;
     server.last_send = now_;
     if (warmth(server) < 1.0) server.next_cold_send = now_ + cold_gap(server);
-    act(Send{id, server.id, Duration::zero()});
+    act(ForwardCall{id, server.id, Duration::zero()});
     return true;
   }
 
@@ -853,12 +858,12 @@
   void answer(CallId id) {
     const auto* call = find_call(id);
     if (call == nullptr || call->at) return;
-    if (call->may_have_run && !call->cls->repeatable) {
-      act(Fail{id});
+    if (call->may_have_run && !call->cls->idempotent) {
+      act(FailCall{id});
     } else {
       // A redial now would meet the same shortage, and be worth no more than late.
       const bool advise = set_.limits.retry_advice && now_ < pressed_until_;
-      act(Refuse{id, advise ? set_.limits.max_retry_advice : Duration::zero()});
+      act(RejectCall{id, advise ? set_.limits.max_retry_advice : Duration::zero()});
     }
     finish(id);
   }
@@ -867,11 +872,11 @@
     auto* call = find_call(id);
     if (call == nullptr || !call->at || call->stands || call->cancelling || !set_.limits.cancel) return;
     call->cancelling = true;
-    act(Cancel{id, call->tries - 1});
+    act(CancelAttempt{id, call->attempts - 1});
   }
 
   [[nodiscard]] static bool attempt_is(const Call& call, ServerId server, std::uint32_t attempt) {
-    return call.at && *call.at == server && call.tries == attempt + 1;
+    return call.at && *call.at == server && call.attempts == attempt + 1;
   }
 
   void return_token(Call& call) {
@@ -886,7 +891,7 @@
     auto found = calls_.find(id);
     if (found == calls_.end()) return;
     return_token(found->second);
-    unhold(id);
+    dequeue(id);
     calls_.erase(found);
   }
 
@@ -908,26 +913,26 @@
     const auto last = logged_.find(text);
     if (last != logged_.end() && now_ - last->second < kLogGap) return;
     logged_[text] = now_;
-    act(Log{text});
+    act(LogMessage{text});
   }
 
   Settings set_;
   std::mt19937_64 random_;
   std::vector<std::shared_ptr<const CallClass>> classes_;
-  Duration least_aim_{};
+  Duration min_aim_{};
   Duration span_{};  // time in which a set-up must be answered before it feeds a jam
   std::map<ServerId, Server> servers_;
-  std::unordered_map<CallId, Call> calls_;               // looked up only
-  std::set<std::tuple<double, Duration, CallId>> held_;  // dearest first, then newest
+  std::unordered_map<CallId, Call> calls_;                // looked up only
+  std::set<std::tuple<double, Duration, CallId>> queue_;  // dearest first, then newest
   std::map<std::string, Instant> logged_;
   std::optional<Instant> timer_at_;
   Instant pressed_until_{};  // some server has a queue or is lost
   Instant next_look_{};
   Instant tried_at_{};  // held calls were last tried then
   bool freed_ = true;   // a token came back since
-  using Wish = std::tuple<const CallClass*, bool, VersionSet, double, std::optional<CellNo>>;
+  using Wish = std::tuple<const CallClass*, bool, ProtocolVersionSet, double, std::optional<PoolId>>;
   std::map<Wish, Instant> no_room_;  // calls of which kind found none in this pass, and the time they had
-  std::uint64_t looks_ = 0;
+  std::uint64_t server_evaluations_ = 0;
   Rate arrivals_;                // own calls
   std::vector<Rate> by_tenant_;  // own calls, by tenant
   Rate served_;                  // own calls that stood, for each warm server
@@ -947,8 +952,8 @@
 void Admission::start(Instant now, std::vector<Action>& actions) {
   impl_->start(now, actions);
 }
-std::uint64_t Admission::looks() const {
-  return impl_->looks();
+std::uint64_t Admission::server_evaluations() const {
+  return impl_->server_evaluations();
 }
 std::size_t Admission::known_servers() const {
   return impl_->known_servers();
@@ -956,8 +961,8 @@
 void Admission::handle(Instant now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
-void Admission::retune(const std::vector<CallClass>& classes, const Limits& limits) {
-  impl_->retune(classes, limits);
+void Admission::apply_reload(const std::vector<CallClass>& classes, const Limits& limits) {
+  impl_->apply_reload(classes, limits);
 }
 
 }  // namespace amberknot
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -10,7 +10,7 @@
 namespace amberknot::settings {
 namespace {
 
-constexpr std::uint32_t kMostItems = 10'000;  // longest list of objects that is believed
+constexpr std::uint32_t kMaxItems = 10'000;  // longest list of objects that is believed
 
 std::vector<std::string> split(std::string_view text, char by) {
   std::vector<std::string> parts;
@@ -73,9 +73,9 @@
     return static_cast<std::uint32_t>(value);
   }
   [[nodiscard]] Duration need_duration(const std::string& key) const {
-    constexpr double kMost = 1e15;
+    constexpr double kMax = 1e15;
     const double value = need_positive(key);
-    if (value > kMost) throw SettingsError("setting out of range: " + key);
+    if (value > kMax) throw SettingsError("setting out of range: " + key);
     return Duration{static_cast<std::int64_t>(value)};
   }
   [[nodiscard]] double need_above_zero(const std::string& key) const {
@@ -105,29 +105,30 @@
 std::vector<CallClass> read_classes(const Pairs& pairs) {
   std::vector<std::string> holds;
   if (const auto text = pairs.find("family_info.class_hold_us")) holds = split(*text, ',');
-  std::vector<CallClass> classes(pairs.need_count("classes.count", kMostItems));
+  std::vector<CallClass> classes(pairs.need_count("classes.count", kMaxItems));
   if (classes.empty()) throw SettingsError("setting out of range: classes.count");
   for (std::size_t i = 0; i < classes.size(); ++i) {
     const auto prefix = "classes." + std::to_string(i) + ".";
     auto& one = classes[i];
-    one.aim = pairs.need_duration(prefix + "aim_us");
+    one.latency_objective = pairs.need_duration(prefix + "aim_us");
     one.deadline = pairs.need_duration(prefix + "deadline_us");
     // A call with no time to wait, or a router with no try, cannot be: such a file is defective (DAYS).
     if (one.deadline <= Duration::zero())
       throw SettingsError("setting not above zero: " + prefix + "deadline_us");
-    one.worth = pairs.need_positive(prefix + "value");
-    one.late_worth = pairs.find_number(prefix + "late_worth").value_or(0.0);
-    if (one.late_worth < 0) throw SettingsError("setting below zero: " + prefix + "late_worth");
-    one.repeatable =
+    one.priority_weight = pairs.need_positive(prefix + "value");
+    one.late_weight_fraction = pairs.find_number(prefix + "late_worth").value_or(0.0);
+    if (one.late_weight_fraction < 0) throw SettingsError("setting below zero: " + prefix + "late_worth");
+    one.idempotent =
         pairs.need_word(prefix + "repeat", {"idempotent", "deduplicated", "at_most_once"}) == "idempotent";
     if (i < holds.size()) {
-      if (const auto hold = number(holds[i])) one.hold = Duration{static_cast<std::int64_t>(*hold)};
+      if (const auto hold = number(holds[i]))
+        one.mean_holding_time = Duration{static_cast<std::int64_t>(*hold)};
     }
     const auto pools_key = "family_info.skilled_pools." + std::to_string(i);
     for (const auto& pool : split(pairs.find(pools_key).value_or(""), ',')) {
-      const auto cell = number(pool);
-      if (!cell || *cell < 0) throw SettingsError("setting cannot be read: " + pools_key);
-      one.pools.push_back(CellNo{static_cast<std::uint32_t>(*cell)});
+      const auto pool_number = number(pool);
+      if (!pool_number || *pool_number < 0) throw SettingsError("setting cannot be read: " + pools_key);
+      one.pools.push_back(PoolId{static_cast<std::uint32_t>(*pool_number)});
     }
   }
   return classes;
@@ -135,7 +136,7 @@
 
 std::vector<Tenant> read_tenants(const Pairs& pairs) {
   if (!pairs.find("tenants.count")) return {};
-  std::vector<Tenant> tenants(pairs.need_count("tenants.count", kMostItems));
+  std::vector<Tenant> tenants(pairs.need_count("tenants.count", kMaxItems));
   for (std::size_t i = 0; i < tenants.size(); ++i) {
     const auto key = "tenants." + std::to_string(i) + ".quota_per_s";
     tenants[i].quota_per_s = pairs.find_number(key);
@@ -145,14 +146,14 @@
 }
 
 Limits read_limits(const Pairs& pairs) {
-  constexpr std::uint32_t kMost = 1'000'000;
+  constexpr std::uint32_t kMax = 1'000'000;
   Limits limits;
   limits.cancel = pairs.need_flag("limits.cancel");
   limits.probes = pairs.need_flag("limits.probes");
   limits.peers = pairs.need_flag("limits.peers");
   limits.retry_advice = pairs.need_flag("limits.retry_after");
-  limits.most_tries = pairs.need_count("limits.most_tries", kMost);
-  if (limits.most_tries == 0) throw SettingsError("setting not above zero: limits.most_tries");
+  limits.max_tries = pairs.need_count("limits.most_tries", kMax);
+  if (limits.max_tries == 0) throw SettingsError("setting not above zero: limits.most_tries");
   if (limits.retry_advice) limits.max_retry_advice = pairs.need_duration("limits.max_retry_after_us");
   return limits;
 }
@@ -160,14 +161,15 @@
 Invariants read_invariants(const Pairs& pairs) {
   Invariants invariants;
   invariants.answer_slack = pairs.need_duration("invariants.answer_slack_us");
-  invariants.drain_grace = pairs.need_duration("invariants.drain_grace_us");
-  invariants.fall_multiple = pairs.need_above_zero("invariants.fall_multiple");
-  invariants.fall_span = pairs.need_duration("invariants.fall_us");
+  invariants.drain_grace_period = pairs.need_duration("invariants.drain_grace_us");
+  invariants.overload_multiple = pairs.need_above_zero("invariants.fall_multiple");
+  invariants.overload_window = pairs.need_duration("invariants.fall_us");
   // A share: more than the whole cannot be what a cold server starts at.
-  invariants.cold_from = pairs.need_above_zero("invariants.cold_from");
-  if (invariants.cold_from > 1) throw SettingsError("setting out of range: invariants.cold_from");
-  invariants.ramp_time = pairs.need_duration("invariants.ramp_time_us");
-  invariants.release_wait = pairs.need_duration("family_info.clear_wait_us");
+  invariants.slow_start_initial_capacity = pairs.need_above_zero("invariants.cold_from");
+  if (invariants.slow_start_initial_capacity > 1)
+    throw SettingsError("setting out of range: invariants.cold_from");
+  invariants.slow_start_duration = pairs.need_duration("invariants.ramp_time_us");
+  invariants.retry_pause = pairs.need_duration("family_info.clear_wait_us");
   return invariants;
 }
 
@@ -178,23 +180,24 @@
   ParsedSettings parsed;
   auto& settings = parsed.settings;
   settings.seed = seed;
-  settings.siblings = pairs.need_count("siblings", kMostItems);
-  if (settings.siblings == 0) throw SettingsError("setting not above zero: siblings");
-  settings.self = PeerId{pairs.need_count("self_index", kMostItems)};
-  if (static_cast<std::uint32_t>(settings.self) >= settings.siblings)
+  settings.peer_count = pairs.need_count("siblings", kMaxItems);
+  if (settings.peer_count == 0) throw SettingsError("setting not above zero: siblings");
+  settings.self = PeerId{pairs.need_count("self_index", kMaxItems)};
+  if (static_cast<std::uint32_t>(settings.self) >= settings.peer_count)
     throw SettingsError("setting out of range: self_index");
-  settings.list_is_pushed = pairs.need_word("discovery", {"pushed", "on_request"}) == "pushed";
-  settings.round = pairs.need_duration("round_us");
+  settings.endpoint_list_is_pushed = pairs.need_word("discovery", {"pushed", "on_request"}) == "pushed";
+  settings.batch_interval = pairs.need_duration("round_us");
   settings.classes = read_classes(pairs);
   settings.tenants = read_tenants(pairs);
   settings.limits = read_limits(pairs);
   settings.invariants = read_invariants(pairs);
-  settings.over_share_worth = pairs.find_number("over_share_worth").value_or(1.0);
-  if (const auto cell = pairs.find_number("family_info.self_no"); cell && *cell >= 0) {
-    settings.own_cell = CellNo{static_cast<std::uint32_t>(*cell)};
+  settings.over_quota_weight = pairs.find_number("over_share_worth").value_or(1.0);
+  if (const auto pool_number = pairs.find_number("family_info.self_no"); pool_number && *pool_number >= 0) {
+    settings.own_pool = PoolId{static_cast<std::uint32_t>(*pool_number)};
   }
-  if (const auto resend = pairs.find_number("family_info.resend_us"); resend && *resend > 0) {
-    settings.resend = Duration{static_cast<std::int64_t>(*resend)};
+  if (const auto retransmit_interval = pairs.find_number("family_info.resend_us");
+      retransmit_interval && *retransmit_interval > 0) {
+    settings.retransmit_interval = Duration{static_cast<std::int64_t>(*retransmit_interval)};
   }
   parsed.names_wait = pairs.find("family_info.retry_hint").value_or("false") == "true";
   parsed.columns = split(pairs.find("report.columns").value_or(""), ',');
--- a/src/simhost/codec.cpp
+++ b/src/simhost/codec.cpp
@@ -29,15 +29,15 @@
 }
 
 Instant instant(std::uint64_t micros) {
-  constexpr auto kMost = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 4);
-  if (micros > kMost) throw WireError("clock time out of range");
+  constexpr auto kMax = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 4);
+  if (micros > kMax) throw WireError("clock time out of range");
   return Instant{Duration{static_cast<std::int64_t>(micros)}};
 }
 
 /// A whole number that travels as a float, such as a cell.
 std::uint32_t whole(float value) {
-  constexpr float kMost = 4e9F;
-  if (!(value >= 0.0F && value < kMost)) throw WireError("number out of range");
+  constexpr float kMax = 4e9F;
+  if (!(value >= 0.0F && value < kMax)) throw WireError("number out of range");
   return static_cast<std::uint32_t>(value);
 }
 
@@ -76,10 +76,10 @@
   const auto bytes = tail_ref(tail, record, 3, kEntrySize);
   for (std::size_t at = 0; at < bytes.size(); at += kEntrySize) {
     const auto piece = bytes.subspan(at, kEntrySize);
-    ListEntry entry;
+    EndpointEntry entry;
     entry.server = ServerId{load<std::uint32_t>(piece, 0)};
-    entry.cell = CellNo{load<std::uint16_t>(piece, 7)};
-    entry.state = checked_enum(load<std::uint8_t>(piece, 9), ListState::kDraining, "list state");
+    entry.pool = PoolId{load<std::uint16_t>(piece, 7)};
+    entry.state = checked_enum(load<std::uint8_t>(piece, 9), EndpointState::kDraining, "list state");
     if (const auto born = load<std::uint64_t>(piece, 14); born != 0) entry.started = instant(born);
     list.entries.push_back(entry);
   }
@@ -87,7 +87,7 @@
 }
 
 NewCall call_at(std::span<const std::uint8_t> record) {
-  constexpr std::uint8_t kRedialled = 2;
+  constexpr std::uint8_t kIsRedial = 2;
   constexpr std::uint8_t kInTransit = 8;
   constexpr std::uint8_t kWasCut = 16;
   NewCall call;
@@ -96,10 +96,10 @@
   if (!std::isfinite(call.width)) throw WireError("call width out of range");
   call.expires = instant(load<std::uint64_t>(record, 17));
   const auto flags = load<std::uint8_t>(record, 25);
-  call.redialled = (flags & kRedialled) != 0;
-  call.in_transit = (flags & kInTransit) != 0;
-  call.was_cut = (flags & kWasCut) != 0;
-  call.destination = CellNo{whole(load<float>(record, 26))};
+  call.is_redial = (flags & kIsRedial) != 0;
+  call.is_in_transit = (flags & kInTransit) != 0;
+  call.was_aborted = (flags & kWasCut) != 0;
+  call.destination = PoolId{whole(load<float>(record, 26))};
   call.tenant = load<std::uint16_t>(record, 30);
   call.call_class = load<std::uint8_t>(record, 32);
   return call;
@@ -110,20 +110,20 @@
   raw.event.call = CallId{load<std::uint32_t>(record, 1)};
   raw.event.attempt = load<std::uint8_t>(record, 5);
   raw.event.server = ServerId{load<std::uint32_t>(record, 6)};
-  raw.event.outcome = checked_enum(load<std::uint16_t>(record, 10), Outcome::kMoot, "outcome");
-  raw.event.taken = Duration{load<std::uint32_t>(record, 12)};
+  raw.event.outcome = checked_enum(load<std::uint16_t>(record, 10), Outcome::kNotSent, "outcome");
+  raw.event.elapsed = Duration{load<std::uint32_t>(record, 12)};
   raw.event.call_ended = load<std::uint8_t>(record, 16) != 0;
   raw.reason = load<std::uint32_t>(record, 17);
   raw.report = report_at(record, 21);
   return raw;
 }
 
-RawProbeAnswer pong_at(std::span<const std::uint8_t> record) {
-  RawProbeAnswer raw;
-  raw.event.taken = Duration{load<std::uint32_t>(record, 1)};
+RawHealthCheckResult pong_at(std::span<const std::uint8_t> record) {
+  RawHealthCheckResult raw;
+  raw.event.elapsed = Duration{load<std::uint32_t>(record, 1)};
   raw.event.server = ServerId{load<std::uint32_t>(record, 5)};
-  raw.event.outcome = checked_enum(load<std::uint16_t>(record, 9), Outcome::kMoot, "probe outcome");
-  raw.event.unasked = raw.event.outcome == Outcome::kOk && raw.event.taken == Duration::zero();
+  raw.event.outcome = checked_enum(load<std::uint16_t>(record, 9), Outcome::kNotSent, "probe outcome");
+  raw.event.is_unsolicited = raw.event.outcome == Outcome::kOk && raw.event.elapsed == Duration::zero();
   raw.report = report_at(record, 11);
   return raw;
 }
@@ -135,7 +135,7 @@
       return Launch{load<std::uint64_t>(record, 1), std::string(text.begin(), text.end())};
     }
     case 2:
-      return Sync{checked_enum(load<std::uint8_t>(record, 9), ListScope::kFailed, "list scope"),
+      return Sync{checked_enum(load<std::uint8_t>(record, 9), EndpointUpdateScope::kFailed, "list scope"),
                   load<std::uint16_t>(record, 10)};
     case 3:
       return call_at(record);
@@ -145,9 +145,9 @@
     case 5:
       return ended_at(record);
     case 6:
-      return CallGone{CallId{load<std::uint32_t>(record, 1)}};
+      return CallAbandoned{CallId{load<std::uint32_t>(record, 1)}};
     case 7:
-      return TimerDue{TimerHandle{load<std::uint64_t>(record, 1)}};
+      return TimerExpired{TimerHandle{load<std::uint64_t>(record, 1)}};
     case 8:
       return pong_at(record);
     case 9: {
@@ -166,8 +166,8 @@
 }
 
 std::uint32_t micros32(Duration duration) {
-  constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
-  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, kMost));
+  constexpr std::int64_t kMax = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, kMax));
 }
 
 /// Writes one action's code and fields; variable parts go to the tail.
@@ -183,22 +183,22 @@
     tail.insert(tail.end(), bytes.begin(), bytes.end());
   }
 
-  void operator()(const Send& send) const {
+  void operator()(const ForwardCall& send) const {
     code(1);
     store(record, static_cast<std::uint32_t>(send.call));
     store(record, static_cast<std::uint32_t>(send.server));
-    store(record, micros32(send.within));
+    store(record, micros32(send.attempt_timeout));
   }
-  void operator()(const Refuse& refuse) const {
+  void operator()(const RejectCall& refuse) const {
     code(2);
     store(record, static_cast<std::uint32_t>(refuse.call));
-    store(record, micros32(refuse.stay_away));
+    store(record, micros32(refuse.retry_after));
   }
-  void operator()(const Fail& fail) const {
+  void operator()(const FailCall& fail) const {
     code(3);
     store(record, static_cast<std::uint32_t>(fail.call));
   }
-  void operator()(const Cancel& cancel) const {
+  void operator()(const CancelAttempt& cancel) const {
     code(4);
     store(record, static_cast<std::uint32_t>(cancel.call));
     store(record, static_cast<std::uint8_t>(cancel.attempt));
@@ -208,20 +208,20 @@
     store(record, static_cast<std::uint64_t>(timer.when.time_since_epoch().count()));
     store(record, static_cast<std::uint64_t>(timer.handle));
   }
-  void operator()(const Probe& probe) const {
+  void operator()(const CheckHealth& probe) const {
     code(6);
     store(record, static_cast<std::uint32_t>(probe.server));
   }
-  void operator()(const TellPeers& tell) const {
+  void operator()(const BroadcastGossip& tell) const {
     code(8);
     store(record, std::numeric_limits<std::uint32_t>::max());
     part(tell.bytes);
   }
-  void operator()(const Log& log) const {
+  void operator()(const LogMessage& log) const {
     code(9);
     part(log.text);
   }
-  void operator()(const WatchList& /*watch*/) const {
+  void operator()(const WatchEndpoints& /*watch*/) const {
     code(11);
     store(record, std::uint8_t{1});
   }
--- a/src/simhost/codec.hpp
+++ b/src/simhost/codec.hpp
@@ -50,10 +50,10 @@
 struct Retire {};
 struct DefineList {
   std::uint16_t number = 0;
-  std::vector<ListEntry> entries;
+  std::vector<EndpointEntry> entries;
 };
 struct Sync {
-  ListScope scope = ListScope::kFull;
+  EndpointUpdateScope scope = EndpointUpdateScope::kFull;
   std::uint16_t number = 0;
 };
 struct RawAttemptEnded {
@@ -61,13 +61,14 @@
   std::uint32_t reason = 0;
   RawReport report;
 };
-struct RawProbeAnswer {
-  ProbeAnswer event;
+struct RawHealthCheckResult {
+  HealthCheckResult event;
   RawReport report;
 };
 
-using WireEvent = std::variant<SwitchTo, Launch, Retire, DefineList, Sync, RawAttemptEnded, RawProbeAnswer,
-                               NewCall, Established, CallGone, TimerDue, PeerMessage>;
+using WireEvent =
+    std::variant<SwitchTo, Launch, Retire, DefineList, Sync, RawAttemptEnded, RawHealthCheckResult, NewCall,
+                 Established, CallAbandoned, TimerExpired, PeerMessage>;
 
 BatchHeader decode_header(std::span<const std::uint8_t> bytes);
 std::vector<WireEvent> decode_body(const BatchHeader& header, std::span<const std::uint8_t> body);
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -17,16 +17,16 @@
         names_wait(parsed.names_wait),
         admission(std::move(parsed.settings)) {}
 
-  [[nodiscard]] Report report(const RawReport& raw) const;
+  [[nodiscard]] LoadReport report(const RawReport& raw) const;
 
   std::vector<std::string> columns;
   bool names_wait;
   Admission admission;
 };
 
-Report Host::Instance::report(const RawReport& raw) const {
+LoadReport Host::Instance::report(const RawReport& raw) const {
   constexpr double kMicrosPerMilli = 1000.0;
-  Report facts;
+  LoadReport facts;
   for (std::size_t i = 0; i < raw.count && i < columns.size(); ++i) {
     const double value = raw.values[i];
     if (!std::isfinite(value) || value < 0) continue;
@@ -90,8 +90,8 @@
   void operator()(const Retire& /*retire*/) { host.instances_.erase(node); }
   void operator()(const DefineList& list) { host.lists_[list.number] = list.entries; }
   void operator()(const Sync& sync) {
-    ListNews news{sync.scope, {}};
-    if (sync.scope != ListScope::kFailed) {
+    EndpointUpdate news{sync.scope, {}};
+    if (sync.scope != EndpointUpdateScope::kFailed) {
       const auto found = host.lists_.find(sync.number);
       if (found == host.lists_.end()) throw WireError("list number not defined");
       news.entries = found->second;
@@ -104,16 +104,16 @@
     constexpr std::uint32_t kNumberBusy = 4;
     auto event = raw.event;
     const bool processor_full = (raw.reason & kReasonMask) == kProcessorFull;
-    event.of_the_call = raw.event.outcome == Outcome::kError && raw.reason == kNumberBusy;
+    event.is_caller_fault = raw.event.outcome == Outcome::kError && raw.reason == kNumberBusy;
     if (const auto found = host.instances_.find(node); found != host.instances_.end()) {
       event.report = found->second->report(raw.report);
       if (found->second->names_wait && processor_full && raw.reason > kReasonMask) {
-        event.asked_wait = std::chrono::milliseconds{raw.reason / (kReasonMask + 1)};
+        event.retry_after = std::chrono::milliseconds{raw.reason / (kReasonMask + 1)};
       }
     }
     deliver(event);
   }
-  void operator()(const RawProbeAnswer& raw) {
+  void operator()(const RawHealthCheckResult& raw) {
     auto event = raw.event;
     if (const auto found = host.instances_.find(node); found != host.instances_.end()) {
       event.report = found->second->report(raw.report);
--- a/src/simhost/host.hpp
+++ b/src/simhost/host.hpp
@@ -28,7 +28,7 @@
   struct Round;
 
   std::map<std::uint32_t, std::unique_ptr<Instance>> instances_;
-  std::map<std::uint16_t, std::vector<ListEntry>> lists_;
+  std::map<std::uint16_t, std::vector<EndpointEntry>> lists_;
 };
 
 }  // namespace amberknot::simhost
--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -9,7 +9,7 @@
 namespace amberknot::sip {
 namespace {
 
-constexpr std::size_t kMostHeaders = 64;
+constexpr std::size_t kMaxHeaders = 64;
 
 std::string_view trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
@@ -78,7 +78,7 @@
       if (!read_first_line(line, head)) return read;
       continue;
     }
-    if (lines > kMostHeaders) return read;
+    if (lines > kMaxHeaders) return read;
     const auto colon = line.find(':');
     if (colon == std::string_view::npos) return read;
     const auto name = trim(line.substr(0, colon));
@@ -153,8 +153,8 @@
   return std::chrono::milliseconds{*wait};
 }
 
-Report read_report(std::string_view text) {
-  Report report;
+LoadReport read_load_report(std::string_view text) {
+  LoadReport report;
   while (!text.empty()) {
     const auto part = text.substr(0, text.find(';'));
     text.remove_prefix(std::min(part.size() + 1, text.size()));
@@ -162,7 +162,7 @@
     if (colon == std::string_view::npos) continue;
     const auto name = trim(part.substr(0, colon));
     const auto value = whole<double>(trim(part.substr(colon + 1)));
-    if (value) core::set_report_field(report, name, *value);
+    if (value) core::set_load_report_field(report, name, *value);
   }
   return report;
 }
--- a/src/sip/codec.hpp
+++ b/src/sip/codec.hpp
@@ -40,7 +40,7 @@
 /// How long a full processor (`acc`) asks us to wait: whole milliseconds. Nothing where it does not say so.
 std::optional<Duration> read_lag(std::string_view diagnosis, std::string_view lag);
 /// `x0:12;x1:40;queue:3`, also under the settings' names. What cannot be read is left out.
-Report read_report(std::string_view text);
+LoadReport read_load_report(std::string_view text);
 
 struct SipCall {
   std::string_view id, number;
--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -13,9 +13,9 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kWarmLinks = 2;
-constexpr std::size_t kMostLinks = 4;  // a server tells its state on no more
-constexpr Duration kLeastBackoff = milliseconds{100};
-constexpr Duration kMostBackoff = seconds{1};
+constexpr std::size_t kMaxLinks = 4;  // a server tells its state on no more
+constexpr Duration kMinBackoff = milliseconds{100};
+constexpr Duration kMaxBackoff = seconds{1};
 // A link that ends sooner has not shown that the server takes links again.
 constexpr Duration kShortLife = milliseconds{500};
 // A probe unanswered this long is told as timed out: it waits in a queue or is lost.
@@ -24,7 +24,7 @@
 constexpr Duration kByeDoubt = seconds{3};
 // So long a server's release counts as told if it could not be sent before (PROTOCOL).
 constexpr Duration kUntold = seconds{8};
-constexpr std::size_t kMostByes = 256;
+constexpr std::size_t kMaxByes = 256;
 // The start of a message whose rest does not come: the link is cut.
 constexpr Duration kHalfMessage = milliseconds{400};
 // Set-ups sent so much later have been answered, and so long ago: what is out on a silent link is lost.
@@ -45,34 +45,36 @@
 // not kept so long; the connection is, since its server may have taken it for open before we see that, and
 // told a release on it that it tells on no other.
 constexpr Duration kLateUp = seconds{1};
-constexpr std::size_t kMostLate = 2;  // a machine that is cut off must not hold the other servers' places
+constexpr std::size_t kMaxLate = 2;  // a machine that is cut off must not hold the other servers' places
 // What was told by a link that we gave up is of use so long: after that its server has told it elsewhere, or
 // it counts as never told. Each holds a descriptor.
 constexpr Duration kHalfClosedFor = kUntold;
-constexpr std::size_t kMostHalfClosed = 4;
+constexpr std::size_t kMaxHalfClosed = 4;
 // A set-up that never left is moved from one lost link to the next so many times.
-constexpr int kMostResent = 3;
+constexpr int kMaxResent = 3;
 
 }  // namespace
 
 /// One connection to a server, and what left by it.
-struct Links::Link : net::Stream::Owner, std::enable_shared_from_this<Link> {
-  Link(Links& all, Server& server) : all(all), server(server) {}
-  void on_open(net::Stream& /*stream*/) override { all.link_open(*this); }
-  void on_late(net::Stream& /*stream*/) override { all.link_late(*this); }
-  std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
+struct ConnectionPool::Link : net::TcpConnection::Owner, std::enable_shared_from_this<Link> {
+  Link(ConnectionPool& all, Server& server) : all(all), server(server) {}
+  void on_open(net::TcpConnection& /*stream*/) override { all.link_open(*this); }
+  void on_late(net::TcpConnection& /*stream*/) override { all.link_late(*this); }
+  std::size_t on_bytes(net::TcpConnection& /*stream*/, std::span<char> bytes) override {
     return all.link_bytes(*this, bytes);
   }
-  void on_closed(net::Stream& /*stream*/, net::Closed why) override { all.link_closed(*this, why); }
+  void on_closed(net::TcpConnection& /*stream*/, net::CloseReason why) override {
+    all.link_closed(*this, why);
+  }
 
   struct Bye {
     std::string id;
     std::string text;
     Instant sent{};
   };
-  Links& all;
+  ConnectionPool& all;
   Server& server;
-  std::shared_ptr<net::Stream> stream;
+  std::shared_ptr<net::TcpConnection> stream;
   std::vector<core::AttemptRef> out;  ///< in the order in which they were queued
   std::deque<Bye> byes;               ///< not yet confirmed
   int resent = 0;                     ///< how often what waits on it has been moved, at most
@@ -83,7 +85,7 @@
   /// one that was called off unanswered tells as much of the link as one that is out.
   std::optional<Instant> silent_since;
   /// A set-up that was given up half written: the link sends its rest, or is cut.
-  std::optional<std::pair<net::Stream::Tag, Instant>> torn;
+  std::optional<std::pair<net::TcpConnection::Tag, Instant>> torn;
   std::optional<Instant> half_closed_at;  ///< when we gave it up; nothing is sent by it any more
   std::optional<Instant> overtaken_at;    ///< when later set-ups by other links had been answered
 
@@ -92,7 +94,7 @@
   [[nodiscard]] bool is_doubted() const { return overtaken_at || (silent_since && out.empty()); }
 };
 
-struct Links::Server {
+struct ConnectionPool::Server {
   explicit Server(ServerId id) : id(id) {}
   ServerId id;
   std::string address;
@@ -100,7 +102,7 @@
   std::vector<std::shared_ptr<Link>> links;        // connecting and open
   std::vector<std::shared_ptr<Link>> half_closed;  // given up by us and read on, the first one first
   std::size_t turn = 0;
-  Duration backoff = kLeastBackoff;
+  Duration backoff = kMinBackoff;
   core::TimerWheel::Handle retry = 0;
   int refusals = 0;         // in a row
   Instant answered_sent{};  // when the latest set-up that has been answered was sent
@@ -121,8 +123,9 @@
   }
 };
 
-Links::Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-             const net::Bounds& bounds, std::string own_name, Duration connect_limit)
+ConnectionPool::ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                               core::Counters& counters, const net::ResourceLimits& bounds,
+                               std::string own_name, Duration connect_limit)
     : loop_(loop),
       table_(table),
       servers_(servers),
@@ -133,25 +136,25 @@
   watch_links();
 }
 
-Links::~Links() {
+ConnectionPool::~ConnectionPool() {
   for (auto& [id, server] : by_id_) {
     for (auto& link : server->links) link->stream->close();
     for (auto& link : server->half_closed) link->stream->close();
   }
 }
 
-Links::Server& Links::of(ServerId id) {
+ConnectionPool::Server& ConnectionPool::of(ServerId id) {
   auto& server = by_id_[id];
   if (!server) server = std::make_unique<Server>(id);
   return *server;
 }
 
-void Links::server_changed(const core::ListedServer& listed) {
+void ConnectionPool::on_endpoint_changed(const core::Endpoint& listed) {
   auto& server = of(listed.id);
   const bool moved = !server.address.empty() && server.address != listed.address;
   server.address = listed.address;
   std::vector<core::AttemptRef> back;
-  if (listed.state != ListState::kReady || moved) {
+  if (listed.state != EndpointState::kReady || moved) {
     // The drain rule binds at the write: what still waits on a connecting or blocked socket never leaves. Nor
     // does it go to an address that the server has left.
     for (const auto& link : server.links) {
@@ -159,10 +162,10 @@
         if (link->stream->take_back(tag(ref))) back.push_back(ref);
       }
     }
-    counters_.taken_back += back.size();
+    counters_.withdrawn += back.size();
     for (const auto& ref : back) drop(find(ref));
   }
-  server.wanted = listed.state != ListState::kGone;
+  server.wanted = listed.state != EndpointState::kRemoved;
   std::vector<std::shared_ptr<Link>> closed;
   if (!server.wanted || moved) {
     closed = std::exchange(server.links, {});
@@ -176,11 +179,12 @@
   }
   if (server.wanted) keep_warm(server);
   // Told last: what ends is placed anew at once, and must not find the old links.
-  for (const auto& ref : back) table_.ended(ref, {Outcome::kMoot, core::Cause::kOutOfOrder, false, {}});
+  for (const auto& ref : back)
+    table_.on_attempt_ended(ref, {Outcome::kNotSent, core::Cause::kOutOfOrder, false, {}});
   for (const auto& link : closed) end_on(*link, Outcome::kReset);
 }
 
-void Links::forget_server(ServerId id) {
+void ConnectionPool::forget_server(ServerId id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   auto& server = *found->second;
@@ -189,23 +193,23 @@
   for (const auto& link : server.half_closed) link->stream->close();
   links_ -= server.links.size() + server.half_closed.size();
   std::vector<std::string> probes;
-  for (const auto& [key, probe] : probes_) {
+  for (const auto& [key, probe] : pending_health_checks_) {
     if (probe.server == id) probes.push_back(key);
   }
   for (const auto& key : probes) {
-    loop_.wheel.cancel(probes_.at(key).limit);
-    probes_.erase(key);
+    loop_.wheel.cancel(pending_health_checks_.at(key).limit);
+    pending_health_checks_.erase(key);
   }
   by_id_.erase(found);
 }
 
 // ---- links ----------------------------------------------------------------------------------------------
 
-void Links::keep_warm(Server& server) {
+void ConnectionPool::keep_warm(Server& server) {
   if (!server.wanted || server.retry != 0) return;
   const auto one_more = [&server] {
     if (server.links.size() < kWarmLinks) return true;
-    if (!server.untold_since || server.counted_links() >= kMostLinks) return false;
+    if (!server.untold_since || server.counted_links() >= kMaxLinks) return false;
     return server.open_links() == server.counted_links();  // else one is coming up already
   };
   while (one_more()) {
@@ -215,16 +219,16 @@
   }
 }
 
-void Links::connect(Server& server) {
+void ConnectionPool::connect(Server& server) {
   const auto to = net::read_endpoint(server.address);
   if (!to) {
     net::log::warn("server address cannot be read: ", server.address);
     return;
   }
   // The first link to a server is not denied: the list of servers is short.
-  if (links_ >= bounds_.links && !close_oldest_half_closed() && !server.links.empty()) return;
+  if (links_ >= bounds_.upstream_connections && !close_oldest_half_closed() && !server.links.empty()) return;
   auto link = std::make_shared<Link>(*this, server);
-  link->stream = std::make_shared<net::Stream>(loop_, *link);
+  link->stream = std::make_shared<net::TcpConnection>(loop_, *link);
   server.links.push_back(link);
   ++links_;
   link->stream->connect(*to, connect_limit_, kLateUp);
@@ -233,7 +237,7 @@
 // The open link with the fewest set-ups out, so that one spoilt answer or reset takes few others along; with
 // some out on each, one more is opened for those to come. Without an open link one that is coming up, or a
 // new one, backoff or not.
-std::shared_ptr<Links::Link> Links::pick_link(Server& server, const Link* avoid) {
+std::shared_ptr<ConnectionPool::Link> ConnectionPool::pick_link(Server& server, const Link* avoid) {
   std::shared_ptr<Link> best;
   std::shared_ptr<Link> avoided;
   const std::size_t count = server.links.size();
@@ -246,7 +250,7 @@
     (link.get() == avoid ? avoided : best) = link;
   }
   ++server.turn;
-  const bool room = server.counted_links() < kMostLinks;
+  const bool room = server.counted_links() < kMaxLinks;
   if (best) {
     if (!best->out.empty() && server.wanted && server.retry == 0 && room) connect(server);
     return best;
@@ -259,7 +263,7 @@
   return server.links.size() > count ? server.links.back() : avoided;
 }
 
-const Links::Link* Links::over_on(const core::AttemptRef& attempt) const {
+const ConnectionPool::Link* ConnectionPool::over_on(const core::AttemptRef& attempt) const {
   if (attempt.attempt == 0) return nullptr;
   for (auto one = over_.rbegin(); one != over_.rend(); ++one) {
     if (one->call != attempt.call) continue;
@@ -268,10 +272,10 @@
   return nullptr;
 }
 
-void Links::link_open(Link& link) {
+void ConnectionPool::link_open(Link& link) {
   auto& server = link.server;
   link.up = net::Loop::now();
-  if (std::exchange(link.late, false)) ++counters_.late_links;
+  if (std::exchange(link.late, false)) ++counters_.late_connections;
   server.refusals = 0;
   server.untold_since.reset();
   net::log::debug("link up: ", servers_.find(server.id)->name);
@@ -280,7 +284,7 @@
 
 // What never left goes by another link: it is no attempt's end. Only with nothing to go by is it one. A
 // refusal, or silence for the whole time, says that there is nothing; a reset of a new link does not.
-void Links::move_unsent(Link& link, bool dead) {
+void ConnectionPool::move_unsent(Link& link, bool dead) {
   auto& server = link.server;
   auto unsent = link.stream->take_unsent();
   const bool again = server.wanted && (server.open_links() > 0 || !dead);
@@ -291,7 +295,7 @@
                                   [&](const auto& one) { return tag(one) == message.tag; });
     if (ref == link.out.end()) continue;
     const auto attempt = find(*ref);
-    const auto other = again && link.resent < kMostResent ? pick_link(server) : nullptr;
+    const auto other = again && link.resent < kMaxResent ? pick_link(server) : nullptr;
     if (attempt == attempts_.end() || !other) {
       stranded.push_back(*ref);
       continue;
@@ -309,11 +313,11 @@
     const auto attempt = find(ref);
     if (attempt == attempts_.end()) continue;
     drop(attempt);
-    table_.ended(ref, {Outcome::kConnectFailed, core::Cause::kTemporaryFailure, false, {}});
+    table_.on_attempt_ended(ref, {Outcome::kConnectFailed, core::Cause::kTemporaryFailure, false, {}});
   }
 }
 
-void Links::link_late(Link& link) {
+void ConnectionPool::link_late(Link& link) {
   auto& server = link.server;
   const auto keep = link.shared_from_this();
   net::log::debug("link late: ", servers_.find(server.id)->name);
@@ -322,15 +326,15 @@
   move_unsent(link, true);
   end_on(link, Outcome::kConnectFailed);
   for (auto& bye : std::exchange(link.byes, {})) send_bye(server, std::move(bye.id), std::move(bye.text));
-  if (server.links.size() - server.counted_links() > kMostLate) {
-    link.stream->fail(net::Closed::kNeverUp);
+  if (server.links.size() - server.counted_links() > kMaxLate) {
+    link.stream->fail(net::CloseReason::kNeverUp);
     return;
   }
   // A server that tells releases on the next link that opens may never see this one: another one is opened.
   keep_warm(server);
 }
 
-void Links::link_closed(Link& gone, net::Closed why) {
+void ConnectionPool::link_closed(Link& gone, net::CloseReason why) {
   if (gone.half_closed_at) {
     half_closed_ended(gone, why);
     return;
@@ -345,7 +349,7 @@
   on_lost(*link, why);
 }
 
-void Links::on_lost(Link& link, net::Closed why) {
+void ConnectionPool::on_lost(Link& link, net::CloseReason why) {
   auto& server = link.server;
   const Instant now = net::Loop::now();
   const bool was_up = link.up != Instant{};
@@ -354,9 +358,9 @@
   } else {
     net::log::debug("no link to ", servers_.find(server.id)->name, ": ", name(why));
   }
-  server.refusals = why == net::Closed::kRefused ? server.refusals + 1 : 0;
+  server.refusals = why == net::CloseReason::kRefused ? server.refusals + 1 : 0;
 
-  move_unsent(link, why == net::Closed::kRefused || why == net::Closed::kNeverUp);
+  move_unsent(link, why == net::CloseReason::kRefused || why == net::CloseReason::kNeverUp);
   // A link that was lost leaves what it carried in doubt.
   end_on(link, was_up ? Outcome::kReset : Outcome::kConnectFailed);
   for (auto& bye : std::exchange(link.byes, {})) {
@@ -364,19 +368,19 @@
   }
   // What stood has been cut, and nobody is left who could say so.
   if (server.refusals >= kRefusalsOfDeath && server.open_links() == 0) {
-    table_.cut_all(server.id, "connection refused");
+    table_.abort_all(server.id, "connection refused");
   }
   const bool stands = stands_at(server.id);
-  if (was_up && why != net::Closed::kEnded && stands) server.untold_since = now;
+  if (was_up && why != net::CloseReason::kEnded && stands) server.untold_since = now;
   if (!stands || (server.untold_since && now - *server.untold_since > kUntold)) server.untold_since.reset();
   // Callers are owed a release within 1 s: a pause that is longer, begun by another link, is not waited for.
   if (server.untold_since) {
     loop_.wheel.cancel(std::exchange(server.retry, 0));
-    server.backoff = kLeastBackoff;
+    server.backoff = kMinBackoff;
   }
   if (!server.wanted || server.retry != 0) return;
   if (was_up && now - link.up >= kShortLife) {
-    server.backoff = kLeastBackoff;
+    server.backoff = kMinBackoff;
     keep_warm(server);
     return;
   }
@@ -384,40 +388,40 @@
     server.retry = 0;
     keep_warm(server);
   });
-  server.backoff = std::min(server.backoff * 2, kMostBackoff);
+  server.backoff = std::min(server.backoff * 2, kMaxBackoff);
 }
 
 // A server tells a release on the link of its set-up, and on the next one that opens. While what we said does
 // not reach it, it takes a link that we gave up for open, after the next one has opened too: closed at our
 // side, its releases would be lost for good.
-void Links::half_close(Link& link) {
+void ConnectionPool::half_close(Link& link) {
   auto& server = link.server;
   const auto keep = link.shared_from_this();
-  const bool has_room = links_ < bounds_.links && server.half_closed.size() < kMostHalfClosed;
+  const bool has_room = links_ < bounds_.upstream_connections && server.half_closed.size() < kMaxHalfClosed;
   if (!has_room || !link.stream->is_open()) {
-    link.stream->fail(net::Closed::kReset);
+    link.stream->fail(net::CloseReason::kReset);
     return;
   }
   std::erase(server.links, keep);
   server.half_closed.push_back(keep);
   link.half_closed_at = net::Loop::now();
-  on_lost(link, net::Closed::kReset);
+  on_lost(link, net::CloseReason::kReset);
   link.stream->close_output();
 }
 
-void Links::half_closed_ended(Link& link, net::Closed why) {
+void ConnectionPool::half_closed_ended(Link& link, net::CloseReason why) {
   auto& server = link.server;
   std::erase(server.half_closed, link.shared_from_this());
   --links_;
   // It closed in its turn: all that it told by that link has come. A reset may have overtaken some of it.
-  if (why == net::Closed::kEnded || !stands_at(server.id)) return;
+  if (why == net::CloseReason::kEnded || !stands_at(server.id)) return;
   server.untold_since = net::Loop::now();
   loop_.wheel.cancel(std::exchange(server.retry, 0));
-  server.backoff = kLeastBackoff;
+  server.backoff = kMinBackoff;
   keep_warm(server);
 }
 
-bool Links::close_oldest_half_closed() {
+bool ConnectionPool::close_oldest_half_closed() {
   Server* oldest = nullptr;
   for (const auto& [id, server] : by_id_) {
     if (server->half_closed.empty()) continue;
@@ -432,7 +436,7 @@
   return true;
 }
 
-void Links::close_old_half_closed(Server& server, Instant now) {
+void ConnectionPool::close_old_half_closed(Server& server, Instant now) {
   while (!server.half_closed.empty() && now - *server.half_closed.front()->half_closed_at > kHalfClosedFor) {
     server.half_closed.front()->stream->close();
     server.half_closed.erase(server.half_closed.begin());
@@ -440,27 +444,27 @@
   }
 }
 
-bool Links::stands_at(ServerId server) const {
+bool ConnectionPool::stands_at(ServerId server) const {
   return std::any_of(attempts_.begin(), attempts_.end(), [server](const auto& item) {
     return item.first.first == server && item.second.standing;
   });
 }
 
-void Links::end_on(Link& link, Outcome outcome) {
+void ConnectionPool::end_on(Link& link, Outcome outcome) {
   const auto over = std::exchange(link.out, {});
   std::vector<std::string> probes;
-  for (const auto& [id, probe] : probes_) {
+  for (const auto& [id, probe] : pending_health_checks_) {
     if (probe.link.get() == &link) probes.push_back(id);
   }
   for (const auto& ref : over) {
     const auto attempt = find(ref);
     if (attempt == attempts_.end()) continue;
     drop(attempt);
-    table_.ended(ref, {outcome, core::Cause::kTemporaryFailure, false, {}});
+    table_.on_attempt_ended(ref, {outcome, core::Cause::kTemporaryFailure, false, {}});
   }
   for (const auto& id : probes) {
-    const auto found = probes_.find(id);
-    if (found == probes_.end()) continue;
+    const auto found = pending_health_checks_.find(id);
+    if (found == pending_health_checks_.end()) continue;
     // One lost link says nothing of the server while others are open: it is asked again by one of them.
     auto& server = of(found->second.server);
     const auto other = server.open_links() > 0 ? pick_link(server) : nullptr;
@@ -476,7 +480,7 @@
 // Guards against a link that is open and serves no further use: its server has answered what was sent by
 // other links later, or a message on it has begun and does not end. What is out on it is lost, and held on to
 // it would wait for its callers' whole patience.
-bool Links::is_stuck(const Link& link, Instant now) {
+bool ConnectionPool::is_stuck(const Link& link, Instant now) {
   if (link.torn && now - link.torn->second > kTornFor) return true;
   if (link.half_since) return now - *link.half_since > kHalfMessage;
   if (!link.stream->is_open() || !link.overtaken_at) return false;
@@ -485,13 +489,13 @@
 }
 
 // Silence counts from when the link was up: until then a set-up waits for the connection.
-void Links::note_overtaken(Link& link, Instant now) {
+void ConnectionPool::note_overtaken(Link& link, Instant now) {
   if (!link.silent_since || link.overtaken_at) return;
   if (std::max(*link.silent_since, link.up) + kOvertakenBy < link.server.answered_sent)
     link.overtaken_at = now;
 }
 
-void Links::watch_links() {
+void ConnectionPool::watch_links() {
   loop_.after(kWatchEvery, [this] {
     const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Link>> stuck;
@@ -506,7 +510,7 @@
     }
     while (!over_.empty() && now - over_.front().at > kSecondAnswer) over_.pop_front();
     for (const auto& link : stuck) {
-      ++counters_.stuck_links;
+      ++counters_.stalled_connections;
       net::log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
                      link->out.size(), " set-ups out");
       half_close(*link);
@@ -517,14 +521,14 @@
 
 // ---- what the core asks ---------------------------------------------------------------------------------
 
-void Links::set_up(const core::SetUp& set_up) {
+void ConnectionPool::set_up(const core::SetUp& set_up) {
   auto& server = of(set_up.attempt.server);
   // Answers name their call and not their attempt: after one that had left the next goes by another link, by
   // which no second or late answer to the first one comes.
   const auto link = pick_link(server, over_on(set_up.attempt));
   if (!link) {
     asio::post(loop_.io, [this, ref = set_up.attempt] {
-      table_.ended(ref, {Outcome::kConnectFailed, core::Cause::kOutOfOrder, false, {}});
+      table_.on_attempt_ended(ref, {Outcome::kConnectFailed, core::Cause::kOutOfOrder, false, {}});
     });
     return;
   }
@@ -538,7 +542,7 @@
                      std::string(set_up.description), tag(set_up.attempt));
 }
 
-bool Links::cancel(const core::AttemptRef& attempt) {
+bool ConnectionPool::cancel(const core::AttemptRef& attempt) {
   const auto found = find(attempt);
   if (found == attempts_.end()) return false;
   const auto link = found->second.link;
@@ -547,7 +551,7 @@
   drop(found);
   if (!link || link->stream->is_closed()) return false;
   if (link->stream->take_back(tag(attempt))) {
-    ++counters_.taken_back;
+    ++counters_.withdrawn;
     // It never left, so that no answer to it tells nothing of the link.
     if (link->out.empty() && !link->overtaken_at) link->silent_since.reset();
     return true;
@@ -558,7 +562,7 @@
   return false;
 }
 
-void Links::release(const core::AttemptRef& attempt, core::Cause cause) {
+void ConnectionPool::release(const core::AttemptRef& attempt, core::Cause cause) {
   const auto found = find(attempt);
   if (found == attempts_.end()) return;
   std::string id = found->first.second;
@@ -570,10 +574,10 @@
 
 // A release that is lost leaves a call standing for good: it is kept until it is confirmed, and told again
 // when its link is lost before that.
-void Links::send_bye(Server& server, std::string id, std::string bye) {
+void ConnectionPool::send_bye(Server& server, std::string id, std::string bye) {
   if (server.open_links() > 0) {
     if (const auto link = pick_link(server)) {
-      if (link->byes.size() >= kMostByes) link->byes.pop_front();
+      if (link->byes.size() >= kMaxByes) link->byes.pop_front();
       link->byes.push_back({std::move(id), bye, net::Loop::now()});
       link->stream->send(std::move(bye));
       return;
@@ -584,28 +588,28 @@
   keep_warm(server);
 }
 
-void Links::probe(ServerId id) {
+void ConnectionPool::probe(ServerId id) {
   auto& server = of(id);
   const auto link = pick_link(server);
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next_probe_++));
-  Probe probe{id, link, net::Loop::now(), 0};
+  PendingHealthCheck probe{id, link, net::Loop::now(), 0};
   probe.limit =
       loop_.after(kProbeLimit, [this, key = std::string(text)] { end_probe(key, Outcome::kTimeout, {}); });
-  probes_.emplace(text, std::move(probe));
+  pending_health_checks_.emplace(text, std::move(probe));
   if (link) link->stream->send(options_head(text, own_name_));
 }
 
-void Links::end_probe(const std::string& id, Outcome outcome, const Report& load) {
-  const auto found = probes_.find(id);
-  if (found == probes_.end()) return;
+void ConnectionPool::end_probe(const std::string& id, Outcome outcome, const LoadReport& load) {
+  const auto found = pending_health_checks_.find(id);
+  if (found == pending_health_checks_.end()) return;
   const auto probe = std::move(found->second);
-  probes_.erase(found);
+  pending_health_checks_.erase(found);
   loop_.wheel.cancel(probe.limit);
-  table_.probed(probe.server, outcome, net::Loop::now() - probe.sent, load);
+  table_.on_health_check_result(probe.server, outcome, net::Loop::now() - probe.sent, load);
 }
 
-void Links::drop(Attempts::iterator at) {
+void ConnectionPool::drop(Attempts::iterator at) {
   if (at == attempts_.end()) return;
   if (const auto& link = at->second.link) {
     std::erase_if(link->out, [&](const auto& ref) { return ref.call == at->second.ref.call; });
@@ -614,7 +618,7 @@
   attempts_.erase(at);
 }
 
-Links::Attempts::iterator Links::find(const core::AttemptRef& attempt) {
+ConnectionPool::Attempts::iterator ConnectionPool::find(const core::AttemptRef& attempt) {
   const auto key = by_call_.find(attempt.call);
   if (key == by_call_.end()) return attempts_.end();
   const auto found = attempts_.find(key->second);
@@ -627,18 +631,18 @@
 
 // ---- what the servers say -------------------------------------------------------------------------------
 
-std::size_t Links::link_bytes(Link& link, std::span<char> bytes) {
+std::size_t ConnectionPool::link_bytes(Link& link, std::span<char> bytes) {
   const auto keep = link.shared_from_this();
   link.silent_since.reset();
   link.overtaken_at.reset();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
-    const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
+    const auto read = read_sip({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessage);
     if (read.state == SipRead::State::kMore) break;
     if (read.state == SipRead::State::kBad) {
       ++counters_.unreadable;
       net::log::warn(log_bad_, "unreadable head from ", servers_.find(link.server.id)->name, ": link closed");
-      link.stream->fail(net::Closed::kReset);
+      link.stream->fail(net::CloseReason::kReset);
       return bytes.size();
     }
     on_message(link, read);
@@ -653,7 +657,7 @@
   return taken;
 }
 
-void Links::on_message(Link& link, const SipRead& read) {
+void ConnectionPool::on_message(Link& link, const SipRead& read) {
   const auto& head = read.head;
   if (head.status != 0) {
     if (head.method == "INVITE") {
@@ -661,7 +665,7 @@
     } else if (head.method == "OPTIONS") {
       if (head.status < 200) return;
       end_probe(std::string(head.call_id), head.status < 300 ? Outcome::kOk : Outcome::kFull,
-                read_report(head.occupancy));
+                read_load_report(head.occupancy));
     } else if (head.method == "BYE") {
       std::erase_if(link.byes, [&](const auto& bye) { return bye.id == head.call_id; });
     }
@@ -669,7 +673,7 @@
   }
   if (head.method == "NOTIFY") {
     if (link.half_closed_at) return;  // it may be old, and the other links have told what is new
-    table_.load_told(link.server.id, read_report(head.occupancy));
+    table_.on_load_report(link.server.id, read_load_report(head.occupancy));
   } else if (head.method == "BYE") {
     on_bye(link, head);
   } else if (head.method != "ACK") {
@@ -677,7 +681,7 @@
   }
 }
 
-void Links::on_invite_answer(Link& link, const SipRead& read) {
+void ConnectionPool::on_invite_answer(Link& link, const SipRead& read) {
   const auto& head = read.head;
   auto& server = link.server;
   if (head.status < 200) return;
@@ -710,7 +714,7 @@
       if (const auto by = std::exchange(found->second.link, nullptr)) {
         std::erase_if(by->out, [&](const auto& one) { return one.call == ref.call; });
       }
-      if (table_.stood(ref, read.body)) return;
+      if (table_.on_established(ref, read.body)) return;
       drop(find(ref));
     }
     const std::string id(head.call_id);
@@ -719,11 +723,11 @@
     if (current && !plausible) {
       // It has run, and what it says is spoilt: released there, and no part of it is passed on. The link
       // carries nothing more.
-      ++counters_.spoilt_answers;
+      ++counters_.malformed_answers;
       net::log::warn(log_bad_, "spoilt answer of ", servers_.find(server.id)->name, " to ", id,
                      ": link closed");
       const auto keep = link.shared_from_this();
-      link.stream->fail(net::Closed::kReset);
+      link.stream->fail(net::CloseReason::kReset);
       send_bye(server, id, std::move(bye));
       return;
     }
@@ -745,26 +749,26 @@
   over_.push_back({ref.call, found->second.link, net::Loop::now()});
   drop(found);
   core::AttemptEnd end;
-  end.load = read_report(head.occupancy);
+  end.load = read_load_report(head.occupancy);
   switch (head.status) {
     case 503:
       end.outcome = Outcome::kFull;
-      end.stay_away = read_lag(head.diagnosis, head.lag);
+      end.retry_after = read_lag(head.diagnosis, head.lag);
       break;
     case 480:
-      end.outcome = Outcome::kMoot;
+      end.outcome = Outcome::kNotSent;
       break;
     case 504:
       end.outcome = Outcome::kReset;
       break;
     default:
       end.outcome = Outcome::kError;
-      end.of_the_call = head.diagnosis == "sub";
+      end.is_caller_fault = head.diagnosis == "sub";
   }
-  table_.ended(ref, end);
+  table_.on_attempt_ended(ref, end);
 }
 
-void Links::on_bye(Link& link, const SipHead& head) {
+void ConnectionPool::on_bye(Link& link, const SipHead& head) {
   link.stream->send(ok_head(head));
   const auto found = attempts_.find({link.server.id, std::string(head.call_id)});
   if (found == attempts_.end()) {
@@ -781,8 +785,8 @@
   core::AttemptEnd end;
   end.outcome = ok && standing ? Outcome::kOk : Outcome::kReset;
   end.cause = static_cast<core::Cause>(cause);
-  if (!link.half_closed_at) end.load = read_report(head.occupancy);
-  table_.ended(ref, end);
+  if (!link.half_closed_at) end.load = read_load_report(head.occupancy);
+  table_.on_attempt_ended(ref, end);
 }
 
 }  // namespace amberknot::sip
--- a/src/sip/links.hpp
+++ b/src/sip/links.hpp
@@ -18,13 +18,14 @@
 
 namespace amberknot::sip {
 
-class Links : public core::Links {
+class ConnectionPool : public core::UpstreamPool {
  public:
-  Links(net::Loop& loop, core::CallTable& table, core::ServerList& servers, core::Counters& counters,
-        const net::Bounds& bounds, std::string own_name, Duration connect_limit);
-  ~Links() override;
+  ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
+                 core::Counters& counters, const net::ResourceLimits& bounds, std::string own_name,
+                 Duration connect_limit);
+  ~ConnectionPool() override;
 
-  void server_changed(const core::ListedServer& server) override;
+  void on_endpoint_changed(const core::Endpoint& server) override;
   void forget_server(ServerId server) override;
   [[nodiscard]] std::size_t servers() const { return by_id_.size(); }
 
@@ -45,7 +46,7 @@
     Instant sent{};
     bool standing = false;
   };
-  struct Probe {
+  struct PendingHealthCheck {
     ServerId server{};
     std::shared_ptr<Link> link;
     Instant sent{};
@@ -71,13 +72,13 @@
   void link_late(Link& link);
   /// What never left by the link goes by another one, or ends where nothing listens any more (`dead`).
   void move_unsent(Link& link, bool dead);
-  void link_closed(Link& link, net::Closed why);
+  void link_closed(Link& link, net::CloseReason why);
   /// What a link carried goes by others or ends, and others are opened in its place. It is listed no more.
-  void on_lost(Link& link, net::Closed why);
+  void on_lost(Link& link, net::CloseReason why);
   /// Gives a link up that is open and serves no further use. Its server may not know of that for some time:
   /// until it closes too what it tells by that link is heard.
   void half_close(Link& link);
-  void half_closed_ended(Link& link, net::Closed why);
+  void half_closed_ended(Link& link, net::CloseReason why);
   /// Closes the one that was half-closed first, of all servers, for its descriptor; false: there is none.
   bool close_oldest_half_closed();
   void close_old_half_closed(Server& server, Instant now);
@@ -88,21 +89,21 @@
   void send_bye(Server& server, std::string id, std::string bye);
   [[nodiscard]] bool stands_at(ServerId server) const;
   void end_on(Link& link, Outcome outcome);
-  void end_probe(const std::string& id, Outcome outcome, const Report& load);
+  void end_probe(const std::string& id, Outcome outcome, const LoadReport& load);
   void watch_links();
   static void note_overtaken(Link& link, Instant now);
   [[nodiscard]] static bool is_stuck(const Link& link, Instant now);
   Attempts::iterator find(const core::AttemptRef& attempt);
   void drop(Attempts::iterator at);
-  static net::Stream::Tag tag(const core::AttemptRef& attempt) {
-    return (static_cast<net::Stream::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
+  static net::TcpConnection::Tag tag(const core::AttemptRef& attempt) {
+    return (static_cast<net::TcpConnection::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
   }
 
   net::Loop& loop_;
   core::CallTable& table_;
-  core::ServerList& servers_;
+  core::EndpointRegistry& servers_;
   core::Counters& counters_;
-  net::Bounds bounds_;
+  net::ResourceLimits bounds_;
   std::string own_name_;
   Duration connect_limit_;
   std::map<ServerId, std::unique_ptr<Server>> by_id_;
@@ -115,10 +116,10 @@
   };
   std::deque<Over> over_;
   std::unordered_map<CallId, Key> by_call_;
-  std::unordered_map<std::string, Probe> probes_;
+  std::unordered_map<std::string, PendingHealthCheck> pending_health_checks_;
   std::uint64_t next_probe_ = 1;
   std::size_t links_ = 0;  ///< connecting and open, to all servers
-  net::log::Few log_late_, log_bad_, log_link_;
+  net::log::RateLimiter log_late_, log_bad_, log_link_;
 };
 
 }  // namespace amberknot::sip
--- a/src/store/handover.cpp
+++ b/src/store/handover.cpp
@@ -18,10 +18,10 @@
 namespace {
 
 constexpr std::string_view kPrefix = "amberknot-releases-";
-constexpr std::uintmax_t kMostText = 1024 * 1024;
+constexpr std::uintmax_t kMaxText = 1024 * 1024;
 // More go into several files, so that each can be read: an id and a caller's address, quoted, are far below
 // 200 bytes.
-constexpr std::size_t kMostInOne = kMostText / 256;
+constexpr std::size_t kMaxInOne = kMaxText / 256;
 
 /// Names sort in the order of their making.
 std::string next_name() {
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-std::string text_of(const core::ServingRecord& self, const std::vector<core::HandedRelease>& releases) {
+std::string text_of(const core::InstanceRecord& self, const std::vector<core::UndeliveredRelease>& releases) {
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> to(text);
   to.StartObject();
@@ -56,15 +56,15 @@
   return {text.GetString(), text.GetSize()};
 }
 
-std::optional<std::vector<core::HandedRelease>> read_releases(std::string_view text,
-                                                              const core::ServingRecord& self) {
+std::optional<std::vector<core::UndeliveredRelease>> read_releases(std::string_view text,
+                                                                   const core::InstanceRecord& self) {
   rapidjson::Document read;
   if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
   const auto head = read_head(read);
   if (!head || head->name != self.name || head->listen != self.listen) return std::nullopt;
   const auto list = read.FindMember("releases");
   if (list == read.MemberEnd() || !list->value.IsArray()) return std::nullopt;
-  std::vector<core::HandedRelease> releases;
+  std::vector<core::UndeliveredRelease> releases;
   for (const auto& item : list->value.GetArray()) {
     if (!item.IsObject() || !item.HasMember("caller") || !item["caller"].IsString() ||
         !item.HasMember("id") || !item["id"].IsString() || !item.HasMember("cause") ||
@@ -76,10 +76,10 @@
   return releases;
 }
 
-bool leave_releases(const std::string& folder, const core::ServingRecord& self,
-                    std::vector<core::HandedRelease>& releases, std::string& error) {
+bool leave_releases(const std::string& folder, const core::InstanceRecord& self,
+                    std::vector<core::UndeliveredRelease>& releases, std::string& error) {
   while (!releases.empty()) {
-    const auto end = releases.begin() + static_cast<std::ptrdiff_t>(std::min(releases.size(), kMostInOne));
+    const auto end = releases.begin() + static_cast<std::ptrdiff_t>(std::min(releases.size(), kMaxInOne));
     const auto place = folder + "/" + next_name();
     const auto draft = folder + "/.draft-" + place.substr(folder.size() + 1);
     std::ofstream file(draft, std::ios::binary);
@@ -95,8 +95,9 @@
   return true;
 }
 
-std::vector<core::HandedRelease> take_releases(const std::string& folder, const core::ServingRecord& self,
-                                               std::size_t& unreadable) {
+std::vector<core::UndeliveredRelease> take_releases(const std::string& folder,
+                                                    const core::InstanceRecord& self,
+                                                    std::size_t& unreadable) {
   std::vector<std::filesystem::path> files;
   std::error_code failed;
   for (std::filesystem::directory_iterator at(folder, failed), end; !failed && at != end;
@@ -104,11 +105,11 @@
     if (at->path().filename().string().starts_with(kPrefix)) files.push_back(at->path());
   }
   std::sort(files.begin(), files.end());
-  std::vector<core::HandedRelease> all;
+  std::vector<core::UndeliveredRelease> all;
   for (const auto& path : files) {
     const auto size = std::filesystem::file_size(path, failed);
-    std::optional<std::vector<core::HandedRelease>> read;
-    if (!failed && size <= kMostText) {
+    std::optional<std::vector<core::UndeliveredRelease>> read;
+    if (!failed && size <= kMaxText) {
       std::ifstream file(path, std::ios::binary);
       read = read_releases(std::string(std::istreambuf_iterator<char>(file), {}), self);
     }
--- a/src/store/presence.cpp
+++ b/src/store/presence.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::string_view kPrefix = "amberknot-serving-";
-constexpr std::size_t kMostText = 1024;
+constexpr std::size_t kMaxText = 1024;
 
 class Descriptor {
  public:
@@ -37,14 +37,14 @@
 };
 
 std::string read_some(int descriptor) {
-  std::array<char, kMostText> text{};
+  std::array<char, kMaxText> text{};
   const auto got = ::pread(descriptor, text.data(), text.size(), 0);
   return got > 0 ? std::string(text.data(), static_cast<std::size_t>(got)) : std::string();
 }
 
 }  // namespace
 
-std::string text_of(const core::ServingRecord& record) {
+std::string text_of(const core::InstanceRecord& record) {
   rapidjson::StringBuffer text;
   rapidjson::Writer<rapidjson::StringBuffer> to(text);
   to.StartObject();
@@ -55,7 +55,7 @@
   return std::string(text.GetString(), text.GetSize()) + "\n";
 }
 
-std::optional<core::ServingRecord> read_record(std::string_view text) {
+std::optional<core::InstanceRecord> read_record(std::string_view text) {
   rapidjson::Document read;
   if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
   auto record = read_head(read);
@@ -66,8 +66,8 @@
   return record;
 }
 
-std::optional<Presence> Presence::declare(const std::string& folder, const core::ServingRecord& self,
-                                          std::string& error) {
+std::optional<InstanceLock> InstanceLock::declare(const std::string& folder, const core::InstanceRecord& self,
+                                                  std::string& error) {
   if (folder.empty()) {
     error = "no folder is given in TMPDIR";
     return std::nullopt;
@@ -82,26 +82,26 @@
     if (made.get() >= 0) ::unlink(file.c_str());
     return std::nullopt;
   }
-  return Presence(folder, std::move(file), made.keep(), self);
+  return InstanceLock(folder, std::move(file), made.keep(), self);
 }
 
-Presence::Presence(std::string folder, std::string file, int descriptor, core::ServingRecord self)
+InstanceLock::InstanceLock(std::string folder, std::string file, int descriptor, core::InstanceRecord self)
     : folder_(std::move(folder)), file_(std::move(file)), descriptor_(descriptor), self_(std::move(self)) {}
 
-Presence::Presence(Presence&& other) noexcept
+InstanceLock::InstanceLock(InstanceLock&& other) noexcept
     : folder_(std::move(other.folder_)),
       file_(std::move(other.file_)),
       descriptor_(std::exchange(other.descriptor_, -1)),
       self_(std::move(other.self_)) {}
 
-Presence::~Presence() {
+InstanceLock::~InstanceLock() {
   if (descriptor_ < 0) return;
   ::unlink(file_.c_str());
   ::close(descriptor_);
 }
 
-std::vector<core::ServingRecord> Presence::others(std::size_t& unreadable) const {
-  std::vector<core::ServingRecord> found;
+std::vector<core::InstanceRecord> InstanceLock::others(std::size_t& unreadable) const {
+  std::vector<core::InstanceRecord> found;
   std::error_code failed;
   for (std::filesystem::directory_iterator at(folder_, failed), end; !failed && at != end;
        at.increment(failed)) {
--- a/src/store/presence.hpp
+++ b/src/store/presence.hpp
@@ -12,29 +12,29 @@
 namespace amberknot::store {
 
 /// The file's text, and back; nothing where it is of another version, cut short or not ours.
-std::string text_of(const core::ServingRecord& record);
-std::optional<core::ServingRecord> read_record(std::string_view text);
+std::string text_of(const core::InstanceRecord& record);
+std::optional<core::InstanceRecord> read_record(std::string_view text);
 
-class Presence {
+class InstanceLock {
  public:
   /// Writes and locks this process's file in `folder`. `error` says why where it could not be done; the
   /// router serves all the same, and a replacement is then not noticed.
-  static std::optional<Presence> declare(const std::string& folder, const core::ServingRecord& self,
-                                         std::string& error);
-  Presence(Presence&& other) noexcept;
-  Presence& operator=(Presence&&) = delete;
-  ~Presence();
+  static std::optional<InstanceLock> declare(const std::string& folder, const core::InstanceRecord& self,
+                                             std::string& error);
+  InstanceLock(InstanceLock&& other) noexcept;
+  InstanceLock& operator=(InstanceLock&&) = delete;
+  ~InstanceLock();
 
   /// The processes beside this one that hold their files. Files that nobody holds are of processes that died:
   /// they are removed. `unreadable` counts files that are held and cannot be read.
-  [[nodiscard]] std::vector<core::ServingRecord> others(std::size_t& unreadable) const;
-  [[nodiscard]] const core::ServingRecord& self() const { return self_; }
+  [[nodiscard]] std::vector<core::InstanceRecord> others(std::size_t& unreadable) const;
+  [[nodiscard]] const core::InstanceRecord& self() const { return self_; }
 
  private:
-  Presence(std::string folder, std::string file, int descriptor, core::ServingRecord self);
+  InstanceLock(std::string folder, std::string file, int descriptor, core::InstanceRecord self);
   std::string folder_, file_;
   int descriptor_ = -1;
-  core::ServingRecord self_;
+  core::InstanceRecord self_;
 };
 
 }  // namespace amberknot::store
--- a/src/store/record_head.hpp
+++ b/src/store/record_head.hpp
@@ -12,7 +12,7 @@
 inline constexpr int kRecordVersion = 1;
 
 template <typename Writer>
-void write_head(Writer& to, const core::ServingRecord& whose) {
+void write_head(Writer& to, const core::InstanceRecord& whose) {
   to.Key("version");
   to.Int(kRecordVersion);
   to.Key("name");
@@ -22,7 +22,7 @@
 }
 
 /// The name and address; nothing where it is no such record, or of another version.
-inline std::optional<core::ServingRecord> read_head(const rapidjson::Value& record) {
+inline std::optional<core::InstanceRecord> read_head(const rapidjson::Value& record) {
   if (!record.IsObject()) return std::nullopt;
   const auto version = record.FindMember("version");
   const auto name = record.FindMember("name");
@@ -32,7 +32,7 @@
       name == none || !name->value.IsString() || listen == none || !listen->value.IsString()) {
     return std::nullopt;
   }
-  return core::ServingRecord{name->value.GetString(), listen->value.GetString(), 0};
+  return core::InstanceRecord{name->value.GetString(), listen->value.GetString(), 0};
 }
 
 }  // namespace amberknot::store
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -136,7 +136,7 @@
   out << "reach (what is lost on the way of a set-up):\n";
   for (std::size_t client = 0; client < translator.clients(); ++client) {
     for (std::size_t i = 0; i < translator.servers(); ++i) {
-      const auto no = static_cast<VersionNo>(i);
+      const auto no = static_cast<ProtocolVersion>(i);
       const auto* mapping = translator.mapping(client, no);
       out << "  " << translator.client(client).name << " to " << translator.server(no).name << ": ";
       if (mapping == nullptr) {
@@ -154,7 +154,7 @@
   for (const auto& fault : translator.faults()) out << "  fault: " << fault << "\n";
   out << "errors (what each client hears):\n";
   for (std::size_t i = 0; i < translator.servers(); ++i) {
-    const auto& server = translator.server(static_cast<VersionNo>(i));
+    const auto& server = translator.server(static_cast<ProtocolVersion>(i));
     for (const auto& error : server.errors) {
       out << "  " << server.name << " " << code_of(error) << ": " << about(error.meaning) << ":";
       for (std::size_t client = 0; client < translator.clients(); ++client) {
@@ -162,8 +162,8 @@
         const auto& word = translate::word_for(dialect, error.meaning.reason);
         out << (client == 0 ? " " : ", ") << dialect.name << " " << word.code;
       }
-      out << (core::facts_of(error.meaning.reason).final_answer == core::Final::kRefused ? " (refused)"
-                                                                                         : " (failed)")
+      out << (core::facts_of(error.meaning.reason).final_answer == core::Final::kRejected ? " (refused)"
+                                                                                          : " (failed)")
           << "\n";
     }
   }
--- a/src/translate/dialect.cpp
+++ b/src/translate/dialect.cpp
@@ -6,8 +6,8 @@
 namespace amberknot::translate {
 namespace {
 
-constexpr std::int64_t kMostDescription = 8192;
-constexpr std::int64_t kMostPatience = 600'000'000;  // microseconds
+constexpr std::int64_t kMaxDescription = 8192;
+constexpr std::int64_t kMaxPatience = 600'000'000;  // microseconds
 
 FieldSpec text(std::string name, Meaning meaning, std::int64_t least, std::int64_t most,
                bool required = true) {
@@ -29,7 +29,7 @@
   return {std::move(name), Meaning::kCall, Type::kHex, 16, 16, true};
 }
 FieldSpec patience(std::string name) {
-  return {std::move(name), Meaning::kPatience, Type::kDuration, 1000, kMostPatience, true};
+  return {std::move(name), Meaning::kPatience, Type::kDuration, 1000, kMaxPatience, true};
 }
 FieldSpec cause(std::string name, bool required = true) {
   return {std::move(name), Meaning::kCause, Type::kNumber, 1, 127, required};
@@ -47,40 +47,40 @@
 Dialect json_lines() {
   Dialect dialect;
   dialect.name = "json-lines";
-  dialect.says_stay_away = true;
+  dialect.states_retry_after = true;
   set(dialect, Kind::kSetUp,
       {call("sid"), token("class", Meaning::kClass, 1, 64), patience("left"),
        token("tenant", Meaning::kTenant, 1, 64), token("key", Meaning::kNumber, 1, 64),
-       text("text", Meaning::kDescription, 1, kMostDescription),
+       text("text", Meaning::kDescription, 1, kMaxDescription),
        number("dest", Meaning::kPool, 0, 0xffffffff, false), number("width", Meaning::kWidth, 1, 64, false),
        number("again", Meaning::kAgain, 0, 1, false)});
-  set(dialect, Kind::kAnswer, {call("sid"), text("text", Meaning::kDescription, 1, kMostDescription)});
+  set(dialect, Kind::kAnswer, {call("sid"), text("text", Meaning::kDescription, 1, kMaxDescription)});
   set(dialect, Kind::kGiveUp, {call("sid")});
   set(dialect, Kind::kRelease, {call("sid"), cause("code")});
   // A refusal is a release with cause 34, 42 or 102; every other cause is a failure.
-  dialect.words = {{Reason::kNormal, 16},        {Reason::kCongestion, 42},  {Reason::kNoCircuit, 34},
-                   {Reason::kTimeout, 102},      {Reason::kNumberBusy, 17},  {Reason::kNumberUnknown, 1},
-                   {Reason::kFieldRefused, 100}, {Reason::kServerFault, 41}, {Reason::kTenantUnknown, 21}};
+  dialect.words = {{Reason::kNormal, 16},         {Reason::kCongestion, 42},  {Reason::kNoCircuit, 34},
+                   {Reason::kTimeout, 102},       {Reason::kNumberBusy, 17},  {Reason::kNumberUnknown, 1},
+                   {Reason::kFieldRejected, 100}, {Reason::kServerFault, 41}, {Reason::kTenantUnknown, 21}};
   return dialect;
 }
 
 Dialect diameter_client() {
   Dialect dialect;
   dialect.name = "diameter";
-  dialect.says_stay_away = true;
+  dialect.states_retry_after = true;
   set(dialect, Kind::kSetUp,
       {call("Session-Id"), token("Service-Context-Id", Meaning::kClass, 1, 64),
        token("Subscription-Id-Data", Meaning::kNumber, 1, 64), token("User-Name", Meaning::kTenant, 1, 64),
        number("Destination-Host", Meaning::kPool, 0, 0xffffffff, false),
-       text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMostDescription),
+       text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMaxDescription),
        patience("Service-Parameter-Value.2")});
   set(dialect, Kind::kAnswer,
-      {call("Session-Id"), text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMostDescription)});
+      {call("Session-Id"), text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMaxDescription)});
   set(dialect, Kind::kGiveUp, {call("Session-Id")});
   set(dialect, Kind::kRelease, {call("Session-Id"), cause("Termination-Cause")});
   dialect.words = {{Reason::kCongestion, 3004, "DIAMETER_TOO_BUSY"},
                    {Reason::kServerFault, 5012, "DIAMETER_UNABLE_TO_COMPLY"},
-                   {Reason::kFieldRefused, 5004, "DIAMETER_INVALID_AVP_VALUE"},
+                   {Reason::kFieldRejected, 5004, "DIAMETER_INVALID_AVP_VALUE"},
                    {Reason::kNumberUnknown, 5030, "DIAMETER_USER_UNKNOWN"},
                    {Reason::kTenantUnknown, 5003, "DIAMETER_AUTHORIZATION_REJECTED"},
                    {Reason::kTenantSuspended, 4010, "DIAMETER_END_USER_SERVICE_DENIED"},
@@ -109,9 +109,9 @@
   dialect.words = {{Reason::kNormal, 0, "approved"},
                    {Reason::kCongestion, 91, "issuer or switch inoperative"},
                    {Reason::kTimeout, 68, "response received too late"},
-                   {Reason::kOverShare, 65, "exceeds frequency limit"},
+                   {Reason::kOverQuota, 65, "exceeds frequency limit"},
                    {Reason::kServerFault, 96, "system malfunction"},
-                   {Reason::kFieldRefused, 30, "format error"},
+                   {Reason::kFieldRejected, 30, "format error"},
                    {Reason::kNumberUnknown, 14, "invalid card number"},
                    {Reason::kNumberBusy, 5, "do not honor"},
                    {Reason::kTenantUnknown, 3, "invalid merchant"},
@@ -127,8 +127,8 @@
   dialect.name = "sip";
   set(dialect, Kind::kSetUp,
       {call("Call-ID"), token("X-Cos", Meaning::kClass, 1, 64), token("Request-URI", Meaning::kNumber, 1, 64),
-       patience("X-Timer-Ms"), text("body", Meaning::kDescription, 1, kMostDescription)});
-  set(dialect, Kind::kAnswer, {call("Call-ID"), text("body", Meaning::kDescription, 1, kMostDescription)});
+       patience("X-Timer-Ms"), text("body", Meaning::kDescription, 1, kMaxDescription)});
+  set(dialect, Kind::kAnswer, {call("Call-ID"), text("body", Meaning::kDescription, 1, kMaxDescription)});
   set(dialect, Kind::kGiveUp, {call("Call-ID")});
   set(dialect, Kind::kRelease, {call("Call-ID"), cause("Reason")});
   dialect.errors = {{480, 480, "", {Reason::kServerFault, Ran::kNo, About::kServer}},
@@ -137,7 +137,7 @@
                     {503, 503, "", kFull},
                     {503, 503, "atb", {Reason::kNoCircuit, Ran::kNo, About::kServer}},
                     {503, 503, "acc", kFull},
-                    {504, 504, "", {Reason::kCut, Ran::kMaybe, About::kServer}},
+                    {504, 504, "", {Reason::kAborted, Ran::kMaybe, About::kServer}},
                     {300, 699, "", kFault}};
   return dialect;
 }
@@ -148,10 +148,10 @@
   set(dialect, Kind::kSetUp,
       {call("Session-Id"), token("Service-Context-Id", Meaning::kClass, 1, 64),
        token("Subscription-Id-Data", Meaning::kNumber, 1, 64),
-       text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMostDescription),
+       text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMaxDescription),
        patience("Service-Parameter-Value.2")});
   set(dialect, Kind::kAnswer,
-      {call("Session-Id"), text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMostDescription)});
+      {call("Session-Id"), text("Service-Parameter-Value.1", Meaning::kDescription, 1, kMaxDescription)});
   set(dialect, Kind::kGiveUp, {call("Session-Id")});
   set(dialect, Kind::kRelease, {call("Session-Id"), cause("Termination-Cause", false)});
   constexpr ErrorMeaning kElsewhere{Reason::kServerFault, Ran::kNo, About::kServer};
@@ -161,13 +161,13 @@
                     {3010, 3010, "", kElsewhere},
                     {4002, 4002, "", kFull},
                     {4010, 4010, "", {Reason::kTenantSuspended, Ran::kMaybe, About::kCall}},
-                    {4011, 4011, "", {Reason::kOverShare, Ran::kMaybe, About::kCall}},
-                    {4012, 4012, "", {Reason::kOverShare, Ran::kMaybe, About::kCall}},
-                    {5001, 5001, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+                    {4011, 4011, "", {Reason::kOverQuota, Ran::kMaybe, About::kCall}},
+                    {4012, 4012, "", {Reason::kOverQuota, Ran::kMaybe, About::kCall}},
+                    {5001, 5001, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {5003, 5003, "", {Reason::kTenantUnknown, Ran::kMaybe, About::kCall}},
-                    {5004, 5004, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+                    {5004, 5004, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {5030, 5030, "", {Reason::kNumberUnknown, Ran::kMaybe, About::kCall}},
-                    {5031, 5031, "", {Reason::kFieldRefused, Ran::kMaybe, About::kCall}},
+                    {5031, 5031, "", {Reason::kFieldRejected, Ran::kMaybe, About::kCall}},
                     {3000, 5999, "", kFault}};
   return dialect;
 }
@@ -177,18 +177,18 @@
   dialect.name = "session-1";
   set(dialect, Kind::kSetUp,
       {call("id"), token("class", Meaning::kClass, 1, 64), token("number", Meaning::kNumber, 1, 64),
-       text("description", Meaning::kDescription, 1, kMostDescription), patience("waitMs")});
-  set(dialect, Kind::kAnswer, {call("id"), text("description", Meaning::kDescription, 1, kMostDescription)});
+       text("description", Meaning::kDescription, 1, kMaxDescription), patience("waitMs")});
+  set(dialect, Kind::kAnswer, {call("id"), text("description", Meaning::kDescription, 1, kMaxDescription)});
   set(dialect, Kind::kGiveUp, {call("id")});
   set(dialect, Kind::kRelease, {call("id"), cause("cause")});
-  dialect.errors = {{400, 400, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+  dialect.errors = {{400, 400, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {404, 404, "", {Reason::kNumberUnknown, Ran::kNo, About::kCall}},
                     {409, 409, "", {Reason::kDuplicate, Ran::kMaybe, About::kCall}},
                     {429, 429, "", kFull},
                     {503, 503, "", kFull},
                     {503, 503, "no-line", {Reason::kNoCircuit, Ran::kNo, About::kServer}},
-                    {504, 504, "", {Reason::kCut, Ran::kMaybe, About::kServer}},
-                    {505, 505, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+                    {504, 504, "", {Reason::kAborted, Ran::kMaybe, About::kServer}},
+                    {505, 505, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {400, 599, "", kFault}};
   return dialect;
 }
@@ -199,16 +199,16 @@
   dialect.version = 2;
   set(dialect, Kind::kSetUp,
       {call("id"), token("class", Meaning::kClass, 1, 64), token("number", Meaning::kNumber, 1, 64),
-       text("description", Meaning::kDescription, 1, kMostDescription), patience("waitMs"),
+       text("description", Meaning::kDescription, 1, kMaxDescription), patience("waitMs"),
        token("retailer", Meaning::kTenant, 1, 64), token("region", Meaning::kRegion, 1, 32),
        token("terminal", Meaning::kTerminal, 1, 16, false), digits("trace", Meaning::kTrace, 6, 6, false),
        token("reference", Meaning::kReference, 1, 32, false),
        number("amountMinor", Meaning::kAmount, 0, 999'999'999'999, false),
        digits("currency", Meaning::kCurrency, 3, 3, false), number("again", Meaning::kAgain, 0, 1, false)});
   set(dialect, Kind::kAnswer,
-      {call("id"), text("description", Meaning::kDescription, 1, kMostDescription),
+      {call("id"), text("description", Meaning::kDescription, 1, kMaxDescription),
        token("region", Meaning::kRegion, 1, 32)});
-  dialect.errors = {{400, 400, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+  dialect.errors = {{400, 400, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {403, 403, "tenant-suspended", {Reason::kTenantSuspended, Ran::kNo, About::kCall}},
                     {403, 403, "", {Reason::kTenantUnknown, Ran::kNo, About::kCall}},
                     {404, 404, "", {Reason::kNumberUnknown, Ran::kNo, About::kCall}},
@@ -216,13 +216,13 @@
                     {409, 409, "number-busy", {Reason::kNumberBusy, Ran::kNo, About::kCall}},
                     {421, 421, "region-closed", {Reason::kRegionClosed, Ran::kNo, About::kVersion}},
                     {421, 421, "", {Reason::kServerFault, Ran::kNo, About::kServer}},
-                    {422, 422, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
-                    {429, 429, "over-share", {Reason::kOverShare, Ran::kNo, About::kCall}},
+                    {422, 422, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
+                    {429, 429, "over-share", {Reason::kOverQuota, Ran::kNo, About::kCall}},
                     {429, 429, "", kFull},
                     {503, 503, "", kFull},
                     {503, 503, "no-line", {Reason::kNoCircuit, Ran::kNo, About::kServer}},
-                    {504, 504, "", {Reason::kCut, Ran::kMaybe, About::kServer}},
-                    {505, 505, "", {Reason::kFieldRefused, Ran::kNo, About::kVersion}},
+                    {504, 504, "", {Reason::kAborted, Ran::kMaybe, About::kServer}},
+                    {505, 505, "", {Reason::kFieldRejected, Ran::kNo, About::kVersion}},
                     {400, 599, "", kFault}};
   return dialect;
 }
@@ -299,7 +299,7 @@
   for (std::size_t kind = 0; kind < kKinds; ++kind) {
     const auto& fields = dialect.fields[kind];
     const std::string path(name_of(static_cast<Kind>(kind)));
-    if (fields.size() > kMostFields) fault(path, "more fields than a record holds");
+    if (fields.size() > kMaxFields) fault(path, "more fields than a record holds");
     for (std::size_t i = 0; i < fields.size(); ++i) {
       const auto& field = fields[i];
       const std::string at = path + "." + field.name;
--- a/src/translate/dialect.hpp
+++ b/src/translate/dialect.hpp
@@ -60,13 +60,13 @@
   std::vector<FieldSpec> fields[kKinds];  ///< by Kind; at most kMostFields each
   std::vector<ErrorSpec> errors;          ///< servers' dialects
   std::vector<WordSpec> words;            ///< clients' dialects
-  bool says_stay_away = false;            ///< a refusal can say when to come back
+  bool states_retry_after = false;        ///< a refusal can say when to come back
 
   [[nodiscard]] const std::vector<FieldSpec>& of(Kind kind) const {
     return fields[static_cast<std::size_t>(kind)];
   }
 };
-inline constexpr std::size_t kMostFields = 32;
+inline constexpr std::size_t kMaxFields = 32;
 
 /// Index of the field of that name; none: the number of fields.
 std::size_t index_of(const std::vector<FieldSpec>& fields, std::string_view name);
--- a/src/translate/duplicates.cpp
+++ b/src/translate/duplicates.cpp
@@ -29,7 +29,7 @@
                              Duration{1});
   // Half of the bytes are for the slots, which are a power of two and three quarters full at most; half for
   // answers.
-  const std::size_t slots = std::max<std::size_t>(16, std::bit_floor(rules_.most_bytes / 2 / sizeof(Slot)));
+  const std::size_t slots = std::max<std::size_t>(16, std::bit_floor(rules_.max_bytes / 2 / sizeof(Slot)));
   slots_.resize(slots);
   most_ = slots / 4 * 3;
   ticks_ = tick_of(now);
@@ -198,14 +198,14 @@
   auto at = find(key);
   if (at == kNone || slots_[at].state != RequestState::kOpen) return false;
   // Answers may not take more than their half; the oldest go first, and with them their entries.
-  const std::size_t most = rules_.most_bytes / 2;
-  while (answer.size() <= rules_.most_answer && answers_ + answer.size() > most && evict_oldest()) {
+  const std::size_t most = rules_.max_bytes / 2;
+  while (answer.size() <= rules_.max_answer && answers_ + answer.size() > most && evict_oldest()) {
     at = find(key);  // others may have moved
   }
   unschedule(at);
   auto& slot = slots_[at];
   slot.state = RequestState::kAnswered;
-  if (answer.size() <= rules_.most_answer && answers_ + answer.size() <= most) {
+  if (answer.size() <= rules_.max_answer && answers_ + answer.size() <= most) {
     slot.answer = std::string(answer);
     slot.kept = true;
     answers_ += slot.answer.capacity() > sizeof(std::string) ? slot.answer.capacity() : 0;
--- a/src/translate/duplicates.hpp
+++ b/src/translate/duplicates.hpp
@@ -32,8 +32,8 @@
 };
 
 struct DuplicateRules {
-  std::size_t most_bytes = 1 << 20;          ///< of the whole index, answers included
-  std::size_t most_answer = 1024;            ///< bytes of one kept answer; longer ones are not kept
+  std::size_t max_bytes = 1 << 20;           ///< of the whole index, answers included
+  std::size_t max_answer = 1024;             ///< bytes of one kept answer; longer ones are not kept
   Duration open = std::chrono::seconds{60};  ///< an open one is forgotten after that at the latest
   Duration over = std::chrono::minutes{5};   ///< an answered or reversed one
 };
@@ -80,7 +80,7 @@
   [[nodiscard]] std::optional<RequestState> state(const RequestKey& key) const;
   [[nodiscard]] std::size_t size() const { return used_; }
   [[nodiscard]] std::size_t bytes() const { return slots_.size() * sizeof(Slot) + answers_; }
-  [[nodiscard]] std::size_t most_entries() const { return most_; }
+  [[nodiscard]] std::size_t max_entries() const { return most_; }
 
   struct Counts {
     std::uint64_t fresh = 0, same = 0, again = 0, reversed = 0, early = 0, expired = 0, evicted = 0,
--- a/src/translate/eligibility.cpp
+++ b/src/translate/eligibility.cpp
@@ -16,12 +16,12 @@
         faults_.push_back(std::string(side) + ": \"" + name + "\" is no dialect");
       }
     }
-    if (to.size() > kMostDialects)
+    if (to.size() > kMaxDialects)
       faults_.push_back(std::string(side) + ": more dialects than can be told apart");
   };
   take(clients, clients_, "clients");
   take(servers, servers_, "servers");
-  if (servers_.size() > kMostDialects) servers_.resize(kMostDialects);
+  if (servers_.size() > kMaxDialects) servers_.resize(kMaxDialects);
   for (std::size_t i = 0; i < servers_.size(); ++i) {
     if (servers_[i].name.rfind("session-", 0) == 0) translated_ |= set_of(static_cast<DialectNo>(i));
   }
--- a/src/translate/eligibility.hpp
+++ b/src/translate/eligibility.hpp
@@ -40,7 +40,7 @@
   /// The servers' dialects in which this set-up cannot be said. `why` has the reason for each of them.
   struct Ruling {
     DialectSet out = 0;
-    std::array<Said, kMostDialects> why{};
+    std::array<Said, kMaxDialects> why{};
   };
   Ruling rule(std::size_t client, const Record& set_up, Record& scratch) const;
 
--- a/src/translate/mapping.cpp
+++ b/src/translate/mapping.cpp
@@ -71,9 +71,9 @@
       return true;
     }
     case Op::kPrint: {
-      char* at = to.room(kMostDerived);
+      char* at = to.room(kMaxDerived);
       if (at == nullptr) return false;
-      const auto [end, bad] = std::to_chars(at, at + kMostDerived, from.number(step.from));
+      const auto [end, bad] = std::to_chars(at, at + kMaxDerived, from.number(step.from));
       const std::string_view text(at, static_cast<std::size_t>(end - at));
       if (bad != std::errc{} || !fits(step, text)) return false;
       to.set(step.to, text);
@@ -97,7 +97,7 @@
       return true;
     }
     case Op::kRule: {
-      char* at = to.room(kMostDerived);
+      char* at = to.room(kMaxDerived);
       std::size_t size = 0;
       if (at == nullptr || !rules_[step.aux](from.text(step.from), to_[step.to], at, size)) return false;
       const std::string_view text(at, size);
--- a/src/translate/mapping.hpp
+++ b/src/translate/mapping.hpp
@@ -50,9 +50,9 @@
  private:
   std::uint32_t present_ = 0;
   std::size_t used_ = 0;
-  std::array<std::string_view, kMostFields> texts_{};
-  std::array<std::int64_t, kMostFields> numbers_{};
-  std::array<char, kMostFields * kMostDerived> own_{};
+  std::array<std::string_view, kMaxFields> texts_{};
+  std::array<std::int64_t, kMaxFields> numbers_{};
+  std::array<char, kMaxFields * kMaxDerived> own_{};
 };
 
 /// A record against its dialect's fields: the index of the first that is missing though required, or holds
--- a/src/translate/message.hpp
+++ b/src/translate/message.hpp
@@ -10,7 +10,7 @@
 
 namespace amberknot::translate {
 
-class Message : public core::Told {
+class Message : public core::ProtocolMessage {
  public:
   /// `client` is the number of the client's dialect in the router's Translator.
   Message(std::size_t client, const std::vector<FieldSpec>& fields) : client_(client), fields_(fields) {}
--- a/src/translate/table.cpp
+++ b/src/translate/table.cpp
@@ -52,7 +52,7 @@
 // ---- rules ----------------------------------------------------------------------------------------------
 
 bool put(std::string_view text, char* out, std::size_t& size) {
-  if (text.size() > kMostDerived) return false;
+  if (text.size() > kMaxDerived) return false;
   std::copy(text.begin(), text.end(), out);
   size = text.size();
   return true;
@@ -60,7 +60,7 @@
 
 template <typename Change>
 bool each(std::string_view in, char* out, std::size_t& size, Change change) {
-  if (in.size() > kMostDerived) return false;
+  if (in.size() > kMaxDerived) return false;
   std::transform(in.begin(), in.end(), out, change);
   size = in.size();
   return true;
@@ -76,7 +76,7 @@
   size = 0;
   for (const char c : in) {
     if (c < '0' || c > '9') continue;
-    if (size == kMostDerived) return false;
+    if (size == kMaxDerived) return false;
     out[size++] = c;
   }
   return size > 0;
@@ -89,7 +89,7 @@
 bool pad_zeros(std::string_view in, const FieldSpec& target, char* out, std::size_t& size) {
   const auto least = static_cast<std::size_t>(std::max<std::int64_t>(target.least, 0));
   const std::size_t zeros = in.size() < least ? least - in.size() : 0;
-  if (zeros + in.size() > kMostDerived) return false;
+  if (zeros + in.size() > kMaxDerived) return false;
   std::fill(out, out + zeros, '0');
   std::copy(in.begin(), in.end(), out + zeros);
   size = zeros + in.size();
--- a/src/translate/table.hpp
+++ b/src/translate/table.hpp
@@ -74,7 +74,7 @@
 
 /// A rule makes a text out of a text, for a field that is as the target says. It writes at most kMostDerived
 /// bytes; false: it makes nothing of that.
-inline constexpr std::size_t kMostDerived = 64;
+inline constexpr std::size_t kMaxDerived = 64;
 using RuleFunction = bool (*)(std::string_view in, const FieldSpec& target, char* out, std::size_t& size);
 struct Rule {
   std::string_view name;
--- a/src/translate/versions.cpp
+++ b/src/translate/versions.cpp
@@ -39,7 +39,7 @@
 void Versions::bar(Instant now, ServerId id, Server& server, Actions& actions) {
   ++counts_.barred;
   server.state = VersionState::kBarred;
-  server.pause = std::clamp(server.pause * 2, rules_.least_pause, rules_.most_pause);
+  server.pause = std::clamp(server.pause * 2, rules_.min_pause, rules_.max_pause);
   server.due = now + server.pause;
   become(id, server, std::nullopt, actions);
 }
--- a/src/translate/versions.hpp
+++ b/src/translate/versions.hpp
@@ -18,16 +18,16 @@
 namespace amberknot::translate {
 
 /// A dialect by its place in the router's list of servers' dialects; the module knows it by that number.
-using DialectNo = VersionNo;
-inline constexpr std::size_t kMostDialects = 31;  // the last number is of what is not known
+using DialectNo = ProtocolVersion;
+inline constexpr std::size_t kMaxDialects = 31;  // the last number is of what is not known
 /// A set of dialects.
-using DialectSet = VersionSet;
+using DialectSet = ProtocolVersionSet;
 using core::set_of;
 
 struct VersionRules {
-  Duration patience = std::chrono::milliseconds{500};     ///< for the answer to the question what it speaks
-  Duration least_pause = std::chrono::milliseconds{500};  ///< before it is asked again
-  Duration most_pause = std::chrono::seconds{30};
+  Duration patience = std::chrono::milliseconds{500};   ///< for the answer to the question what it speaks
+  Duration min_pause = std::chrono::milliseconds{500};  ///< before it is asked again
+  Duration max_pause = std::chrono::seconds{30};
   Duration keep = std::chrono::minutes{10};  ///< what was learned counts so long after the last sign of it
 };
 
