--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -30,11 +30,11 @@
   play.list({ready(1)});
   for (std::uint32_t id = 0; id < 4; ++id) play.call(id, 1);
   const auto held = play.call(9, 1);
-  EXPECT_TRUE(of<Send>(held).empty());
+  EXPECT_TRUE(of<ForwardCall>(held).empty());
   EXPECT_EQ(answers(held), 0U);
   const auto later = play.look_until(3s);
-  ASSERT_EQ(of<Refuse>(later).size(), 1U);
-  EXPECT_EQ(of<Refuse>(later)[0].call, CallId{9});
+  ASSERT_EQ(of<RejectCall>(later).size(), 1U);
+  EXPECT_EQ(of<RejectCall>(later)[0].call, CallId{9});
 }
 
 TEST(Tokens, ComesBackWhenTheCallStands) {
@@ -45,54 +45,54 @@
   play.at(50ms);
   const auto actions = play.stands(0, 1, 50ms);
   ASSERT_EQ(sends_to(actions, 1), 1U);
-  EXPECT_EQ(of<Send>(actions)[0].call, CallId{9});
+  EXPECT_EQ(of<ForwardCall>(actions)[0].call, CallId{9});
 }
 
 // A router that runs out of processor reads its callers late and answers them late: seen on a day with many
 // held calls, each of which was tried at every server at each event.
 TEST(Cost, HeldCallsOfOneKindAreLookedAtOnce) {
   constexpr std::uint32_t kServers = 24;
-  constexpr std::uint32_t kHeld = 500;
+  constexpr std::uint32_t kQueued = 500;
   Scenario play;
-  std::vector<ListEntry> servers;
+  std::vector<EndpointEntry> servers;
   for (std::uint32_t id = 0; id < kServers; ++id) servers.push_back(ready(id));
   play.list(servers);
   for (std::uint32_t id = 0; id < 4 * kServers; ++id) {
-    ASSERT_EQ(of<Send>(play.call(id, id % kServers)).size(), 1U);
+    ASSERT_EQ(of<ForwardCall>(play.call(id, id % kServers)).size(), 1U);
   }
   // Each comes at its own moment, so that none has exactly the time of another.
-  for (std::uint32_t id = 0; id < kHeld; ++id) {
+  for (std::uint32_t id = 0; id < kQueued; ++id) {
     play.at(100us * id);
-    ASSERT_TRUE(of<Send>(play.call(1000 + id, id % kServers, id % 2)).empty());
+    ASSERT_TRUE(of<ForwardCall>(play.call(1000 + id, id % kServers, id % 2)).empty());
   }
-  const auto before = play.looks();
+  const auto before = play.server_evaluations();
   play.at(60ms).look();
-  EXPECT_LE(play.looks() - before, 4U * kServers);  // two classes, each perhaps also late
+  EXPECT_LE(play.server_evaluations() - before, 4U * kServers);  // two classes, each perhaps also late
   // A token that comes back is seen all the same, and goes to the dearest.
   const auto actions = play.stands(5, 5, 60ms);
   EXPECT_GE(sends_to(actions, 5), 1U);
-  for (const auto& send : of<Send>(actions)) EXPECT_EQ(static_cast<std::uint32_t>(send.call) % 2, 1U);
+  for (const auto& send : of<ForwardCall>(actions)) EXPECT_EQ(static_cast<std::uint32_t>(send.call) % 2, 1U);
 }
 
 // DAYS, new settings: a call under way keeps its class. Only what comes later has the new one.
 TEST(Retune, ACallUnderWayKeepsItsClassAsItWas) {
-  for (const bool was_repeatable : {false, true}) {
+  for (const bool was_idempotent : {false, true}) {
     auto settings = usual_settings();
-    settings.classes[0].repeatable = was_repeatable;
+    settings.classes[0].idempotent = was_idempotent;
     Scenario play(settings);
     play.list({ready(1), ready(2)});
     ASSERT_EQ(sends_to(play.call(0, 1), 1), 1U);
-    settings.classes[0].repeatable = !was_repeatable;
-    settings.classes[0].pools = {CellNo{2}};
-    play.retune(settings.classes, settings.limits);
+    settings.classes[0].idempotent = !was_idempotent;
+    settings.classes[0].pools = {PoolId{2}};
+    play.apply_reload(settings.classes, settings.limits);
     ASSERT_EQ(sends_to(play.call(1, 1), 2), 1U);  // the new class goes to pool 2 only
     play.ends(0, 1, Outcome::kReset);
     play.ends(1, 2, Outcome::kReset);
     const auto later = play.look_until(5s);
-    EXPECT_EQ(of<Fail>(play.all()).size(), 1U);
-    EXPECT_EQ(of<Fail>(play.all())[0].call, CallId{was_repeatable ? 1U : 0U});
-    ASSERT_EQ(of<Send>(later).size(), 1U);
-    EXPECT_EQ(of<Send>(later)[0].call, CallId{was_repeatable ? 0U : 1U});
+    EXPECT_EQ(of<FailCall>(play.all()).size(), 1U);
+    EXPECT_EQ(of<FailCall>(play.all())[0].call, CallId{was_idempotent ? 1U : 0U});
+    ASSERT_EQ(of<ForwardCall>(later).size(), 1U);
+    EXPECT_EQ(of<ForwardCall>(later)[0].call, CallId{was_idempotent ? 0U : 1U});
   }
 }
 
@@ -102,9 +102,9 @@
   Scenario play(settings);
   play.list({ready(1)});
   play.call(0, 1);
-  settings.limits.most_tries = 1;
-  play.retune(settings.classes, settings.limits);
-  EXPECT_EQ(answers(play.ends(0, 1, Outcome::kMoot)), 1U);
+  settings.limits.max_tries = 1;
+  play.apply_reload(settings.classes, settings.limits);
+  EXPECT_EQ(answers(play.ends(0, 1, Outcome::kNotSent)), 1U);
 }
 
 // What found no room for one call is not remembered for the next that comes at the same instant: with each
@@ -126,8 +126,8 @@
   Scenario play;
   play.list({ready(1)});
   ASSERT_EQ(sends_to(play.call(0, 1), 1), 1U);
-  play.at(700ms).stands(0, 1, 700ms);                         // it answers in 700 ms now
-  EXPECT_TRUE(of<Send>(play.call(10, 1, 0, 400ms)).empty());  // its caller would have gone
+  play.at(700ms).stands(0, 1, 700ms);                                // it answers in 700 ms now
+  EXPECT_TRUE(of<ForwardCall>(play.call(10, 1, 0, 400ms)).empty());  // its caller would have gone
   EXPECT_EQ(sends_to(play.call(11, 1, 0, 5s), 1), 1U);
 }
 
@@ -141,20 +141,20 @@
   play.at(50ms);
   const auto actions = play.ends(0, 1, GetParam(), true);
   ASSERT_EQ(sends_to(actions, 1), 1U);
-  EXPECT_EQ(of<Send>(actions)[0].call, CallId{9});
+  EXPECT_EQ(of<ForwardCall>(actions)[0].call, CallId{9});
 }
 
 INSTANTIATE_TEST_SUITE_P(Outcomes, TokenReturn,
                          ::testing::Values(Outcome::kOk, Outcome::kError, Outcome::kTimeout, Outcome::kReset,
-                                           Outcome::kCancelled, Outcome::kMoot));
+                                           Outcome::kCancelled, Outcome::kNotSent));
 
 TEST(Tokens, CallerLeavingGivesItBackAndCallsOffTheSetup) {
   Scenario play;
   play.list({ready(1)});
   for (std::uint32_t id = 0; id < 4; ++id) play.call(id, 1);
   play.call(9, 1);
-  const auto actions = play.at(50ms).tell(CallGone{CallId{0}});
-  EXPECT_EQ(of<Cancel>(actions).size(), 1U);
+  const auto actions = play.at(50ms).tell(CallAbandoned{CallId{0}});
+  EXPECT_EQ(of<CancelAttempt>(actions).size(), 1U);
   EXPECT_EQ(sends_to(actions, 1), 1U);
 }
 
@@ -164,9 +164,9 @@
   Scenario play(settings);
   play.list({ready(1)});
   play.call(0, 1);
-  EXPECT_TRUE(of<Cancel>(play.tell(CallGone{CallId{0}})).empty());
+  EXPECT_TRUE(of<CancelAttempt>(play.tell(CallAbandoned{CallId{0}})).empty());
   play.call(1, 1);
-  EXPECT_TRUE(of<Cancel>(play.look_until(2s)).empty());
+  EXPECT_TRUE(of<CancelAttempt>(play.look_until(2s)).empty());
 }
 
 TEST(Pressure, TokensAreWithheldWhileAServerIsSlow) {
@@ -175,17 +175,17 @@
   warm(play, 1, 0);
   play.at(100ms).call(1, 1);
   play.at(900ms).stands(1, 1, 800ms);
-  EXPECT_TRUE(of<Send>(play.at(905ms).call(2, 1)).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.at(905ms).call(2, 1)).empty());
 }
 
 TEST(Pressure, AReportedWaitWithholdsToo) {
   Scenario play;
   play.list({ready(1)});
   warm(play, 1, 0);
-  Report report;
+  LoadReport report;
   report.wait = 900ms;
   play.at(100ms).ends(0, 1, Outcome::kOk, true, 0, report);
-  EXPECT_TRUE(of<Send>(play.at(105ms).call(2, 1)).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.at(105ms).call(2, 1)).empty());
 }
 
 TEST(Pressure, TokensReturnAsTheDelayFades) {
@@ -194,7 +194,7 @@
   warm(play, 1, 0);
   play.at(100ms).call(1, 1);
   play.at(900ms).stands(1, 1, 800ms);
-  EXPECT_TRUE(of<Send>(play.at(905ms).call(2, 1)).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.at(905ms).call(2, 1)).empty());
   EXPECT_EQ(sends_to(play.at(17s).call(3, 1), 1), 1U);
 }
 
@@ -211,7 +211,7 @@
     play.at(time).call(id, 3);
     play.stands(id++, 3, 250ms);
     const auto actions = play.call(id, 9);  // no server has this cell: always a draw
-    for (const auto& send : of<Send>(actions)) {
+    for (const auto& send : of<ForwardCall>(actions)) {
       if (send.server == ServerId{3}) {
         ++slow;
         play.stands(id, 3, 250ms);
@@ -233,13 +233,13 @@
   play.call(8, 1, 0);
   play.call(9, 1, 1);
   const auto actions = play.at(50ms).stands(0, 1, 50ms);
-  ASSERT_EQ(of<Send>(actions).size(), 1U);
-  EXPECT_EQ(of<Send>(actions)[0].call, CallId{9});
+  ASSERT_EQ(of<ForwardCall>(actions).size(), 1U);
+  EXPECT_EQ(of<ForwardCall>(actions)[0].call, CallId{9});
 }
 
 TEST(Classes, OnlyTheirPools) {
   auto settings = usual_settings();
-  settings.classes[0].pools = {CellNo{2}};
+  settings.classes[0].pools = {PoolId{2}};
   Scenario play(settings);
   play.list({ready(1), ready(2)});
   EXPECT_EQ(sends_to(play.call(0, 1), 2), 1U);
@@ -250,10 +250,10 @@
   play.list({ready(1), ready(2)});
   NewCall news;
   news.call = CallId{1};
-  news.destination = CellNo{5};
-  news.in_transit = true;
+  news.destination = PoolId{5};
+  news.is_in_transit = true;
   news.expires = Instant{1000s} + 3s;
-  EXPECT_TRUE(of<Send>(play.tell(news)).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.tell(news)).empty());
 }
 
 TEST(Stale, EventsForFinishedCallsAreIgnored) {
@@ -263,12 +263,12 @@
   play.stands(0, 1, 50ms);
   play.ends(0, 1, Outcome::kOk, true);
   const std::vector<std::vector<Action>> late = {play.ends(0, 1, Outcome::kTimeout), play.stands(0, 1, 50ms),
-                                                 play.tell(CallGone{CallId{0}}), play.stands(77, 1, 50ms),
-                                                 play.ends(77, 5, Outcome::kReset)};
+                                                 play.tell(CallAbandoned{CallId{0}}),
+                                                 play.stands(77, 1, 50ms), play.ends(77, 5, Outcome::kReset)};
   for (const auto& actions : late) {
-    EXPECT_TRUE(of<Send>(actions).empty());
+    EXPECT_TRUE(of<ForwardCall>(actions).empty());
     EXPECT_EQ(answers(actions), 0U);
-    EXPECT_TRUE(of<Cancel>(actions).empty());
+    EXPECT_TRUE(of<CancelAttempt>(actions).empty());
   }
 }
 
@@ -280,14 +280,14 @@
   play.stands(0, 1, 5ms);
   play.ends(0, 1, Outcome::kCancelled, false);
   const auto later = play.look_until(1600ms);
-  EXPECT_EQ(of<Send>(later).size() + answers(later), 1U);
+  EXPECT_EQ(of<ForwardCall>(later).size() + answers(later), 1U);
 }
 
-ProbeAnswer probe_answer(std::uint32_t server, bool ok) {
-  ProbeAnswer answer;
+HealthCheckResult probe_answer(std::uint32_t server, bool ok) {
+  HealthCheckResult answer;
   answer.server = ServerId{server};
   answer.outcome = ok ? Outcome::kOk : Outcome::kConnectFailed;
-  answer.taken = 20ms;
+  answer.elapsed = 20ms;
   return answer;
 }
 
@@ -298,10 +298,10 @@
   warm(play, 1, 0);
   play.at(1s).call(1, 1);
   const auto silence = play.look_until(1700ms);
-  EXPECT_EQ(of<Probe>(silence).size(), 1U);
-  EXPECT_TRUE(of<Cancel>(silence).empty());
-  EXPECT_TRUE(of<Cancel>(play.tell(probe_answer(1, true))).empty());
-  EXPECT_EQ(of<Cancel>(play.tell(probe_answer(1, false))).size(), 1U);
+  EXPECT_EQ(of<CheckHealth>(silence).size(), 1U);
+  EXPECT_TRUE(of<CancelAttempt>(silence).empty());
+  EXPECT_TRUE(of<CancelAttempt>(play.tell(probe_answer(1, true))).empty());
+  EXPECT_EQ(of<CancelAttempt>(play.tell(probe_answer(1, false))).size(), 1U);
   EXPECT_EQ(sends_to(play.call(2, 1), 2), 1U);
 }
 
@@ -311,7 +311,7 @@
   play.at(1s).tell(probe_answer(1, false));
   const auto away = play.look_until(4s);
   EXPECT_EQ(sends_to(play.call(2, 1), 1), 0U);
-  EXPECT_GE(of<Probe>(away).size(), 5U);
+  EXPECT_GE(of<CheckHealth>(away).size(), 5U);
   play.tell(probe_answer(1, true));
   // It may have restarted meanwhile: for now it is met as a cold one, by a trickle.
   play.look_until(8s);
@@ -325,7 +325,7 @@
   Scenario play(settings);
   play.list({ready(1), ready(2)});
   play.call(1, 1);
-  EXPECT_EQ(of<Cancel>(play.look_until(700ms)).size(), 1U);
+  EXPECT_EQ(of<CancelAttempt>(play.look_until(700ms)).size(), 1U);
 }
 
 // Seen in an incident: probes queue behind the set-ups of a jam, and live set-ups were called off.
@@ -335,7 +335,7 @@
   play.call(1, 1);
   auto answer = probe_answer(1, true);
   answer.outcome = Outcome::kTimeout;
-  EXPECT_TRUE(of<Cancel>(play.at(700ms).tell(answer)).empty());
+  EXPECT_TRUE(of<CancelAttempt>(play.at(700ms).tell(answer)).empty());
   EXPECT_EQ(sends_to(play.call(2, 1), 2), 1U);
 }
 
@@ -354,7 +354,7 @@
   }
   const auto later = play.look_until(2900ms);
   actions.insert(actions.end(), later.begin(), later.end());
-  const auto sends = of<Send>(actions);
+  const auto sends = of<ForwardCall>(actions);
   ASSERT_FALSE(sends.empty());
   EXPECT_EQ(sends[0].call, CallId{9});
   EXPECT_EQ(answers(play.look_until(3s)), sends.size() == 1 ? 1U : 0U);
@@ -368,11 +368,11 @@
   play.call(9, 1);
   NewCall redial;
   redial.call = CallId{8};
-  redial.destination = CellNo{1};
+  redial.destination = PoolId{1};
   redial.expires = Instant{1000s} + 3s;
-  redial.redialled = true;
+  redial.is_redial = true;
   play.at(10ms).tell(redial);
-  const auto sends = of<Send>(play.at(50ms).stands(0, 1, 50ms));
+  const auto sends = of<ForwardCall>(play.at(50ms).stands(0, 1, 50ms));
   ASSERT_EQ(sends.size(), 1U);
   EXPECT_EQ(sends[0].call, CallId{9});
 }
@@ -384,7 +384,7 @@
   for (std::uint32_t id = 0; id < 4; ++id) play.call(id, 1);
   play.call(8, 1);
   play.at(50ms).call(9, 1);
-  const auto sends = of<Send>(play.at(60ms).stands(0, 1, 60ms));
+  const auto sends = of<ForwardCall>(play.at(60ms).stands(0, 1, 60ms));
   ASSERT_EQ(sends.size(), 1U);
   EXPECT_EQ(sends[0].call, CallId{9});
 }
@@ -400,7 +400,7 @@
     auto actions = play.at(time).call(id, 1, 0, 100ms);
     const auto more = play.look();
     actions.insert(actions.end(), more.begin(), more.end());
-    for (const auto& send : of<Send>(actions)) {
+    for (const auto& send : of<ForwardCall>(actions)) {
       sent.push_back(time);
       play.ends(static_cast<std::uint32_t>(send.call), 1, Outcome::kFull, true);
     }
@@ -427,7 +427,7 @@
   ended.server = ServerId{1};
   ended.outcome = Outcome::kFull;
   ended.call_ended = true;
-  ended.asked_wait = 2s;
+  ended.retry_after = 2s;
   play.tell(ended);
   play.at(1900ms).call(2, 1);
   EXPECT_EQ(sends_to(play.look(), 1), 0U);
@@ -440,7 +440,7 @@
   warm(play, 1, 0);
   const auto reported = [&](Duration wait, Duration from, Duration until) {
     for (Duration time = from; time < until; time += 50ms) {
-      play.at(time).ends(0, 1, Outcome::kOk, true, 0, Report{{}, {}, wait, {}, {}, {}, {}, {}});
+      play.at(time).ends(0, 1, Outcome::kOk, true, 0, LoadReport{{}, {}, wait, {}, {}, {}, {}, {}});
       play.look();
     }
   };
@@ -451,7 +451,7 @@
     sent = 0;
     play.at(time);
     for (std::uint32_t id = first; id < first + 6; ++id) {
-      sent += of<Send>(play.call(id, 1, 0, 100ms)).size();
+      sent += of<ForwardCall>(play.call(id, 1, 0, 100ms)).size();
     }
     for (int round = 1; round <= 6; ++round) {  // an ending lets a held one go
       play.at(time + round * 20ms).look();
@@ -471,15 +471,15 @@
   Scenario play;
   play.list({ready(1)});
   play.call(1, 1);
-  ASSERT_EQ(of<Probe>(play.look_until(700ms)).size(), 1U);
+  ASSERT_EQ(of<CheckHealth>(play.look_until(700ms)).size(), 1U);
   auto answer = probe_answer(1, true);
   answer.outcome = Outcome::kFull;
-  EXPECT_TRUE(of<Cancel>(play.tell(answer)).empty());
-  EXPECT_TRUE(of<Log>(play.all()).empty());
+  EXPECT_TRUE(of<CancelAttempt>(play.tell(answer)).empty());
+  EXPECT_TRUE(of<LogMessage>(play.all()).empty());
 }
 
-Report waiting(Duration wait) {
-  Report report;
+LoadReport waiting(Duration wait) {
+  LoadReport report;
   report.wait = wait;
   return report;
 }
@@ -495,10 +495,10 @@
     play.at(1s).ends(0, 1, Outcome::kOk, true, 0, waiting(200ms));
     NewCall news;
     news.call = CallId{5};
-    news.destination = CellNo{1};
+    news.destination = PoolId{1};
     news.expires = Instant{1000s} + 9s;
-    news.redialled = late;
-    EXPECT_EQ(of<Send>(play.at(4s).tell(news)).size(), late ? 0U : 1U);
+    news.is_redial = late;
+    EXPECT_EQ(of<ForwardCall>(play.at(4s).tell(news)).size(), late ? 0U : 1U);
   }
 }
 
@@ -510,12 +510,12 @@
     warm(play, 1, 0);
     play.at(100ms).call(1, 1, 0, 9s);
     play.look_until(1000ms);
-    ProbeAnswer alive = probe_answer(1, true);
+    HealthCheckResult alive = probe_answer(1, true);
     alive.report = waiting(5s);
     play.tell(alive);
     play.look_until(1500ms);
     if (another) play.call(2, 1, 0, 3s);
-    EXPECT_EQ(of<Cancel>(play.look_until(1700ms)).size(), another ? 1U : 0U);
+    EXPECT_EQ(of<CancelAttempt>(play.look_until(1700ms)).size(), another ? 1U : 0U);
   }
 }
 
@@ -589,11 +589,11 @@
     play.list({ready(1)});
     warm(play, 1, 0);
     if (pressed) play.at(1s).ends(0, 1, Outcome::kOk, true, 0, waiting(9s));
-    play.at(2s).list({in_state(1, ListState::kGone)}, ListScope::kDelta);
+    play.at(2s).list({in_state(1, EndpointState::kRemoved)}, EndpointUpdateScope::kDelta);
     play.call(2, 1, 0, 100ms);
-    const auto refused = of<Refuse>(play.look_until(2200ms));
+    const auto refused = of<RejectCall>(play.look_until(2200ms));
     ASSERT_EQ(refused.size(), 1U);
-    EXPECT_EQ(refused[0].stay_away, pressed ? Duration{2s} : Duration{0});
+    EXPECT_EQ(refused[0].retry_after, pressed ? Duration{2s} : Duration{0});
   }
 }
 
@@ -603,7 +603,7 @@
   Scenario play(settings);
   play.list({ready(1), ready(2)});
   play.call(1, 1);
-  EXPECT_TRUE(of<Probe>(play.look_until(4s)).empty());
+  EXPECT_TRUE(of<CheckHealth>(play.look_until(4s)).empty());
 }
 
 TEST(Suspicion, RefusedConnectionMovesTheCallAtOnce) {
@@ -637,7 +637,7 @@
       ended.call = CallId{id};
       ended.server = ServerId{1};
       ended.outcome = Outcome::kError;
-      ended.of_the_call = *at == 'b';
+      ended.is_caller_fault = *at == 'b';
       ended.call_ended = true;
       play.at(now + 30ms).tell(ended);
     }
@@ -655,7 +655,7 @@
   play.at(500ms);
   EXPECT_EQ(sends_to(play.call(3, 1), 1), 1U);
   play.at(550ms).stands(3, 1, 50ms);
-  EXPECT_EQ(of<Cancel>(play.look_until(700ms)).size(), 1U);
+  EXPECT_EQ(of<CancelAttempt>(play.look_until(700ms)).size(), 1U);
 }
 
 TEST(Lost, ALoneOneIsFoundOutByAnother) {
@@ -664,21 +664,21 @@
   play.call(1, 1);
   play.at(20ms).stands(1, 1, 20ms);
   play.at(100ms).call(2, 1);
-  const Report calm{{}, {}, 5ms, {}, {}, {}, {}, {}};
+  const LoadReport calm{{}, {}, 5ms, {}, {}, {}, {}, {}};
   play.at(600ms).ends(1, 1, Outcome::kOk, true, 0, calm);
   EXPECT_EQ(sends_to(play.at(950ms).call(3, 1), 1), 1U);
 }
 
 TEST(Discovery, AskedForWhereItIsNotPushed) {
   auto settings = usual_settings();
-  settings.list_is_pushed = false;
+  settings.endpoint_list_is_pushed = false;
   Admission admission(settings);
   std::vector<Action> actions;
   admission.start(Instant{1s}, actions);
-  EXPECT_EQ(of<WatchList>(actions).size(), 1U);
+  EXPECT_EQ(of<WatchEndpoints>(actions).size(), 1U);
   actions.clear();
-  admission.handle(Instant{2s}, ListNews{ListScope::kFailed, {}}, actions);
-  EXPECT_EQ(of<WatchList>(actions).size(), 1U);
+  admission.handle(Instant{2s}, EndpointUpdate{EndpointUpdateScope::kFailed, {}}, actions);
+  EXPECT_EQ(of<WatchEndpoints>(actions).size(), 1U);
 }
 
 TEST(Determinism, SameEventsGiveSameActions) {
@@ -690,7 +690,8 @@
       play.stands(id, 1 + id % 3, 30ms + 1ms * (id % 7));
     }
     std::vector<std::uint32_t> servers;
-    for (const auto& send : of<Send>(play.all())) servers.push_back(static_cast<std::uint32_t>(send.server));
+    for (const auto& send : of<ForwardCall>(play.all()))
+      servers.push_back(static_cast<std::uint32_t>(send.server));
     return servers;
   };
   EXPECT_EQ(run(), run());
--- a/tests/bad_clients_test.cpp
+++ b/tests/bad_clients_test.cpp
@@ -30,7 +30,7 @@
   bench.until([&] { return idle_talk->has("\"closed\",\"sid\":\"" + kB); });  // an unknown id is answered too
   bench.until([&] { return silent->closed && half->closed && idle_talk->closed; });
   CHECK(Loop::now() - from < milliseconds{3000});
-  CHECK(bench.router->counters().silent == 3);
+  CHECK(bench.router->counters().idle_closed == 3);
   // A usual caller may sit idle after its answer.
   bench.settle();
   CHECK_FALSE(bench.caller->closed);
@@ -98,7 +98,7 @@
   Bench bench;
   bench.say(bad_open(kA) + "nonsense\n" + std::string(100'000, 'x'));
   bench.until([&] { return bench.caller->closed; });
-  CHECK(bench.caller->why == net::Closed::kEnded);
+  CHECK(bench.caller->why == net::CloseReason::kEnded);
   CHECK(bench.caller->count("\"code\":100") == 1);
 }
 
@@ -131,7 +131,7 @@
 
 TEST_CASE("figures out of range fail the call at once") {
   auto config = bench_config();
-  config.settings.classes[0].pools = {CellNo{0}, CellNo{1}};
+  config.settings.classes[0].pools = {PoolId{0}, PoolId{1}};
   config.names.widths = {1, 2};
   Bench bench({}, config);
   bench.list();
@@ -194,29 +194,31 @@
     std::snprintf(sid, sizeof sid, "%016x", 0x1000 + i);
     const auto& counters = bench.router->counters();
     bench.open(sid, 2500, std::string(15'000, 'x'));
-    bench.until([&] { return counters.taken + counters.turned_away == static_cast<std::size_t>(i) + 1; });
+    bench.until([&] {
+      return counters.received + counters.rejected_for_capacity == static_cast<std::size_t>(i) + 1;
+    });
   }
-  bench.until([&] { return bench.router->counters().turned_away > 0; });
+  bench.until([&] { return bench.router->counters().rejected_for_capacity > 0; });
   bench.until([&] { return bench.caller->has("\"wait\":\"2000\"},\"code\":42}"); });
   bench.settle();
   CHECK(bench.router->table().unanswered() >= 30);
   // Another one still finds room; many of them, each within its part, do not find more than there is.
   const auto& counters = bench.router->counters();
-  const auto had = counters.taken;
+  const auto had = counters.received;
   std::vector<std::unique_ptr<End>> others;
   for (int i = 0; i < 5; ++i) {
     others.push_back(bench.connect(bench.router->callers_at()));
     std::swap(bench.caller, others.back());
     for (int k = 0; k < 30; ++k) {
-      const auto asked = counters.taken + counters.turned_away;
+      const auto asked = counters.received + counters.rejected_for_capacity;
       std::snprintf(sid, sizeof sid, "%016x", 0x10000 + 100 * i + k);
       bench.open(sid, 2500, std::string(15'000, 'x'));
-      bench.until([&] { return counters.taken + counters.turned_away == asked + 1; });
+      bench.until([&] { return counters.received + counters.rejected_for_capacity == asked + 1; });
     }
     std::swap(bench.caller, others.back());
-    if (i == 0) CHECK(counters.taken == had + 30);
+    if (i == 0) CHECK(counters.received == had + 30);
   }
-  CHECK(bench.router->table().unanswered() * 30'000 <= net::Bounds::of(16, 1024).calls);
+  CHECK(bench.router->table().unanswered() * 30'000 <= net::ResourceLimits::of(16, 1024).calls);
 }
 
 TEST_CASE("a caller that goes with many calls out gives up its own and no others") {
@@ -230,10 +232,10 @@
     std::snprintf(sid, sizeof sid, "%016x", 0x1000 + i);
     bench.open(sid);
   }
-  bench.until([&] { return bench.router->counters().taken == 101; });
+  bench.until([&] { return bench.router->counters().received == 101; });
   bench.caller->stream->close();
   std::swap(bench.caller, const_cast<std::unique_ptr<End>&>(other));
   bench.until([&] { return bench.router->table().unanswered() == 0; });
-  CHECK(bench.router->table().standing() == 1);
-  CHECK(bench.router->counters().given_up + bench.router->counters().refused == 100);
+  CHECK(bench.router->table().established() == 1);
+  CHECK(bench.router->counters().abandoned + bench.router->counters().rejected == 100);
 }
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -14,7 +14,7 @@
 /// Resets its connection as soon as it is up.
 struct Resetting : End {
   using End::End;
-  void on_open(net::Stream& stream) override {
+  void on_open(net::TcpConnection& stream) override {
     asio::post(loop.io, [end = this, keep = stream.shared_from_this()] { end->reset(); });
   }
 };
@@ -35,7 +35,7 @@
     CHECK(Loop::now() - before < milliseconds{200});
     bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
     CHECK_FALSE(bench.caller->has("\"ready\""));
-    CHECK(bench.router->counters().ended[static_cast<int>(Outcome::kReset)] == 1);
+    CHECK(bench.router->counters().attempt_ends[static_cast<int>(Outcome::kReset)] == 1);
   }
 }
 
@@ -47,7 +47,7 @@
   auto& end = bench.invited(kA);
   end.stream->send("SIP/2.0 200 OK\r\nCall-ID: " + kA +
                    "\r\nCSeq: 1 INVITE\r\nContent-Length: 500\r\n\r\nsd");
-  bench.until([&] { return end.has("ACK") || bench.router->counters().sent == 1; });
+  bench.until([&] { return end.has("ACK") || bench.router->counters().attempts == 1; });
   bench.settle();
   bench.open(kB);  // goes by another link
   auto& other = bench.invited(kB);
@@ -72,7 +72,7 @@
     bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
     CHECK_FALSE(bench.caller->has("\"ready\""));
     bench.until([&] { return bench.server.count("BYE sip:") >= 1; });
-    CHECK(bench.router->counters().spoilt_answers == 1);
+    CHECK(bench.router->counters().malformed_answers == 1);
   }
 }
 
@@ -89,7 +89,7 @@
   bench.settle();
   CHECK(bench.caller->count("\"sid\":\"00000000000000") == 1 + bench.caller->count("\"probed\""));
   CHECK(end.count("BYE sip:") == 1);  // of the unknown one
-  CHECK(bench.router->table().standing() == 1);
+  CHECK(bench.router->table().established() == 1);
 }
 
 // Guards against taking one reset for a dead process: nothing had left, so no attempt is over.
@@ -106,7 +106,7 @@
   auto& end = *bench.server.with(" INVITE\r\n");
   bench.answer(end, kA);
   bench.until([&] { return bench.caller->has("\"ready\",\"sid\":\"" + kA); });
-  CHECK(bench.router->counters().ended[static_cast<int>(Outcome::kConnectFailed)] == 0);
+  CHECK(bench.router->counters().attempt_ends[static_cast<int>(Outcome::kConnectFailed)] == 0);
 }
 
 // Guards against a link that is open and serves no more: others answer what was sent later.
@@ -122,7 +122,7 @@
   REQUIRE(&other != &mute);  // the link with the fewest set-ups out
   bench.answer(other, kB);
   bench.until([&] { return mute.closed; });
-  CHECK(bench.router->counters().stuck_links == 1);
+  CHECK(bench.router->counters().stalled_connections == 1);
   CHECK_FALSE(other.closed);
   bench.until([&] { return bench.server.with("Call-ID: " + kA + "\r\nCSeq: 2 INVITE") != nullptr; });
   CHECK(Loop::now() - sent >= milliseconds{500});
@@ -149,7 +149,7 @@
   REQUIRE(&later != &mute);
   bench.answer(later, kD);
   bench.until([&] { return mute.closed; });
-  CHECK(bench.router->counters().stuck_links == 1);
+  CHECK(bench.router->counters().stalled_connections == 1);
   bench.until([&] { return bench.server.ends.size() == 4; });
   CHECK(Loop::now() - sent < milliseconds{450});  // not for a call that is placed again
 }
@@ -174,7 +174,7 @@
     return mute.closed;
   });
   CHECK(mute.count(" INVITE\r\n") == 1);
-  CHECK(bench.router->counters().stuck_links == 1);
+  CHECK(bench.router->counters().stalled_connections == 1);
   CHECK(made > 1);
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -46,8 +46,8 @@
   EXPECT_EQ(call.call, CallId{77});
   EXPECT_EQ(call.width, 2.0);
   EXPECT_EQ(call.expires, Instant{5s});
-  EXPECT_TRUE(call.redialled && call.in_transit && call.was_cut);
-  EXPECT_EQ(call.destination, CellNo{3});
+  EXPECT_TRUE(call.is_redial && call.is_in_transit && call.was_aborted);
+  EXPECT_EQ(call.destination, PoolId{3});
   EXPECT_EQ(call.tenant, 9U);
   EXPECT_EQ(call.call_class, 1U);
 }
@@ -69,7 +69,7 @@
   EXPECT_EQ(raw.event.attempt, 2U);
   EXPECT_EQ(raw.event.server, ServerId{5});
   EXPECT_EQ(raw.event.outcome, Outcome::kFull);
-  EXPECT_EQ(raw.event.taken, 900us);
+  EXPECT_EQ(raw.event.elapsed, 900us);
   EXPECT_TRUE(raw.event.call_ended);
   EXPECT_EQ(raw.reason, 3U + 16U * 250U);
   ASSERT_EQ(raw.report.count, 2U);
@@ -96,11 +96,11 @@
   put(memo, 1, 4);
   put(memo, 2, 4);
   const auto events = decode(frame.record(accepted).record(pong).record(bell).record(memo));
-  EXPECT_EQ(std::get<Established>(events.at(0)).taken, 900us);
+  EXPECT_EQ(std::get<Established>(events.at(0)).elapsed, 900us);
   EXPECT_EQ(std::get<Established>(events.at(0)).attempt, 1U);
-  EXPECT_EQ(std::get<RawProbeAnswer>(events.at(1)).event.outcome, Outcome::kTimeout);
-  EXPECT_EQ(std::get<RawProbeAnswer>(events.at(1)).event.server, ServerId{8});
-  EXPECT_EQ(std::get<TimerDue>(events.at(2)).handle, TimerHandle{99});
+  EXPECT_EQ(std::get<RawHealthCheckResult>(events.at(1)).event.outcome, Outcome::kTimeout);
+  EXPECT_EQ(std::get<RawHealthCheckResult>(events.at(1)).event.server, ServerId{8});
+  EXPECT_EQ(std::get<TimerExpired>(events.at(2)).handle, TimerHandle{99});
   EXPECT_EQ(std::get<PeerMessage>(events.at(3)).from, PeerId{4});
   EXPECT_EQ(std::get<PeerMessage>(events.at(3)).bytes, (Bytes{2, 3}));
 }
@@ -110,7 +110,7 @@
   EXPECT_EQ(list.number, 3U);
   ASSERT_EQ(list.entries.size(), 2U);
   EXPECT_EQ(list.entries[1].server, ServerId{12});
-  EXPECT_EQ(list.entries[1].cell, CellNo{1});
+  EXPECT_EQ(list.entries[1].pool, PoolId{1});
   EXPECT_FALSE(list.entries[1].started.has_value());
 }
 
@@ -183,11 +183,11 @@
 TEST(Encode, ActionsAndTail) {
   ReplyWriter reply;
   reply.speak_for(3);
-  reply.add(Send{CallId{0x5d3a91c4}, ServerId{0x03124a07}, 80'000us});
+  reply.add(ForwardCall{CallId{0x5d3a91c4}, ServerId{0x03124a07}, 80'000us});
   reply.speak_for(3);
   reply.add(SetTimer{Instant{Duration{0x87fd7a}}, TimerHandle{0x4d}});
   reply.speak_for(5);
-  reply.add(Log{"two servers known"});
+  reply.add(LogMessage{"two servers known"});
   const auto bytes = reply.finish();
   const auto expected =
       hex("8900000005000000"
@@ -202,12 +202,12 @@
 
 TEST(Encode, EveryOtherAction) {
   ReplyWriter reply;
-  reply.add(Refuse{CallId{1}, 250ms});
-  reply.add(Fail{CallId{2}});
-  reply.add(Cancel{CallId{3}, 1});
-  reply.add(Probe{ServerId{4}});
-  reply.add(TellPeers{{0x68, 0x69}});
-  reply.add(WatchList{});
+  reply.add(RejectCall{CallId{1}, 250ms});
+  reply.add(FailCall{CallId{2}});
+  reply.add(CancelAttempt{CallId{3}, 1});
+  reply.add(CheckHealth{ServerId{4}});
+  reply.add(BroadcastGossip{{0x68, 0x69}});
+  reply.add(WatchEndpoints{});
   reply.add_panic("no");
   const auto bytes = reply.finish();
   const auto expected =
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -100,9 +100,9 @@
   std::vector<std::unique_ptr<End>> ends;
 };
 
-feed::ListNews news_of(const std::string& name, const std::string& address,
-                       ListState state = ListState::kReady, std::int64_t started = 0) {
-  feed::ListNews news;
+feed::EndpointUpdate news_of(const std::string& name, const std::string& address,
+                             EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
+  feed::EndpointUpdate news;
   news.has_servers = true;
   news.changes.push_back({name, address, 0, state, started});
   return news;
@@ -152,7 +152,7 @@
 }
 
 std::uint64_t ended(const Bench& bench, Outcome outcome) {
-  return bench.router->counters().ended[static_cast<std::size_t>(outcome)];
+  return bench.router->counters().attempt_ends[static_cast<std::size_t>(outcome)];
 }
 
 /// A call that has stood at its server, whose caller reads nothing: the answer is not written.
@@ -163,7 +163,7 @@
     server = &bench.invited(kA);
     block(bench, caller);
     bench.answer(*server, kA);
-    bench.until([&] { return bench.router->counters().stood == 1; });
+    bench.until([&] { return bench.router->counters().established == 1; });
   }
   Paused caller;
   End* server = nullptr;
@@ -179,7 +179,7 @@
     Bench bench;
     auto leaver = bench.connect(bench.router->callers_at());
     leaver->stream->send(open_line(kA));
-    bench.until([&] { return bench.router->counters().taken == 1; });
+    bench.until([&] { return bench.router->counters().received == 1; });
     if (by == By::kClose) {
       leaver->stream->send(close_line(kA));
     } else if (by == By::kFin) {
@@ -187,14 +187,14 @@
     } else {
       leaver->reset();
     }
-    bench.until([&] { return bench.router->counters().given_up == 1; });
-    CHECK(bench.router->counters().left_waiting == 1);
+    bench.until([&] { return bench.router->counters().abandoned == 1; });
+    CHECK(bench.router->counters().abandoned_while_queued == 1);
     bench.list();
     bench.open(kB);
     bench.answer(bench.invited(kB), kB);
     bench.until([&] { return bench.caller->has("\"ready\",\"sid\":\"" + kB); });
     CHECK(bench.server.count(kA) == 0);
-    CHECK(bench.router->counters().sent == 1);
+    CHECK(bench.router->counters().attempts == 1);
     CHECK(bench.router->table().unanswered() == 0);
   }
 }
@@ -211,20 +211,20 @@
     asio::write(leaver, asio::buffer(all));
     leaver.close();
   }
-  bench.until([&] { return bench.router->counters().given_up == 40; });
-  CHECK(bench.router->counters().left_waiting == 40);
+  bench.until([&] { return bench.router->counters().abandoned == 40; });
+  CHECK(bench.router->counters().abandoned_while_queued == 40);
   {
     // It asks for tests and reads no reply, so that the router is blocked towards it, and leaves then.
     Paused leaver(bench.loop, bench.router->callers_at());
     leaver.say(open_line(kA, "desc", "voice", 100'000));
-    bench.until([&] { return bench.router->counters().taken == 41; });
+    bench.until([&] { return bench.router->counters().received == 41; });
     block(bench, leaver);
     leaver.socket.close();
   }
-  bench.until([&] { return bench.router->counters().given_up == 41; });
+  bench.until([&] { return bench.router->counters().abandoned == 41; });
   bench.list();
   bench.settle();
-  CHECK(bench.router->counters().sent == 0);
+  CHECK(bench.router->counters().attempts == 0);
 }
 
 TEST_CASE(
@@ -233,25 +233,25 @@
   for (const bool timed_out : {false, true}) {
     // A listener whose queue of connections is full: the router's come up only once one is accepted.
     auto config = bench_config();
-    config.settings.classes[0].repeatable = false;  // failed if it may have run, refused if not
+    config.settings.classes[0].idempotent = false;  // failed if it may have run, refused if not
     config.connect_limit = std::chrono::seconds{4};
     Bench bench({}, config);
     Full full(bench.loop);
     bench.router->apply(news_of("s1", full.address()));
     bench.open(kA, timed_out ? 150 : 2000);
-    bench.until([&] { return bench.router->counters().sent == 1; });
+    bench.until([&] { return bench.router->counters().attempts == 1; });
     if (timed_out) {
       bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
       CHECK(bench.caller->has("\"code\":42"));  // refused: harmless to try again
       CHECK(bench.router->counters().failed == 0);
     } else {
       bench.say(close_line(kA));
-      bench.until([&] { return bench.router->counters().given_up == 1; });
+      bench.until([&] { return bench.router->counters().abandoned == 1; });
     }
     const auto& counters = bench.router->counters();
-    CHECK(counters.taken_back == 1);
+    CHECK(counters.withdrawn == 1);
     CHECK(counters.cancels == 0);
-    CHECK(ended(bench, Outcome::kMoot) == 1);
+    CHECK(ended(bench, Outcome::kNotSent) == 1);
     CHECK(counters.by_class.at(0).relayed == 0);
     CHECK(bench.router->table().unanswered() == 0);
   }
@@ -266,15 +266,15 @@
   while (bench.loop.outgoing.blocked.empty() && said < 2000) {
     auto one = bench.connect(bench.router->callers_at());
     one->stream->send(open_line(sid_of(0x3000 + said++), std::string(12'000, 'x')));
-    bench.until([&] { return bench.router->counters().taken == static_cast<std::uint64_t>(said); });
+    bench.until([&] { return bench.router->counters().received == static_cast<std::uint64_t>(said); });
     // Its client leaves at once: the token is free again, and its CANCEL waits behind it.
     one->stream->close();
-    bench.until([&] { return bench.router->counters().given_up == static_cast<std::uint64_t>(said); });
+    bench.until([&] { return bench.router->counters().abandoned == static_cast<std::uint64_t>(said); });
   }
   REQUIRE_FALSE(bench.loop.outgoing.blocked.empty());
   // The half of a set-up whose client has left stays on the link: it is cut before 0.3 s are over, and the
   // rest never arrives.
-  bench.until([&] { return bench.router->counters().stuck_links > 0; });
+  bench.until([&] { return bench.router->counters().stalled_connections > 0; });
   CHECK(bench.router->table().unanswered() == 0);
 }
 
@@ -287,15 +287,15 @@
   end.stream->send(Bench::sip("SIP/2.0 504 Reset", kA, "1 INVITE"));
   bench.until([&] { return ended(bench, Outcome::kReset) == 1; });
   leaver->stream->close();
-  bench.until([&] { return bench.router->counters().given_up == 1; });
-  CHECK(bench.router->counters().left_waiting == 1);
+  bench.until([&] { return bench.router->counters().abandoned == 1; });
+  CHECK(bench.router->counters().abandoned_while_queued == 1);
   // A call of another client goes through the same pause behind it, and is sent again: by then the first
   // would be.
   bench.open(kB);
   bench.invited(kB).stream->send(Bench::sip("SIP/2.0 504 Reset", kB, "1 INVITE"));
   bench.until([&] { return bench.server.count("Call-ID: " + kB + "\r\nCSeq: 2 INVITE") == 1; });
   CHECK(bench.server.count("Call-ID: " + kA + "\r\nCSeq: 2 INVITE") == 0);
-  CHECK(bench.router->counters().sent == 3);
+  CHECK(bench.router->counters().attempts == 3);
 }
 
 TEST_CASE(
@@ -304,8 +304,8 @@
   Unheard call(bench);
   call.caller.socket.close();
   bench.until([&] { return bench.server.count("BYE sip:") == 1; });
-  CHECK(bench.router->counters().unheard == 1);
-  CHECK(bench.router->table().standing() == 0);
+  CHECK(bench.router->counters().undelivered_answers == 1);
+  CHECK(bench.router->table().established() == 0);
 }
 
 TEST_CASE(
@@ -352,7 +352,7 @@
   bench.answer(first, kA, "of-the-first");
   bench.until([&] { return bench.router->counters().second_answers == 4; });
   bench.settle();
-  CHECK(bench.router->counters().sent == 3);  // the second attempt is still the one that is out
+  CHECK(bench.router->counters().attempts == 3);  // the second attempt is still the one that is out
   CHECK_FALSE(bench.caller->has("of-the-first"));
   bench.answer(*second, kA, "of-the-second");
   bench.until([&] { return bench.caller->has("of-the-second"); });
@@ -396,13 +396,13 @@
   bench.invited(kA).stream->send(Bench::sip("SIP/2.0 504 Reset", kA, "1 INVITE"));
   bench.until([&] { return ended(bench, Outcome::kReset) == 1; });
   auto fresh = bench.config;
-  fresh.settings.invariants.release_wait = milliseconds{1};
-  fresh.settings.classes[0].aim = milliseconds{900};
+  fresh.settings.invariants.retry_pause = milliseconds{1};
+  fresh.settings.classes[0].latency_objective = milliseconds{900};
   fresh.settings_text = "changed";
   bench.router->reload(fresh);
   // Looked at when 0.3 s of the 0.5 s are over: timers that are late run in the order in which they were due.
   std::optional<std::uint64_t> sent;
-  bench.loop.after(milliseconds{300}, [&] { sent = bench.router->counters().sent; });
+  bench.loop.after(milliseconds{300}, [&] { sent = bench.router->counters().attempts; });
   bench.standing(kB);
   bench.until([&] { return sent.has_value(); });
   CHECK(sent == 2);
@@ -423,32 +423,32 @@
   bench.until([&] { return bench.server.count("Call-ID: " + kB + "\r\nCSeq: 2 INVITE") == 1; });
   CHECK(bench.server.count("Call-ID: " + kA + "\r\nCSeq: 2 INVITE") == 0);
   CHECK(bench.caller->count("\"sid\":\"" + kA) == 1);
-  CHECK(bench.router->counters().sent == 3);
+  CHECK(bench.router->counters().attempts == 3);
 }
 
 // ---- the list ----
 
 TEST_CASE("gone, with calls standing there: what is held is not placed at what the news says is gone") {
   auto config = bench_config();
-  config.settings.round =
+  config.settings.batch_interval =
       std::chrono::seconds{1};  // the module looks by itself after 4 s, else at each event
   Bench bench({}, config);
   bench.list();
   bench.open(kA, 5900);
   bench.answer(bench.invited(kA), kA);
-  bench.until([&] { return bench.router->table().standing() == 1; });
+  bench.until([&] { return bench.router->table().established() == 1; });
   bench.open(kB, 5900);
   bench.invited(kB).stream->send(Bench::sip("SIP/2.0 504 Reset", kB, "1 INVITE"));
   bench.until([&] { return ended(bench, Outcome::kReset) == 1; });
   // Its pause is over, and nothing has happened since: the next event would place it at the only server.
   const Instant from = Loop::now();
-  bench.until([&] { return Loop::now() - from > config.settings.invariants.release_wait; });
-  REQUIRE(bench.router->counters().sent == 2);
-  bench.list(ListState::kGone);
+  bench.until([&] { return Loop::now() - from > config.settings.invariants.retry_pause; });
+  REQUIRE(bench.router->counters().attempts == 2);
+  bench.list(EndpointState::kRemoved);
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
   bench.settle();
-  CHECK(bench.router->counters().cut == 1);
-  CHECK(bench.router->counters().sent == 2);
+  CHECK(bench.router->counters().aborted == 1);
+  CHECK(bench.router->counters().attempts == 2);
 }
 
 TEST_CASE("another address under the same name: what had not left goes there, and no pause is owed") {
@@ -458,11 +458,11 @@
   Full full(bench.loop);
   bench.router->apply(news_of("s1", full.address()));
   bench.open(kA);
-  bench.until([&] { return bench.router->counters().sent == 1; });
+  bench.until([&] { return bench.router->counters().attempts == 1; });
   bench.list();  // the same name, where somebody listens
   bench.until([&] { return bench.server.with("Call-ID: " + kA) != nullptr; });
   CHECK(ended(bench, Outcome::kReset) == 0);
-  CHECK(ended(bench, Outcome::kMoot) == 1);
+  CHECK(ended(bench, Outcome::kNotSent) == 1);
 }
 
 // ---- idle connections ----
@@ -472,18 +472,18 @@
   bench.list();
   bench.until([&] { return bench.server.ends.size() == 2; });
   bench.settle();
-  bench.list(ListState::kDraining);
+  bench.list(EndpointState::kDraining);
   bench.open(kA);
-  bench.until([&] { return bench.router->counters().taken == 1; });
+  bench.until([&] { return bench.router->counters().received == 1; });
   // The FINs are in the kernel, and the loop does not run before the held call is placed.
   for (auto& end : bench.server.ends) end->stream->close();
   bench.list();
-  REQUIRE(bench.router->counters().sent == 1);
+  REQUIRE(bench.router->counters().attempts == 1);
   bench.until([&] { return bench.server.with("Call-ID: " + kA) != nullptr; });
   bench.answer(*bench.server.with("Call-ID: " + kA), kA);
   bench.until([&] { return bench.caller->has("\"ready\",\"sid\":\"" + kA); });
   CHECK(ended(bench, Outcome::kReset) == 0);
-  CHECK(bench.router->counters().sent == 1);
+  CHECK(bench.router->counters().attempts == 1);
 }
 
 TEST_CASE("a connection that comes up late, after its attempt ended: it is taken, and carries none of that") {
@@ -496,9 +496,9 @@
   leaver->stream->send(open_line(kA));
   bench.until([&] { return ended(bench, Outcome::kConnectFailed) == 1; });
   leaver->stream->close();
-  bench.until([&] { return bench.router->counters().given_up == 1; });
+  bench.until([&] { return bench.router->counters().abandoned == 1; });
   full.accept(bench.loop);
-  bench.until([&] { return bench.router->counters().late_links > 0; });
+  bench.until([&] { return bench.router->counters().late_connections > 0; });
   // The module looks at a server without a connection by tests: once one is answered, it sends there again.
   bench.open(kB);
   bench.until([&] {
@@ -514,7 +514,7 @@
   Bench bench;
   Listener other(bench.loop);
   bench.list();
-  bench.router->apply(news_of("s2", other.address, ListState::kReady));
+  bench.router->apply(news_of("s2", other.address, EndpointState::kReady));
   auto& end = bench.standing(kA);
   auto& at = bench.server.with("Call-ID: " + kA) == &end ? bench.server : other;
   auto& calm = &at == &other ? bench.server : other;
@@ -573,7 +573,7 @@
   bench.until([&] { return bench.router->callers() == 1; });
   bool over = false;
   const Instant from = Loop::now();
-  bench.router->stop_when_answered([&] { over = true; });
+  bench.router->shut_down([&] { over = true; });
   // Past the time in which callers still come nothing is unanswered; the half of a set-up is there all the
   // same.
   bench.until([&] { return Loop::now() - from > milliseconds{800}; });
@@ -584,7 +584,7 @@
   bench.say(close_line(kA));
   bench.until([&] { return over; });
   bench.until([&] { return bench.caller->closed; });
-  CHECK(bench.caller->why == net::Closed::kEnded);
+  CHECK(bench.caller->why == net::CloseReason::kEnded);
 }
 
 TEST_CASE("the end waits for an answer that is not yet written to its caller") {
@@ -592,10 +592,10 @@
   Unheard call(bench);
   call.server->stream->send(
       Bench::sip("BYE sip:77aa@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
-  bench.until([&] { return bench.router->table().standing() == 0; });
+  bench.until([&] { return bench.router->table().established() == 0; });
   bool over = false;
   const Instant from = Loop::now();
-  bench.router->stop_when_answered([&] { over = true; });
+  bench.router->shut_down([&] { over = true; });
   bench.until([&] { return Loop::now() - from > milliseconds{800}; });
   CHECK_FALSE(over);
   call.caller.socket.close();
@@ -603,11 +603,12 @@
 }
 
 TEST_CASE("what is unsettled keeps a process no longer than its callers' last answer") {
-  core::Leaving plan{Instant{milliseconds{700}}, Instant{milliseconds{3450}}, Instant{milliseconds{3650}}};
-  CHECK_FALSE(plan.may_leave(Instant{milliseconds{3449}}, 0, 0, true));
-  CHECK(plan.may_leave(Instant{milliseconds{3450}}, 0, 0, true));
-  CHECK_FALSE(plan.may_leave(Instant{milliseconds{3450}}, 1, 0, true));
-  CHECK_FALSE(plan.may_leave(Instant{milliseconds{3450}}, 0, 1, true));
+  core::GracefulShutdown plan{Instant{milliseconds{700}}, Instant{milliseconds{3450}},
+                              Instant{milliseconds{3650}}};
+  CHECK_FALSE(plan.may_exit(Instant{milliseconds{3449}}, 0, 0, true));
+  CHECK(plan.may_exit(Instant{milliseconds{3450}}, 0, 0, true));
+  CHECK_FALSE(plan.may_exit(Instant{milliseconds{3450}}, 1, 0, true));
+  CHECK_FALSE(plan.may_exit(Instant{milliseconds{3450}}, 0, 1, true));
   // Closing takes 50 ms at most, and never as long as until SIGKILL may come.
   CHECK(plan.end_by(Instant{milliseconds{700}}) == Instant{milliseconds{750}});
   CHECK(plan.end_by(Instant{milliseconds{3650}}) < Instant{milliseconds{3700}});
@@ -629,8 +630,8 @@
     bench.list();
     bench.settle();
     int over = 0;
-    bench.router->stop_when_answered([&] { ++over; });
-    bench.router->stop_when_answered([&] { over += 100; });  // a second SIGTERM changes nothing
+    bench.router->shut_down([&] { ++over; });
+    bench.router->shut_down([&] { over += 100; });  // a second SIGTERM changes nothing
     asio::ip::tcp::socket plain(bench.loop.io);
     // The time in which callers still come is over, and nothing that the router has read is open.
     stall(bench, milliseconds{750}, [&] {
@@ -666,7 +667,7 @@
   stall(bench, milliseconds{2500}, [&] { asio::write(plain, asio::buffer(open_line(kA))); });
   bench.answer(bench.invited(kA), kA);
   bench.until([&] { return plain.available() > 0; });
-  CHECK(bench.router->counters().stood == 1);
+  CHECK(bench.router->counters().established == 1);
 }
 
 TEST_CASE("at the bound of descriptors a connection in the middle of a set-up does not give way") {
@@ -703,8 +704,8 @@
   auto newcomer = bench.connect(bench.router->callers_at());
   bench.until([&] { return bench.router->counters().evicted == 1; });
   bench.until([&] { return bench.server.count("BYE sip:") == 1; });
-  CHECK(bench.router->counters().unheard == 1);
-  CHECK(bench.router->table().standing() == 0);
+  CHECK(bench.router->counters().undelivered_answers == 1);
+  CHECK(bench.router->table().established() == 0);
   CHECK(bench.router->table().unanswered() == 1);
 }
 
@@ -713,7 +714,7 @@
   Bench bench;
   bench.list();
   auto& old = bench.standing(kA);
-  bench.list(ListState::kGone);
+  bench.list(EndpointState::kRemoved);
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
   bench.until([&] { return old.closed; });
   bench.router->apply(news_of("s2", bench.server.address));
@@ -724,5 +725,5 @@
   bench.until([&] { return bench.router->counters().unknown_ids == 1; });
   bench.settle();
   CHECK(bench.caller->count("\"close\",\"sid\":\"" + kA) == 1);
-  CHECK(bench.router->table().standing() == 1);
+  CHECK(bench.router->table().established() == 1);
 }
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -30,15 +30,15 @@
     return Writer::request(command, application, next_id, next_id);
   }
   void say(Writer writer) { stream->send(writer.finish()); }
-  void on_open(net::Stream& /*stream*/) override {
+  void on_open(net::TcpConnection& /*stream*/) override {
     if (!client) return;
     auto cer = request(Command::kCapabilitiesExchange, 0);
     say(capabilities(cer));
   }
-  std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
+  std::size_t on_bytes(net::TcpConnection& /*stream*/, std::span<char> bytes) override {
     std::size_t taken = 0;
     while (taken < bytes.size()) {
-      const auto read = read_message({bytes.data() + taken, bytes.size() - taken}, net::kMostMessage);
+      const auto read = read_message({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessage);
       if (read.state != Read::State::kWhole) break;
       CHECK(read.fault.result == Result::kSuccess);  // the router writes nothing malformed
       if (read.message.request && read.message.is(Command::kCapabilitiesExchange)) {
@@ -63,7 +63,7 @@
   std::vector<Message> all(Command command, bool request, std::optional<RequestType> type = {}) const {
     std::vector<Message> found;
     for (const auto& raw : got) {
-      const auto read = read_message(raw, net::kMostMessage);
+      const auto read = read_message(raw, net::kMaxMessage);
       const auto of_type = read.message.number(Code::kCcRequestType);
       if (read.message.is(command) && read.message.request == request &&
           (!type || of_type == static_cast<std::uint32_t>(*type))) {
@@ -200,7 +200,7 @@
   };
   for (const auto& one : cases) {
     CAPTURE(one.what);
-    const auto read = read_message(one.bytes, net::kMostMessage);
+    const auto read = read_message(one.bytes, net::kMaxMessage);
     CHECK(read.state == one.state);
     CHECK(read.fault.result == one.result);
   }
@@ -213,7 +213,7 @@
     bool of_the_user;
   };
   const Case cases[] = {
-      {2001, Outcome::kOk, false},    {2002, Outcome::kOk, false},    {3002, Outcome::kMoot, false},
+      {2001, Outcome::kOk, false},    {2002, Outcome::kOk, false},    {3002, Outcome::kNotSent, false},
       {3004, Outcome::kFull, false},  {3001, Outcome::kError, false}, {4012, Outcome::kError, true},
       {5012, Outcome::kError, false}, {5030, Outcome::kError, true},  {0, Outcome::kError, false}};
   for (const auto& one : cases) {
@@ -397,7 +397,7 @@
   bench.until([&] { return bench.peer().watchdogs > watchdogs + 1; });  // it says so again and again
   CHECK(bench.caller->count("\"close\",\"sid\":\"" + kA) == 1);
   CHECK(bench.caller->count("\"close\",\"sid\":\"" + kB) == 1);
-  CHECK(bench.router->counters().cut == 1);
+  CHECK(bench.router->counters().aborted == 1);
 }
 
 TEST_CASE("Diameter: nothing new goes to a peer that disconnects or drains") {
@@ -410,14 +410,14 @@
     CHECK(result_of(bench.peer().all(Command::kDisconnect, false)[0]) == 2001);
   }
   SUBCASE("the list says so") {
-    bench.list(ListState::kDraining);
+    bench.list(EndpointState::kDraining);
   }
   const auto had = bench.peer().initials().size();
   bench.open(kB, 100);
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kB); });
   CHECK(bench.peer().initials().size() == had);
   CHECK_FALSE(bench.caller->has("\"close\",\"sid\":\"" + kA));
-  CHECK(bench.router->table().standing() == 1);
+  CHECK(bench.router->table().established() == 1);
 }
 
 TEST_CASE("Diameter: a client that starts anew, or is gone, leaves nothing standing") {
@@ -425,22 +425,22 @@
   bench.till->open("till;1");
   bench.until([&] { return bench.peer().initials().size() == 1; });
   bench.peer().answer(bench.peer().initials()[0], Result::kSuccess);
-  bench.until([&] { return bench.router->table().standing() == 1; });
+  bench.until([&] { return bench.router->table().established() == 1; });
   bench.till->stream->close();
   SUBCASE("as the same process: the session stands, and its end waits for the connection") {
     bench.settle();
-    CHECK(bench.router->table().standing() == 1);
+    CHECK(bench.router->table().established() == 1);
     auto asr = bench.peer().request(Command::kAbortSession, kCcApp);
     bench.peer().say(
         bench.peer().origin(asr.add(Code::kSessionId, bench.peer().initials()[0].text(Code::kSessionId))));
-    bench.until([&] { return bench.router->table().standing() == 0; });
+    bench.until([&] { return bench.router->table().established() == 0; });
     bench.till = bench.client_peer("till.acme");
     bench.until([&] { return bench.till->aborts().size() == 1; });
   }
   SUBCASE("as another: the session is released at the server") {
     bench.till = bench.client_peer("till.acme", 2);
     bench.until([&] { return bench.peer().terminations().size() == 1; });
-    CHECK(bench.router->table().standing() == 0);
+    CHECK(bench.router->table().established() == 0);
   }
 }
 
@@ -449,10 +449,10 @@
   for (const auto by : {By::kTermination, By::kFin, By::kReset}) {
     DiameterBench bench(setup(false, true));
     bench.server.make = nullptr;
-    bench.list(ListState::kDraining);
+    bench.list(EndpointState::kDraining);
     bench.till = bench.client_peer("till.acme");
     bench.till->open("till;1", "2900");
-    bench.until([&] { return bench.router->counters().taken == 1; });
+    bench.until([&] { return bench.router->counters().received == 1; });
     if (by == By::kTermination) {
       bench.till->say(bench.till->credit("till;1", RequestType::kTermination));
     } else if (by == By::kFin) {
@@ -460,14 +460,14 @@
     } else {
       bench.till->stream->reset();
     }
-    bench.until([&] { return bench.router->counters().given_up == 1; });
-    CHECK(bench.router->counters().left_waiting == 1);
+    bench.until([&] { return bench.router->counters().abandoned == 1; });
+    CHECK(bench.router->counters().abandoned_while_queued == 1);
     bench.list();
     bench.open(kB);
     bench.until([&] { return bench.server.with("Call-ID: " + kB) != nullptr; });
     bench.settle();
     CHECK(bench.server.count("INVITE sip:77aa@net") == 1);
-    CHECK(bench.router->counters().sent == 1);
+    CHECK(bench.router->counters().attempts == 1);
   }
 }
 
@@ -475,8 +475,8 @@
   constexpr std::size_t kRequests = 8;
   auto config = bench_config();
   for (auto& call_class : config.settings.classes) {
-    call_class.deadline = milliseconds{1500};  // SIGKILL may come 2.2 s after SIGTERM
-    call_class.aim = std::chrono::seconds{6};  // no attempt is called off as silent before that
+    call_class.deadline = milliseconds{1500};                // SIGKILL may come 2.2 s after SIGTERM
+    call_class.latency_objective = std::chrono::seconds{6};  // no attempt is called off as silent before that
   }
   DiameterBench bench(setup(false, true), false, config);
   bench.server.make = nullptr;  // the server speaks SIP
@@ -487,7 +487,7 @@
   bench.until([&] { return bench.server.count("CSeq: 1 INVITE") > 0; });
   bool is_over = false;
   bool is_late = false;
-  bench.router->stop_when_answered([&] { is_over = true; });
+  bench.router->shut_down([&] { is_over = true; });
   bench.loop.after(milliseconds{2600}, [&] { is_late = true; });
   bench.until([&] { return is_over || is_late; });
   CHECK_FALSE(is_late);
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -46,7 +46,7 @@
       Row{"status now", std::nullopt, "unknown call: status now"},
       Row{"maint-on", std::nullopt, "unknown call: maint-on"},
       Row{std::string("st\x01t"), std::nullopt, "unknown call: st?t"},
-      Row{std::string(control::kMostLine + 1, 's'), std::nullopt, "line too long"},
+      Row{std::string(control::kMaxLine + 1, 's'), std::nullopt, "line too long"},
   };
   for (const auto& row : rows) {
     CAPTURE(row.line);
@@ -154,7 +154,7 @@
   DoorBench bench;
   CHECK(bench.call("status\n") == "+OK yes\n");
   bool done = false;
-  bench.router->stop_when_answered([&] { done = true; });
+  bench.router->shut_down([&] { done = true; });
   CHECK(bench.call("status\n") == "-ERR no: stopping\n");
   bench.until([&] { return done; });
 }
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -88,7 +88,7 @@
 /// A run in which the machine itself was late shows nothing of the routers: it is made again.
 FleetResult run_on_time(const FleetOptions& options) {
   auto result = run_fleet(options);
-  for (int again = 0; again < 4 && result.worst_late > options.times.most_late; ++again)
+  for (int again = 0; again < 4 && result.worst_late > options.times.max_late; ++again)
     result = run_fleet(options);
   return result;
 }
--- a/tests/fleet_simulation_test.cpp
+++ b/tests/fleet_simulation_test.cpp
@@ -64,7 +64,7 @@
   CHECK(count(sound.history, What::kBroken) > 20);
   CHECK(sound.verdict.rules[2].looked_at > 10);
   // The routers are told to wait 100 ms, and judged by the protocol's 500 ms.
-  options.times.release_wait = milliseconds{100};
+  options.times.retry_pause = milliseconds{100};
   const auto hasty = check(simulate(options).history, {});
   CHECK_FALSE(hasty.held());
   CHECK(hasty.rules[2].violations.size() > 10);
@@ -72,7 +72,7 @@
 
 TEST_CASE("routers with more tries than the rule allows are caught") {
   RuleTimes one_try;
-  one_try.most_tries = 1;
+  one_try.max_tries = 1;
   const auto verdict = check(simulate(under_resets()).history, one_try);
   CHECK_FALSE(verdict.rules[3].violations.empty());
 }
@@ -80,7 +80,7 @@
 TEST_CASE("a whole fleet loses its power at once and serves again") {
   auto options = options_of(1, 100);
   options.schedule = {1, seconds{6}, {}, {{NodeFaultKind::kCrash, {"n*"}, seconds{2}, milliseconds{200}}}};
-  options.traits.most_out = 2000;
+  options.traits.max_out = 2000;
   const auto result = simulate(options);
   CHECK_MESSAGE(result.verdict.held(), text_of(result.verdict));
   CHECK(count(result.history, What::kReady) == 200);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -15,7 +15,7 @@
 // set-up stands after the same delay.
 double queue_of(std::uint32_t senders, Duration delay) {
   auto settings = usual_settings();
-  settings.siblings = senders;
+  settings.peer_count = senders;
   std::vector<Scenario> fleet;
   for (std::uint32_t i = 0; i < senders; ++i) {
     settings.seed = i + 1;
@@ -27,7 +27,7 @@
   std::uint32_t id = 0;
   const auto note = [&](std::uint32_t sender, Duration now, Duration taken,
                         const std::vector<Action>& actions) {
-    for (const auto& send : of<Send>(actions)) {
+    for (const auto& send : of<ForwardCall>(actions)) {
       due[now + taken].emplace_back(sender, static_cast<std::uint32_t>(send.call));
       ++out;
     }
@@ -72,14 +72,14 @@
   Fleet(std::uint32_t senders, std::uint32_t servers, double calls_per_s)
       : senders_(senders), servers_(servers), gap_(static_cast<std::int64_t>(1e6 / calls_per_s)) {
     auto settings = usual_settings();
-    settings.siblings = senders;
+    settings.peer_count = senders;
     for (std::uint32_t i = 0; i < senders; ++i) {
       settings.seed = i + 1;
       fleet_.emplace_back(settings);
     }
   }
-  void list(const std::vector<ListEntry>& entries) {
-    for (auto& sender : fleet_) sender.at(now_).list(entries, ListScope::kDelta);
+  void list(const std::vector<EndpointEntry>& entries) {
+    for (auto& sender : fleet_) sender.at(now_).list(entries, EndpointUpdateScope::kDelta);
   }
   void run(Duration until) {
     for (; now_ < until; now_ += gap_) {
@@ -96,7 +96,7 @@
     }
   }
   /// The most sent to a server within any span of that length.
-  [[nodiscard]] std::size_t most_within(std::uint32_t server, Duration from, Duration span) const {
+  [[nodiscard]] std::size_t max_within(std::uint32_t server, Duration from, Duration span) const {
     std::size_t most = 0;
     const auto found = sent_.find(server);
     if (found == sent_.end()) return 0;
@@ -113,7 +113,7 @@
     std::uint32_t sender, call, server;
   };
   void note(std::uint32_t sender, const std::vector<Action>& actions) {
-    for (const auto& send : of<Send>(actions)) {
+    for (const auto& send : of<ForwardCall>(actions)) {
       const auto server = static_cast<std::uint32_t>(send.server);
       sent_[server].insert(now_);
       due_.push_back({now_ + 50ms, sender, static_cast<std::uint32_t>(send.call), server});
@@ -132,10 +132,10 @@
 class ColdBudget : public ::testing::TestWithParam<std::uint32_t> {};
 
 constexpr double kRate = 240;  // calls a second at three servers: a warm one bears about 80
-const Duration kSpan = usual_settings().invariants.fall_span;
-// fall_multiple x cold_from x 80 a second x fall_span
-const double kBudget =
-    usual_settings().invariants.fall_multiple * usual_settings().invariants.cold_from * kRate / 3 * 1.5;
+const Duration kSpan = usual_settings().invariants.overload_window;
+// overload_multiple x slow_start_initial_capacity x 80 a second x overload_window
+const double kBudget = usual_settings().invariants.overload_multiple *
+                       usual_settings().invariants.slow_start_initial_capacity * kRate / 3 * 1.5;
 
 TEST_P(ColdBudget, OneRestart) {
   Fleet fleet(GetParam(), 3, kRate);
@@ -143,8 +143,8 @@
   fleet.run(20s);
   fleet.list({ready(1, Instant{1020s})});
   fleet.run(24s);
-  EXPECT_LE(fleet.most_within(1, 20s, kSpan), kBudget);
-  EXPECT_GE(fleet.most_within(1, 20s, kSpan), kBudget / 12);
+  EXPECT_LE(fleet.max_within(1, 20s, kSpan), kBudget);
+  EXPECT_GE(fleet.max_within(1, 20s, kSpan), kBudget / 12);
 }
 
 TEST_P(ColdBudget, AllRestartTogether) {
@@ -154,8 +154,8 @@
   fleet.list({ready(1, Instant{1020s}), ready(2, Instant{1020s}), ready(3, Instant{1020s})});
   fleet.run(24s);
   for (std::uint32_t server = 1; server <= 3; ++server) {
-    EXPECT_LE(fleet.most_within(server, 20s, kSpan), kBudget) << server;
-    EXPECT_GE(fleet.most_within(server, 20s, kSpan), kBudget / 12) << server;
+    EXPECT_LE(fleet.max_within(server, 20s, kSpan), kBudget) << server;
+    EXPECT_GE(fleet.max_within(server, 20s, kSpan), kBudget / 12) << server;
   }
 }
 
@@ -165,7 +165,7 @@
   fleet.list({ready(1, Instant{1000s}), ready(2, Instant{1000s}), ready(3, Instant{1000s})});
   fleet.run(4s);
   for (std::uint32_t server = 1; server <= 3; ++server) {
-    EXPECT_LE(fleet.most_within(server, 0s, kSpan), 20U) << server;  // of 168
+    EXPECT_LE(fleet.max_within(server, 0s, kSpan), 20U) << server;  // of 168
   }
 }
 
--- a/tests/http2_test.cpp
+++ b/tests/http2_test.cpp
@@ -47,14 +47,14 @@
   void on_room(Connection& /*c*/) override { ++rooms; }
   void on_health(Connection& /*c*/, bool healthy) override { health.push_back(healthy); }
   void on_going_away(Connection& /*c*/) override { ++goings; }
-  void on_down(Connection& /*c*/, net::Closed why) override { down = why; }
+  void on_down(Connection& /*c*/, net::CloseReason why) override { down = why; }
 
   std::map<Connection::Key, Ended> ended;
   std::map<Connection::Key, std::string> chunks;
   std::map<Connection::Key, int> statuses;
   std::function<void(Connection::Key)> then;
   std::vector<bool> health;
-  std::optional<net::Closed> down;
+  std::optional<net::CloseReason> down;
   int ups = 0, rooms = 0, goings = 0;
   bool go_on = true;
 };
@@ -206,7 +206,7 @@
   CHECK(released->kind == Kind::kReleased);
   CHECK(released->cause == 16);
   CHECK_FALSE(event("released", R"({"id":"00112233445566aa"})"));
-  CHECK(event("cut", R"({"id":"00112233445566aa"})")->kind == Kind::kCut);
+  CHECK(event("cut", R"({"id":"00112233445566aa"})")->kind == Kind::kAborted);
   CHECK(event("lost", R"({"before":17})")->before == 17);
   CHECK_FALSE(event("lost", R"({"before":-1})"));
   const auto load = event("load", R"({"x0":12,"x1":40.5})");
@@ -406,7 +406,7 @@
   }
   SUBCASE("from inside an answer") {
     bench.recorder.then = [&](Connection::Key key) {
-      if (key == 1) bench.connection->fail(net::Closed::kReset);
+      if (key == 1) bench.connection->fail(net::CloseReason::kReset);
     };
     bench.peer().respond(bench.came("a"), 201, {}, "x");
   }
@@ -432,7 +432,7 @@
   // By the window of the connection only so much data goes; heads go on until the socket is full or this
   // ends.
   CHECK(key > 2);
-  bench.connection->fail(net::Closed::kReset);
+  bench.connection->fail(net::CloseReason::kReset);
   CHECK(bench.recorder.ended.size() == key);
   std::size_t never = 0;
   for (const auto& [one, ended] : bench.recorder.ended) {
@@ -452,6 +452,6 @@
   connection->connect(mute.local_endpoint());
   const Instant limit = net::Loop::now() + std::chrono::seconds{5};
   while (!recorder.down && net::Loop::now() < limit) loop.io.run_one_for(milliseconds{10});
-  CHECK(recorder.down == net::Closed::kNeverUp);
+  CHECK(recorder.down == net::CloseReason::kNeverUp);
   CHECK(recorder.ups == 0);
 }
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -19,8 +19,8 @@
 namespace amberknot::tests {
 namespace {
 
-using core::Leaving;
-using core::ServingRecord;
+using core::GracefulShutdown;
+using core::InstanceRecord;
 using std::chrono::seconds;
 
 const std::string kA = "00000000000000a1";
@@ -39,9 +39,9 @@
   std::string path;
 };
 
-store::Presence declare(const Folder& folder, const ServingRecord& self) {
+store::InstanceLock declare(const Folder& folder, const InstanceRecord& self) {
   std::string error;
-  auto made = store::Presence::declare(folder.path, self, error);
+  auto made = store::InstanceLock::declare(folder.path, self, error);
   REQUIRE_MESSAGE(made, error);
   return std::move(*made);
 }
@@ -67,7 +67,7 @@
   const struct {
     Duration longest;
     bool replaced;
-    Duration answer_by, leave_by;
+    Duration answer_by, exit_by;
   } rows[] = {
       {seconds{2}, false, milliseconds{2450}, milliseconds{2650}},
       {seconds{9}, false, milliseconds{3450}, milliseconds{3650}},  // counts as 3 s
@@ -76,30 +76,30 @@
       {milliseconds{50}, false, milliseconds{700}, milliseconds{700}},
   };
   for (const auto& row : rows) {
-    const auto plan = Leaving::plan(at, row.longest, row.replaced);
-    CHECK(plan.callers_until == at + milliseconds{700});
+    const auto plan = GracefulShutdown::plan(at, row.longest, row.replaced);
+    CHECK(plan.accept_until == at + milliseconds{700});
     CHECK(plan.answer_by == at + row.answer_by);
-    CHECK(plan.leave_by == at + row.leave_by);
-    // What is owed is waited for without end, what stands until `leave_by`.
-    CHECK_FALSE(plan.may_leave(plan.callers_until - milliseconds{1}, 0, 0));
-    CHECK(plan.may_leave(plan.callers_until, 0, 0));
-    CHECK_FALSE(plan.may_leave(plan.leave_by - milliseconds{1}, 0, 1));
-    CHECK(plan.may_leave(plan.leave_by, 0, 1));
-    CHECK_FALSE(plan.may_leave(plan.leave_by + seconds{60}, 1, 0));
+    CHECK(plan.exit_by == at + row.exit_by);
+    // What is owed is waited for without end, what stands until `exit_by`.
+    CHECK_FALSE(plan.may_exit(plan.accept_until - milliseconds{1}, 0, 0));
+    CHECK(plan.may_exit(plan.accept_until, 0, 0));
+    CHECK_FALSE(plan.may_exit(plan.exit_by - milliseconds{1}, 0, 1));
+    CHECK(plan.may_exit(plan.exit_by, 0, 1));
+    CHECK_FALSE(plan.may_exit(plan.exit_by + seconds{60}, 1, 0));
   }
 }
 
 TEST_CASE("replaced is who is followed by a younger process of the same name at the same address") {
-  const ServingRecord self{"n1", "127.0.0.1:5070", 1000};
-  CHECK_FALSE(core::replaced_by_any(self, {}));
-  CHECK_FALSE(core::replaced_by_any(self, {{"n1", "127.0.0.1:5070", 999}}));  // the one it replaced itself
-  CHECK_FALSE(core::replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}}));
-  CHECK_FALSE(core::replaced_by_any(self, {{"n1", "127.0.0.1:5071", 2000}}));
-  CHECK(core::replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}, {"n1", "127.0.0.1:5070", 1001}}));
+  const InstanceRecord self{"n1", "127.0.0.1:5070", 1000};
+  CHECK_FALSE(core::is_replaced_by_any(self, {}));
+  CHECK_FALSE(core::is_replaced_by_any(self, {{"n1", "127.0.0.1:5070", 999}}));  // the one it replaced itself
+  CHECK_FALSE(core::is_replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}}));
+  CHECK_FALSE(core::is_replaced_by_any(self, {{"n1", "127.0.0.1:5071", 2000}}));
+  CHECK(core::is_replaced_by_any(self, {{"n2", "127.0.0.1:5070", 2000}, {"n1", "127.0.0.1:5070", 1001}}));
 }
 
 TEST_CASE("a record is read back as written, and nothing is made of a bad one") {
-  const ServingRecord record{"n1", "127.0.0.1:5070", 1764633600000000};
+  const InstanceRecord record{"n1", "127.0.0.1:5070", 1764633600000000};
   const auto text = store::text_of(record);
   CHECK(store::read_record(text) == record);
   for (std::size_t cut = 0; cut + 2 < text.size(); ++cut)
@@ -121,8 +121,8 @@
     const auto others = first.others(unreadable);
     REQUIRE(others.size() == 1);
     CHECK(others.front() == second.self());
-    CHECK(core::replaced_by_any(first.self(), others));
-    CHECK_FALSE(core::replaced_by_any(second.self(), second.others(unreadable)));
+    CHECK(core::is_replaced_by_any(first.self(), others));
+    CHECK_FALSE(core::is_replaced_by_any(second.self(), second.others(unreadable)));
   }
   CHECK(first.others(unreadable).empty());
   // A file that its process left behind when it was killed: nobody holds its lock.
@@ -138,21 +138,21 @@
   CHECK(unreadable == 1);
   ::close(held);
   std::string error;
-  CHECK_FALSE(store::Presence::declare("", first.self(), error));
-  CHECK_FALSE(store::Presence::declare(folder.path + "/none", first.self(), error));
+  CHECK_FALSE(store::InstanceLock::declare("", first.self(), error));
+  CHECK_FALSE(store::InstanceLock::declare(folder.path + "/none", first.self(), error));
   CHECK(error.find("No such file") != std::string::npos);
 }
 
 TEST_CASE(
     "releases are left in the shared folder and taken once, in order; what is bad is removed and counted") {
   const Folder folder;
-  const ServingRecord self{"n1", "127.0.0.1:5070", 1};
+  const InstanceRecord self{"n1", "127.0.0.1:5070", 1};
   std::string error;
   std::size_t unreadable = 0;
   CHECK(store::take_releases(folder.path, self, unreadable).empty());
-  std::vector<core::HandedRelease> all;
+  std::vector<core::UndeliveredRelease> all;
   for (int i = 0; i < 20; ++i) {
-    std::vector<core::HandedRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
+    std::vector<core::UndeliveredRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
     all.insert(all.end(), some.begin(), some.end());
     REQUIRE(store::leave_releases(folder.path, self, some, error));
     CHECK(some.empty());
@@ -187,8 +187,8 @@
 
 TEST_CASE("however many releases there are, each file can be read again") {
   const Folder folder;
-  const ServingRecord self{"n1", "127.0.0.1:5070", 1};
-  std::vector<core::HandedRelease> all;
+  const InstanceRecord self{"n1", "127.0.0.1:5070", 1};
+  std::vector<core::UndeliveredRelease> all;
   for (int i = 0; i < 20'000; ++i) all.push_back({"127.100.100.100", kA, i});
   auto left = all;
   std::string error;
@@ -210,7 +210,7 @@
   auto& server = bench.invited(kA);
   const Replacement by(bench);
   bool done = false;
-  bench.router->stop_when_answered([&] { done = true; });
+  bench.router->shut_down([&] { done = true; });
   CHECK(bench.router->callers_at() == by.listen);
   // Every new connection reaches the new process: with both listening, one in two would not.
   std::vector<std::unique_ptr<End>> callers;
@@ -251,9 +251,9 @@
   bench.caller->stream->close();
   bench.until([&] { return bench.router->callers() == 0; });
   server.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
-  bench.until([&] { return bench.router->table().standing() == 0; });
+  bench.until([&] { return bench.router->table().established() == 0; });
   const Replacement by(bench);
-  bench.router->stop_when_answered([] {});
+  bench.router->shut_down([] {});
   bench.caller = bench.connect(by.listen);
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
   CHECK(by.next->callers() == 1);
@@ -264,7 +264,7 @@
   bench.list();
   auto& server = bench.standing(kA);
   const Replacement by(bench);
-  bench.router->stop_when_answered([] {});
+  bench.router->shut_down([] {});
   bench.until([&] { return bench.caller->closed; });
   bench.caller = bench.connect(by.listen);
   bench.settle();
@@ -275,7 +275,7 @@
   const rlimit none{0, usual.rlim_max};
   REQUIRE(::setrlimit(RLIMIT_FSIZE, &none) == 0);
   server.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n"));
-  bench.until([&] { return bench.router->table().standing() == 0; });
+  bench.until([&] { return bench.router->table().established() == 0; });
   std::size_t looks = 0;  // the router looks every 20 ms
   const auto look = [&](auto&& self) -> void {
     if (++looks < 3) bench.loop.after(milliseconds{20}, [&self] { self(self); });
@@ -299,14 +299,14 @@
     auto config = bench.config;
     config.listen = bench.router->callers_at();
     // The new process, as far as the old one sees it. Killed: its file stays, and nobody holds its lock.
-    const ServingRecord younger{"n0", net::text_of(config.listen), Loop::unix_us() + 1};
-    std::optional<store::Presence> next;
+    const InstanceRecord younger{"n0", net::text_of(config.listen), Loop::unix_us() + 1};
+    std::optional<store::InstanceLock> next;
     if (before) {
       std::ofstream(folder.path + "/amberknot-serving-dead00") << store::text_of(younger);
     } else {
       next.emplace(declare(folder, younger));
     }
-    bench.router->stop_when_answered([] {});
+    bench.router->shut_down([] {});
     next.reset();
     const auto bye = Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=16\r\n");
     if (before) {
@@ -339,7 +339,7 @@
   const Folder folder;
   bench.router->declare(folder.path);
   const auto next = declare(folder, {"n0", net::text_of(bench.router->callers_at()), Loop::unix_us() + 1});
-  bench.router->stop_when_answered([] {});
+  bench.router->shut_down([] {});
   const std::string probe = "{\"msg\":\"probe\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":0}\n";
   asio::write(plain, asio::buffer(probe));
   for (auto& caller : callers) caller->stream->send(probe);
--- a/tests/long_day_test.cpp
+++ b/tests/long_day_test.cpp
@@ -15,21 +15,21 @@
   const auto later = [] { return Loop::now() + std::chrono::minutes{2}; };
   for (int i = 0; i < 50; ++i) {
     const auto name = "s" + std::to_string(i);
-    bench.list(ListState::kReady, 0, name);
-    if (i < 49) bench.list(ListState::kGone, 0, name);
+    bench.list(EndpointState::kReady, 0, name);
+    if (i < 49) bench.list(EndpointState::kRemoved, 0, name);
   }
-  bench.router->forget_gone(Loop::now());
+  bench.router->forget_removed(Loop::now());
   CHECK(bench.router->servers().all().size() == 50);  // some of their calls may still want their release
-  bench.router->forget_gone(later());
+  bench.router->forget_removed(later());
   CHECK(bench.router->servers().all().size() == 1);
-  bench.list(ListState::kReady, 0, "s3");
+  bench.list(EndpointState::kReady, 0, "s3");
   CHECK(static_cast<std::uint32_t>(bench.router->servers().all().rbegin()->first) == 50);
   // The address goes on to a server with another name, which serves.
   bench.standing(kA);
-  bench.list(ListState::kGone, 0, "s49");
-  bench.list(ListState::kGone, 0, "s3");
+  bench.list(EndpointState::kRemoved, 0, "s49");
+  bench.list(EndpointState::kRemoved, 0, "s3");
   bench.until([&] { return bench.caller->has("\"code\":41}"); });
-  bench.router->forget_gone(later());
+  bench.router->forget_removed(later());
   CHECK(bench.router->servers().all().empty());
 }
 
@@ -41,10 +41,14 @@
   admission.start(now, actions);
   for (std::uint32_t i = 0; i < 100; ++i) {
     now += std::chrono::seconds{5};
-    admission.handle(now, ListNews{ListScope::kDelta, {{ServerId{i}, CellNo{0}, ListState::kReady, {}}}},
-                     actions);
+    admission.handle(
+        now,
+        EndpointUpdate{EndpointUpdateScope::kDelta, {{ServerId{i}, PoolId{0}, EndpointState::kReady, {}}}},
+        actions);
     if (i > 0) {
-      admission.handle(now, ListNews{ListScope::kDelta, {{ServerId{i - 1}, CellNo{0}, ListState::kGone, {}}}},
+      admission.handle(now,
+                       EndpointUpdate{EndpointUpdateScope::kDelta,
+                                      {{ServerId{i - 1}, PoolId{0}, EndpointState::kRemoved, {}}}},
                        actions);
     }
   }
@@ -56,8 +60,8 @@
 TEST_CASE("releases that wait for their callers are bounded in total") {
   auto config = bench_config();
   config.memory_mb = 16;
-  const auto bounds = net::Bounds::of(config.memory_mb, config.sockets);
+  const auto bounds = net::ResourceLimits::of(config.memory_mb, config.sockets);
   CHECK(bounds.waiting * 128 <= 16 * 1024 * 1024 / 64);
-  CHECK(bounds.callers + bounds.diameter + bounds.links < config.sockets);
+  CHECK(bounds.callers + bounds.diameter + bounds.upstream_connections < config.sockets);
   CHECK(bounds.queued + bounds.calls + bounds.callers * 18 * 1024 < 16 * 1024 * 1024);
 }
--- a/tests/net_bench.hpp
+++ b/tests/net_bench.hpp
@@ -17,14 +17,14 @@
 using std::chrono::milliseconds;
 
 /// One end of a connection under the test's hand: keeps what came, sends what it is told.
-struct End : net::Stream::Owner {
-  explicit End(Loop& loop) : loop(loop), stream(std::make_shared<net::Stream>(loop, *this)) {}
+struct End : net::TcpConnection::Owner {
+  explicit End(Loop& loop) : loop(loop), stream(std::make_shared<net::TcpConnection>(loop, *this)) {}
   ~End() override { stream->close(); }
-  std::size_t on_bytes(net::Stream& /*stream*/, std::span<char> bytes) override {
+  std::size_t on_bytes(net::TcpConnection& /*stream*/, std::span<char> bytes) override {
     in.append(bytes.data(), bytes.size());
     return bytes.size();
   }
-  void on_closed(net::Stream& /*stream*/, net::Closed reason) override {
+  void on_closed(net::TcpConnection& /*stream*/, net::CloseReason reason) override {
     closed = true;
     why = reason;
   }
@@ -40,10 +40,10 @@
     return found;
   }
   Loop& loop;
-  std::shared_ptr<net::Stream> stream;
+  std::shared_ptr<net::TcpConnection> stream;
   std::string in;
   bool closed = false;
-  net::Closed why = net::Closed::kEnded;
+  net::CloseReason why = net::CloseReason::kEnded;
 };
 
 /// A stand-in's listening side; every connection it takes is kept.
@@ -94,18 +94,18 @@
   config.names = {{"voice", "data"}, {"acme"}};
   auto& settings = config.settings;
   settings.seed = 1;
-  settings.siblings = 1;
-  settings.round = milliseconds{1};
-  settings.resend = milliseconds{400};
+  settings.peer_count = 1;
+  settings.batch_interval = milliseconds{1};
+  settings.retransmit_interval = milliseconds{400};
   settings.classes.resize(2);
   for (auto& cls : settings.classes) {
-    cls.aim = milliseconds{1200};
+    cls.latency_objective = milliseconds{1200};
     cls.deadline = milliseconds{3000};
-    cls.worth = 1;
-    cls.repeatable = true;
+    cls.priority_weight = 1;
+    cls.idempotent = true;
   }
   settings.tenants.resize(1);
-  settings.limits.most_tries = 4;
+  settings.limits.max_tries = 4;
   settings.limits.cancel = true;
   settings.limits.probes = true;
   settings.limits.retry_advice = true;
@@ -147,8 +147,9 @@
     end->stream->connect(to, milliseconds{500});
     return end;
   }
-  void list(ListState state = ListState::kReady, std::int64_t started = 0, const std::string& name = "s1") {
-    feed::ListNews news;
+  void list(EndpointState state = EndpointState::kReady, std::int64_t started = 0,
+            const std::string& name = "s1") {
+    feed::EndpointUpdate news;
     news.has_servers = true;
     news.changes.push_back({name, server.address, 0, state, started});
     router->apply(news);
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -140,7 +140,7 @@
   };
   for (const auto& one : cases) {
     CAPTURE(one.text);
-    const auto read = read_sip(one.text, net::kMostMessage);
+    const auto read = read_sip(one.text, net::kMaxMessage);
     CHECK(read.state == one.state);
     CHECK(read.head.status == one.status);
     if (one.state == State::kWhole) {
@@ -148,7 +148,7 @@
       CHECK(read.size() == std::string(one.text).size());
     }
   }
-  CHECK(read_sip(std::string(net::kMostMessage + 1, 'a'), net::kMostMessage).state == State::kBad);
+  CHECK(read_sip(std::string(net::kMaxMessage + 1, 'a'), net::kMaxMessage).state == State::kBad);
 }
 
 TEST_CASE("the wait of a full processor, and what is none") {
@@ -176,7 +176,7 @@
   const auto read = read_sip(
       "SIP/2.0 503 Full\r\nCall-ID: a\r\nCSeq: 1 INVITE\r\nX-Diagnosis: acc\r\nx-lag: 1700\r\n"
       "Content-Length: 0\r\n\r\n",
-      net::kMostMessage);
+      net::kMaxMessage);
   CHECK(read.head.lag == "1700");
 }
 
@@ -185,12 +185,12 @@
   CHECK(read_reason("Q.850\r\n ;cause=41;text=\"x\"") == 41);
   CHECK_FALSE(read_reason("SIP;cause=200"));
   CHECK_FALSE(read_reason(""));
-  const auto report = read_report("idle:12;circuits:40;lat_ms:2.5;max_rate:-1;odd;x:y");
+  const auto report = read_load_report("idle:12;circuits:40;lat_ms:2.5;max_rate:-1;odd;x:y");
   CHECK(report.free_lines == 12.0);
   CHECK(report.lines == 40.0);
   CHECK(report.wait == std::chrono::microseconds{2500});
   CHECK_FALSE(report.accept_rate);
-  CHECK(read_report("x0:1;queue:3").waiting == 3.0);
+  CHECK(read_load_report("x0:1;queue:3").waiting == 3.0);
 }
 
 TEST_CASE("server-sent events survive every cut and every line end") {
@@ -213,7 +213,7 @@
 }
 
 TEST_CASE("news of the list: states, starts and what cannot be read") {
-  const auto news = read_list_news(
+  const auto news = read_endpoint_update(
       R"({"cursor":41,"nodes":{"snapshot":true,"endpoints":[)"
       R"({"name":"a","address":"10.1.0.9:5070","group":2,"status":"draining","since_ms":1700000000123},)"
       R"({"name":"b","address":"x","group":0,"status":"odd"},{"address":"x","status":"ready"}]}})");
@@ -221,13 +221,13 @@
   CHECK(news->cursor == 41);
   CHECK(news->whole_list);
   REQUIRE(news->changes.size() == 1);
-  CHECK(news->changes[0].state == ListState::kDraining);
-  CHECK(news->changes[0].cell == 2);
+  CHECK(news->changes[0].state == EndpointState::kDraining);
+  CHECK(news->changes[0].pool == 2);
   CHECK(news->changes[0].started_unix_ms == 1700000000123);
-  CHECK(read_list_news(R"({"cursor":1})")->has_servers == false);
+  CHECK(read_endpoint_update(R"({"cursor":1})")->has_servers == false);
   for (const char* bad : {"", "{", "[]", R"({"nodes":{}})", R"({"cursor":1,"nodes":{"endpoints":3}})"}) {
     CAPTURE(bad);
-    CHECK_FALSE(read_list_news(std::string(bad)));
+    CHECK_FALSE(read_endpoint_update(std::string(bad)));
   }
 }
 
@@ -258,7 +258,7 @@
     CHECK(said.find(one.says) != std::string::npos);
   }
   const auto whole = read_operator_file(read_file(EXAMPLE_OPERATOR_FILE));
-  CHECK(whole.diameter->speaks_diameter("s-0512ce2f"));
+  CHECK(whole.diameter->is_diameter_server("s-0512ce2f"));
   CHECK(whole.ldap->key_attribute == "associatedDomain");
 }
 
--- a/tests/net_rules_test.cpp
+++ b/tests/net_rules_test.cpp
@@ -20,7 +20,7 @@
   bench.answer(end, kA, "a\r\nb");
   bench.until([&] { return end.has("ACK sip:77aa@net"); });
   bench.until([&] { return bench.caller->has("\"text\":\"a\\r\\nb\"}\n"); });
-  CHECK(bench.router->counters().stood == 1);
+  CHECK(bench.router->counters().established == 1);
 }
 
 TEST_CASE("a call that no server can take is refused once, before its caller stops waiting") {
@@ -112,10 +112,10 @@
     bench.open(kA, 1900);
     bench.invited(kA).stream->send(Bench::sip("SIP/2.0 503 Full", kA, "1 INVITE",
                                               std::string("X-Diagnosis: acc\r\nX-Lag: ") + lag + "\r\n"));
-    bench.until([&] { return bench.router->counters().ended[static_cast<int>(Outcome::kFull)] == 1; });
+    bench.until([&] { return bench.router->counters().attempt_ends[static_cast<int>(Outcome::kFull)] == 1; });
     // Timers that are late run in the order in which they were due.
     std::optional<std::uint64_t> sent;
-    bench.loop.after(milliseconds{500}, [&] { sent = bench.router->counters().sent; });
+    bench.loop.after(milliseconds{500}, [&] { sent = bench.router->counters().attempts; });
     bench.until([&] { return sent.has_value(); });
     CHECK(sent == 1);
     bench.until([&] { return bench.server.count("CSeq: 2 INVITE") == 1; });
@@ -140,7 +140,7 @@
   CHECK(bench.server.count("BYE sip:") == 0);
   CHECK(bench.caller->count(kA) == 1);
   CHECK(bench.router->counters().late_answers == 0);
-  CHECK(bench.router->table().standing() == 1);
+  CHECK(bench.router->table().established() == 1);
 }
 
 TEST_CASE("a set-up that still waits for a connection is taken back when its server drains") {
@@ -148,12 +148,12 @@
   bench.open(kA, 300);
   bench.settle();
   bench.list();  // the loop has not run since: the link is still coming up
-  CHECK(bench.router->counters().sent == 1);
-  bench.list(ListState::kDraining);
-  CHECK(bench.router->counters().taken_back == 1);
+  CHECK(bench.router->counters().attempts == 1);
+  bench.list(EndpointState::kDraining);
+  CHECK(bench.router->counters().withdrawn == 1);
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
   CHECK(bench.server.count("INVITE") == 0);
-  CHECK(bench.router->counters().ended[static_cast<int>(Outcome::kMoot)] == 1);
+  CHECK(bench.router->counters().attempt_ends[static_cast<int>(Outcome::kNotSent)] == 1);
 }
 
 TEST_CASE("what is queued on a blocked socket can be taken back, what has begun to leave cannot") {
@@ -165,7 +165,7 @@
   auto& stream = *deaf.ends[0]->stream;
   // Nobody reads `silent`: once the system's buffers are full one message is half written, and the next
   // waits.
-  net::Stream::Tag tag = 0;
+  net::TcpConnection::Tag tag = 0;
   bool back = false;
   while (!back && tag < 1000) {
     stream.send(std::string(65'536, 'x'), {}, ++tag);
@@ -199,7 +199,7 @@
   SUBCASE("with no connection of its caller open, the release waits for the next") {
     bench.caller->stream->close();
     end.stream->send(Bench::sip("BYE sip:x@net SIP/2.0", kA, "2 BYE", "Reason: Q.850;cause=41\r\n"));
-    bench.until([&] { return bench.router->counters().cut == 1; });
+    bench.until([&] { return bench.router->counters().aborted == 1; });
     bench.caller = bench.connect(bench.router->callers_at());
     bench.until([&] { return bench.caller->has("\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":41}"); });
   }
@@ -213,13 +213,13 @@
   SUBCASE("a process that dies cuts its calls, once each") {
     bench.server.die();
     bench.until([&] { return bench.caller->count("\"code\":41}") == 2; });
-    bench.list(ListState::kGone);
+    bench.list(EndpointState::kRemoved);
     bench.settle();
     CHECK(bench.caller->count("\"code\":41}") == 2);
-    CHECK(bench.router->table().standing() == 0);
+    CHECK(bench.router->table().established() == 0);
   }
   SUBCASE("a new start told by the list cuts what stood before it") {
-    bench.list(ListState::kReady, Loop::unix_ms() + 1);
+    bench.list(EndpointState::kReady, Loop::unix_ms() + 1);
     bench.until([&] { return bench.caller->count("\"code\":41}") == 2; });
   }
 }
@@ -229,7 +229,7 @@
   bench.list();
   bench.open(kA, 400);
   bench.invited(kA).stream->close();
-  bench.until([&] { return bench.router->counters().ended[static_cast<int>(Outcome::kReset)] == 1; });
+  bench.until([&] { return bench.router->counters().attempt_ends[static_cast<int>(Outcome::kReset)] == 1; });
   bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kA); });
   CHECK(bench.server.count(" INVITE\r\n") == 1);
 }
@@ -246,12 +246,12 @@
   auto& first = *bench.channel.ends[0]->stream;
   first.send(head);
   first.send(event(1, "ready"));
-  bench.until([&] { return bench.router->counters().feed_events == 1; });
+  bench.until([&] { return bench.router->counters().endpoint_events == 1; });
   first.close();
   bench.until([&] { return bench.channel.with("Last-Event-ID: 1\r\n") != nullptr; });
   auto& second = *bench.channel.ends[1]->stream;
   second.send(head + event(1, "gone") + event(2, "draining"));
-  bench.until([&] { return bench.router->counters().feed_events == 2; });
+  bench.until([&] { return bench.router->counters().endpoint_events == 2; });
   // Silent from here on: taken for dead, and resumed.
   bench.until([&] { return bench.channel.with("Last-Event-ID: 2\r\n") != nullptr; });
 }
@@ -267,18 +267,18 @@
   bench.until([&] { return bench.channel.with("Last-Event-ID: 0\r\n") != nullptr; });
   bench.channel.ends[0]->stream->send(head + event(1) + "id: 2\ndata: {\"cursor\":2,\"no\n\n" + event(3));
   bench.until([&] { return bench.channel.with("Last-Event-ID: 1\r\n") != nullptr; });
-  CHECK(bench.router->counters().feed_events == 1);
+  CHECK(bench.router->counters().endpoint_events == 1);
   bench.channel.ends[1]->stream->send(head + event(2) + event(3));
-  bench.until([&] { return bench.router->counters().feed_events == 3; });
+  bench.until([&] { return bench.router->counters().endpoint_events == 3; });
   // One that stays unreadable is skipped in the end: what follows counts more.
   for (std::size_t i = 1; i < 5; ++i) {
     bench.until([&] { return bench.channel.ends.size() > i; });
     auto& end = *bench.channel.ends[i];
     bench.until([&] { return end.has("Last-Event-ID"); });
     end.stream->send((i > 1 ? head : "") + "id: 4\ndata: nonsense\n\n" + event(5));
-    bench.until([&] { return end.closed || bench.router->counters().feed_events == 4; });
+    bench.until([&] { return end.closed || bench.router->counters().endpoint_events == 4; });
   }
-  CHECK(bench.router->counters().feed_events == 4);
+  CHECK(bench.router->counters().endpoint_events == 4);
 }
 
 TEST_CASE("after SIGTERM's request the router still takes and answers, then ends") {
@@ -287,7 +287,7 @@
   bench.open(kA);
   auto& end = bench.invited(kA);
   bool done = false;
-  bench.router->stop_when_answered([&] { done = true; });
+  bench.router->shut_down([&] { done = true; });
   const auto late = bench.connect(bench.router->callers_at());
   late->stream->send("{\"msg\":\"probe\",\"sid\":\"" + kB + "\",\"attrs\":{},\"code\":0}\n");
   bench.until([&] { return late->has("\"probed\",\"sid\":\"" + kB + "\",\"attrs\":{},\"code\":1}"); });
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -72,11 +72,11 @@
   int status_ = 0;
 };
 
-feed::ListNews news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
-  feed::ListNews news;
+feed::EndpointUpdate news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
+  feed::EndpointUpdate news;
   news.cursor = cursor;
   news.has_servers = true;
-  news.changes.push_back({name, address, 0, ListState::kReady, 0});
+  news.changes.push_back({name, address, 0, EndpointState::kReady, 0});
   return news;
 }
 
@@ -124,7 +124,7 @@
   bench.until([&] { return bench.channel.with("Last-Event-ID: 0\r\n") != nullptr; });
   auto& old = *bench.channel.ends[0];
   old.stream->send(head + event(3, "s1"));
-  bench.until([&] { return bench.router->counters().feed_events == 1; });
+  bench.until([&] { return bench.router->counters().endpoint_events == 1; });
 
   Listener next(bench.loop);
   auto fresh = bench.config;
@@ -134,7 +134,7 @@
   // The old channel stays open for a while on its own side; what it says counts no more.
   bench.until([&] { return old.closed; });
   next.ends[0]->stream->send(head + event(3, "s2") + event(4, "s3"));
-  bench.until([&] { return bench.router->counters().feed_events == 2; });
+  bench.until([&] { return bench.router->counters().endpoint_events == 2; });
   CHECK(bench.channel.ends.size() == 1);
   CHECK(bench.router->counters().reloads == 1);
 
@@ -147,7 +147,7 @@
   SUBCASE("what the new file knows is learnt where it is news") {
     fresh.known = {news_of(4, "s4", bench.server.address), news_of(5, "s5", bench.server.address)};
     bench.router->reload(fresh);
-    CHECK(bench.router->counters().feed_events == 3);
+    CHECK(bench.router->counters().endpoint_events == 3);
   }
   SUBCASE("a channel that cannot be reached yet is tried again, from one connection") {
     Listener gone(bench.loop);
@@ -155,7 +155,7 @@
     gone.die();
     fresh.channel = at;
     bench.router->reload(fresh);
-    bench.until([&] { return bench.router->counters().feed_restarts >= 3; });
+    bench.until([&] { return bench.router->counters().endpoint_watch_restarts >= 3; });
     fresh.channel = next.acceptor.local_endpoint();
     bench.router->reload(fresh);
     bench.until([&] { return next.count("Last-Event-ID: 4\r\n") == 1; });
--- a/tests/retune_test.cpp
+++ b/tests/retune_test.cpp
@@ -14,9 +14,9 @@
 
 CallClass class_of(int aim_ms) {
   CallClass one;
-  one.aim = milliseconds{aim_ms};
+  one.latency_objective = milliseconds{aim_ms};
   one.deadline = milliseconds{3000};
-  one.worth = 1;
+  one.priority_weight = 1;
   return one;
 }
 
@@ -75,14 +75,14 @@
   const core::Names names{{"voice"}, {"acme"}};
   Settings now;
   now.classes = {class_of(100)};
-  now.siblings = 5;
+  now.peer_count = 5;
   auto fresh = now;
-  CHECK(core::retune(names, now, names, fresh).kept.empty());
-  fresh.invariants.release_wait = milliseconds{200};
-  fresh.siblings = 7;
-  fresh.over_share_worth = 0.5;
-  fresh.resend = milliseconds{400};
-  CHECK(core::retune(names, now, {{"voice"}, {"acme", "zoo"}}, fresh).kept ==
+  CHECK(core::plan_reload(names, now, names, fresh).requires_restart.empty());
+  fresh.invariants.retry_pause = milliseconds{200};
+  fresh.peer_count = 7;
+  fresh.over_quota_weight = 0.5;
+  fresh.retransmit_interval = milliseconds{400};
+  CHECK(core::plan_reload(names, now, {{"voice"}, {"acme", "zoo"}}, fresh).requires_restart ==
         std::vector<std::string>{"tenants", "timing", "invariants", "over_share_worth", "siblings"});
 }
 
@@ -90,19 +90,20 @@
   core::Names names{{"voice", "data"}, {"acme"}};
   Settings now;
   now.classes = {class_of(100), class_of(200)};
-  now.limits.most_tries = 4;
+  now.limits.max_tries = 4;
   core::Names fresh_names{{"video", "voice"}, {"acme"}};
   Settings fresh;
   fresh.classes = {class_of(300), class_of(150)};
-  fresh.limits.most_tries = 2;
-  auto out = core::retune(names, now, fresh_names, fresh);
+  fresh.limits.max_tries = 2;
+  auto out = core::plan_reload(names, now, fresh_names, fresh);
   CHECK(out.names.classes == std::vector<std::string>{"voice", "data", "video"});
   CHECK(out.names.retired == std::vector<bool>{false, true, false});
   REQUIRE(out.classes.size() == 3);
-  CHECK(out.classes[0].aim == milliseconds{150});  // as the new file says
-  CHECK(out.classes[1].aim == milliseconds{200});  // kept for the calls of it that are under way
-  CHECK(out.classes[2].aim == milliseconds{300});
-  CHECK(out.limits.most_tries == 2);
+  CHECK(out.classes[0].latency_objective == milliseconds{150});  // as the new file says
+  CHECK(out.classes[1].latency_objective ==
+        milliseconds{200});  // kept for the calls of it that are under way
+  CHECK(out.classes[2].latency_objective == milliseconds{300});
+  CHECK(out.limits.max_tries == 2);
   CHECK(out.names.class_no("data") == std::nullopt);
   CHECK(out.names.class_no("video") == 2);
   // Named again later: it comes back in its old place.
@@ -110,10 +111,10 @@
   in_force.classes = out.classes;
   Settings later;
   later.classes = {class_of(250)};
-  const auto back = core::retune(out.names, in_force, {{"data"}, {"acme"}}, later);
+  const auto back = core::plan_reload(out.names, in_force, {{"data"}, {"acme"}}, later);
   CHECK(back.names.classes == std::vector<std::string>{"voice", "data", "video"});
   CHECK(back.names.retired == std::vector<bool>{true, false, true});
-  CHECK(back.classes[1].aim == milliseconds{250});
+  CHECK(back.classes[1].latency_objective == milliseconds{250});
 }
 
 TEST_CASE("a defective file is refused with the field it names, and the settings in force stay whole") {
@@ -162,7 +163,7 @@
   auto fresh = bench.config;
   fresh.names.classes = {"data", "video"};  // voice is taken away, video added
   fresh.settings.classes = {class_of(1200), class_of(1200)};
-  fresh.settings.limits.most_tries = 2;
+  fresh.settings.limits.max_tries = 2;
   fresh.settings_text = "changed";
   bench.router->reload(fresh);
   // The call of the class taken away is answered as it would have been.
@@ -184,7 +185,7 @@
   Bench bench;
   bench.list();
   auto fresh = bench.config;
-  fresh.settings.limits.most_tries = 1;
+  fresh.settings.limits.max_tries = 1;
   fresh.settings_text = "changed";
   bench.router->reload(fresh);
   bench.open(kA);
--- a/tests/rule_guards_test.cpp
+++ b/tests/rule_guards_test.cpp
@@ -28,7 +28,7 @@
   play.at(3s);
   const auto actions = play.ends(1, 1, Outcome::kTimeout);
   EXPECT_EQ(answers(actions), 1U);
-  EXPECT_TRUE(of<Send>(actions).empty());
+  EXPECT_TRUE(of<ForwardCall>(actions).empty());
 }
 
 TEST(RuleOne, NoAnswerOnceTheCallEnded) {
@@ -47,7 +47,7 @@
   play.at(700ms);
   play.look();
   const auto silent = play.look_until(1400ms);  // suspected and cancelled, but not yet reported back
-  EXPECT_TRUE(of<Send>(silent).empty());
+  EXPECT_TRUE(of<ForwardCall>(silent).empty());
   EXPECT_EQ(answers(silent), 0U);
 }
 
@@ -55,14 +55,14 @@
   Scenario play;
   play.list({ready(1), ready(2)});
   play.call(1, 1);
-  EXPECT_TRUE(of<Send>(play.call(1, 2)).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.call(1, 2)).empty());
 }
 
 TEST(RuleThree, NothingToADrainingOrGoneServer) {
-  for (const auto state : {ListState::kDraining, ListState::kGone}) {
+  for (const auto state : {EndpointState::kDraining, EndpointState::kRemoved}) {
     Scenario play;
     play.list({ready(1), ready(2)});
-    play.at(1s).list({in_state(1, state)}, ListScope::kDelta);
+    play.at(1s).list({in_state(1, state)}, EndpointUpdateScope::kDelta);
     for (std::uint32_t id = 0; id < 10; ++id) play.call(id, 1);
     EXPECT_EQ(sends_to(play.all(), 1), 0U);
     EXPECT_GT(sends_to(play.all(), 2), 0U);
@@ -80,7 +80,7 @@
 void flood(Scenario& play, std::uint32_t& id, Duration from, Duration to) {
   for (Duration time = from; time < to; time += 50ms, ++id) {
     play.at(time);
-    for (const auto& send : of<Send>(play.call(id, 1, 0, 100ms))) {
+    for (const auto& send : of<ForwardCall>(play.call(id, 1, 0, 100ms))) {
       play.stands(static_cast<std::uint32_t>(send.call), static_cast<std::uint32_t>(send.server), 10ms);
     }
   }
@@ -103,7 +103,7 @@
   play.list({ready(1), ready(2)});
   flood(play, id, 0s, 30s);
   const auto before = sends_to(play.all(), 1);
-  play.at(30s).list({ready(1, Instant{1029s})}, ListScope::kDelta);
+  play.at(30s).list({ready(1, Instant{1029s})}, EndpointUpdateScope::kDelta);
   flood(play, id, 30010ms, 31500ms);
   EXPECT_LE(sends_to(play.all(), 1) - before, 16U);
 }
@@ -117,7 +117,7 @@
   const auto run = [&](Duration from, Duration to) {
     for (Duration time = from; time < to; time += 50ms, ++id) {  // 20 a second arrive, 2 a second stand
       play.at(time);
-      for (const auto& send : of<Send>(play.call(id, 1, 0, 100ms))) {
+      for (const auto& send : of<ForwardCall>(play.call(id, 1, 0, 100ms))) {
         const auto server = static_cast<std::uint32_t>(send.server);
         if (server == 1 || id % 10 == 0) {
           play.stands(static_cast<std::uint32_t>(send.call), server, 10ms);
@@ -127,9 +127,9 @@
       }
     }
   };
-  play.list({in_state(1, ListState::kGone)}, ListScope::kDelta);
+  play.list({in_state(1, EndpointState::kRemoved)}, EndpointUpdateScope::kDelta);
   run(0s, 20s);
-  play.at(20s).list({ready(1, Instant{1020s})}, ListScope::kDelta);
+  play.at(20s).list({ready(1, Instant{1020s})}, EndpointUpdateScope::kDelta);
   const auto before = sends_to(play.all(), 1);
   run(20010ms, 23s);
   const auto sent = sends_to(play.all(), 1) - before;
@@ -141,7 +141,7 @@
 // calm delay, since the small warm ones let little stand.
 TEST(RuleFour, CalmAnswersRaiseThePaceAndAQueueTakesItBack) {
   auto settings = usual_settings();
-  settings.invariants.ramp_time = 60s;
+  settings.invariants.slow_start_duration = 60s;
   Scenario play(settings);
   std::uint32_t id = 0;
   play.list({ready(1, Instant{1000s}), ready(2)});
@@ -149,7 +149,7 @@
     std::size_t count = 0;  // sent to the cold one
     for (Duration time = from; time < to; time += 20ms, ++id) {
       play.at(time);
-      for (const auto& send : of<Send>(play.call(id, 1, 0, 100ms))) {
+      for (const auto& send : of<ForwardCall>(play.call(id, 1, 0, 100ms))) {
         const auto server = static_cast<std::uint32_t>(send.server);
         count += server == 1 ? 1 : 0;
         // Server 2 is small: it lets one call in twenty stand.
@@ -175,14 +175,14 @@
 TEST(RuleFour, ALargeServerIsPacedByWhatItCarried) {
   const auto sent_cold = [](double lines, double carried) {
     auto settings = usual_settings();
-    settings.invariants.ramp_time = 60s;
+    settings.invariants.slow_start_duration = 60s;
     Scenario play(settings);
     std::uint32_t id = 0;
     play.list({ready(1), ready(2)});
     const auto lines_of = [&](std::uint32_t server, double all, double standing) {
-      ProbeAnswer told;
+      HealthCheckResult told;
       told.server = ServerId{server};
-      told.unasked = true;
+      told.is_unsolicited = true;
       told.report.lines = all;
       told.report.free_lines = all - standing;
       play.tell(told);
@@ -190,7 +190,7 @@
     std::size_t count = 0;
     const auto run = [&](Duration from, Duration to) {
       for (Duration time = from; time < to; time += 20ms, ++id) {
-        for (const auto& send : of<Send>(play.at(time).call(id, 1 + id % 2, 0, 100ms))) {
+        for (const auto& send : of<ForwardCall>(play.at(time).call(id, 1 + id % 2, 0, 100ms))) {
           const auto server = static_cast<std::uint32_t>(send.server);
           count += server == 1 ? 1 : 0;
           play.stands(static_cast<std::uint32_t>(send.call), server, 10ms);
@@ -200,7 +200,7 @@
     lines_of(1, lines, carried);
     lines_of(2, 100, 50);
     run(0s, 20s);
-    play.at(20s).list({ready(1, Instant{1020s})}, ListScope::kDelta);
+    play.at(20s).list({ready(1, Instant{1020s})}, EndpointUpdateScope::kDelta);
     lines_of(1, lines, 0);
     count = 0;
     run(20010ms, 21s);
@@ -233,9 +233,9 @@
   play.list({ready(1), ready(2)});
   play.call(1, 1);
   play.at(100ms);
-  EXPECT_TRUE(of<Send>(play.ends(1, 1, GetParam())).empty());
-  EXPECT_TRUE(of<Send>(play.look_until(390ms)).empty());
-  EXPECT_EQ(of<Send>(play.look_until(450ms)).size(), 1U);
+  EXPECT_TRUE(of<ForwardCall>(play.ends(1, 1, GetParam())).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.look_until(390ms)).empty());
+  EXPECT_EQ(of<ForwardCall>(play.look_until(450ms)).size(), 1U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Endings, RuleFive,
@@ -243,26 +243,26 @@
 
 TEST(Tries, NoMoreThanTheLimit) {
   auto settings = usual_settings();
-  settings.limits.most_tries = 2;
+  settings.limits.max_tries = 2;
   Scenario play(settings);
   play.list({ready(1), ready(2), ready(3)});
   play.call(1, 1);
-  const auto second = of<Send>(play.ends(1, 1, Outcome::kMoot));
+  const auto second = of<ForwardCall>(play.ends(1, 1, Outcome::kNotSent));
   ASSERT_EQ(second.size(), 1U);
-  const auto last = play.ends(1, static_cast<std::uint32_t>(second[0].server), Outcome::kMoot, false, 1);
-  EXPECT_TRUE(of<Send>(last).empty());
+  const auto last = play.ends(1, static_cast<std::uint32_t>(second[0].server), Outcome::kNotSent, false, 1);
+  EXPECT_TRUE(of<ForwardCall>(last).empty());
   EXPECT_EQ(answers(last), 1U);
 }
 
 TEST(Effects, ACallThatMayNotRepeatIsGivenUpNotRefused) {
   auto settings = usual_settings();
-  settings.classes[0].repeatable = false;
+  settings.classes[0].idempotent = false;
   Scenario play(settings);
   play.list({ready(1), ready(2)});
   play.call(1, 1);
   const auto actions = play.at(100ms).ends(1, 1, Outcome::kReset);
-  EXPECT_EQ(of<Fail>(actions).size(), 1U);
-  EXPECT_TRUE(of<Refuse>(actions).empty());
+  EXPECT_EQ(of<FailCall>(actions).size(), 1U);
+  EXPECT_TRUE(of<RejectCall>(actions).empty());
 }
 
 }  // namespace
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -15,9 +15,9 @@
 inline Settings usual_settings() {
   Settings settings;
   settings.seed = 42;
-  settings.siblings = 6;
-  settings.round = 5ms;
-  settings.resend = 800ms;
+  settings.peer_count = 6;
+  settings.batch_interval = 5ms;
+  settings.retransmit_interval = 800ms;
   settings.classes.resize(2);
   settings.classes[0] = {1500ms, 9s, 1.0, 0.1, true, {}, {}};
   settings.classes[1] = {800ms, 6s, 6.0, 0.25, true, {}, {}};
@@ -43,14 +43,15 @@
     all_.insert(all_.end(), actions_.begin(), actions_.end());
     return actions_;
   }
-  std::vector<Action> list(std::vector<ListEntry> entries, ListScope scope = ListScope::kFull) {
-    return tell(ListNews{scope, std::move(entries)});
+  std::vector<Action> list(std::vector<EndpointEntry> entries,
+                           EndpointUpdateScope scope = EndpointUpdateScope::kFull) {
+    return tell(EndpointUpdate{scope, std::move(entries)});
   }
-  std::vector<Action> call(std::uint32_t id, std::uint32_t cell, std::size_t call_class = 0,
+  std::vector<Action> call(std::uint32_t id, std::uint32_t pool, std::size_t call_class = 0,
                            Duration lasts = 3s) {
     NewCall news;
     news.call = CallId{id};
-    news.destination = CellNo{cell};
+    news.destination = PoolId{pool};
     news.call_class = call_class;
     news.expires = now_ + lasts;
     return tell(news);
@@ -60,19 +61,19 @@
     return tell(Established{CallId{id}, ServerId{server}, attempt, taken});
   }
   std::vector<Action> ends(std::uint32_t id, std::uint32_t server, Outcome outcome, bool call_ended = false,
-                           std::uint32_t attempt = 0, Report report = {}) {
+                           std::uint32_t attempt = 0, LoadReport report = {}) {
     AttemptEnded ended;
     ended.call = CallId{id};
     ended.server = ServerId{server};
     ended.attempt = attempt;
     ended.outcome = outcome;
-    ended.of_the_call = outcome == Outcome::kError;  // no fault of the server
+    ended.is_caller_fault = outcome == Outcome::kError;  // no fault of the server
     ended.call_ended = call_ended;
     ended.report = report;
     return tell(ended);
   }
   /// The module's timer comes due; looks at held calls and silent servers happen then.
-  std::vector<Action> look() { return tell(TimerDue{TimerHandle{1}}); }
+  std::vector<Action> look() { return tell(TimerExpired{TimerHandle{1}}); }
   /// Looks every 10 ms until then; all actions of that time.
   std::vector<Action> look_until(Duration time) {
     std::vector<Action> seen;
@@ -85,10 +86,10 @@
     return seen;
   }
   [[nodiscard]] const std::vector<Action>& all() const { return all_; }
-  void retune(const std::vector<CallClass>& classes, const Limits& limits) {
-    admission_.retune(classes, limits);
+  void apply_reload(const std::vector<CallClass>& classes, const Limits& limits) {
+    admission_.apply_reload(classes, limits);
   }
-  [[nodiscard]] std::uint64_t looks() const { return admission_.looks(); }
+  [[nodiscard]] std::uint64_t server_evaluations() const { return admission_.server_evaluations(); }
 
  private:
   Admission admission_;
@@ -97,11 +98,11 @@
   std::vector<Action> all_;
 };
 
-inline ListEntry ready(std::uint32_t server, std::optional<Instant> started = {}) {
-  return {ServerId{server}, CellNo{server}, ListState::kReady, started};
+inline EndpointEntry ready(std::uint32_t server, std::optional<Instant> started = {}) {
+  return {ServerId{server}, PoolId{server}, EndpointState::kReady, started};
 }
-inline ListEntry in_state(std::uint32_t server, ListState state) {
-  return {ServerId{server}, CellNo{server}, state, {}};
+inline EndpointEntry in_state(std::uint32_t server, EndpointState state) {
+  return {ServerId{server}, PoolId{server}, state, {}};
 }
 
 template <typename A>
@@ -113,12 +114,12 @@
   return found;
 }
 inline std::size_t sends_to(const std::vector<Action>& actions, std::uint32_t server) {
-  const auto sends = of<Send>(actions);
+  const auto sends = of<ForwardCall>(actions);
   return static_cast<std::size_t>(std::count_if(
-      sends.begin(), sends.end(), [&](const Send& send) { return send.server == ServerId{server}; }));
+      sends.begin(), sends.end(), [&](const ForwardCall& send) { return send.server == ServerId{server}; }));
 }
 inline std::size_t answers(const std::vector<Action>& actions) {
-  return of<Refuse>(actions).size() + of<Fail>(actions).size();
+  return of<RejectCall>(actions).size() + of<FailCall>(actions).size();
 }
 
 }  // namespace amberknot::testing
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -109,9 +109,9 @@
 
 struct SessionBench : Bench {
   explicit SessionBench(const app::OperatorFile& file = setup()) : Bench(file, config_with_tenants()) {}
-  void list_session(SessionServer& server, const std::string& name, ListState state = ListState::kReady,
-                    std::int64_t started = 0) {
-    feed::ListNews news;
+  void list_session(SessionServer& server, const std::string& name,
+                    EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
+    feed::EndpointUpdate news;
     news.has_servers = true;
     news.changes.push_back({name, server.http2.address(), 0, state, started});
     router->apply(news);
@@ -122,7 +122,7 @@
     list_session(server, name);
     until([&] { return server.followed > before && speaks(name) != core::kNotKnown; });
   }
-  VersionNo speaks(const std::string& name) {
+  ProtocolVersion speaks(const std::string& name) {
     return router->servers().find(std::string_view(name))->version;
   }
   SessionServer::SetUp& came(SessionServer& server, std::size_t count = 1) {
@@ -180,7 +180,7 @@
   bench.until([&] { return bench.heard(kB, "close"); });
   bench.settle();
   CHECK(server.deleted.size() == 1);
-  CHECK(bench.router->table().standing() == 0);
+  CHECK(bench.router->table().established() == 0);
 }
 
 TEST_CASE("a server that knows no versions is spoken to in version 1, without what that does not take") {
@@ -337,7 +337,7 @@
   bench.ready(server, "h1");
   bench.stands(server, kA);
   SUBCASE("by the list") {
-    bench.list_session(server, "h1", ListState::kDraining);
+    bench.list_session(server, "h1", EndpointState::kDraining);
   }
   SUBCASE("by its own word") {
     server.event(1, "draining", "{}");
@@ -348,7 +348,7 @@
   bench.open_as(kB, "acme", 300);
   bench.until([&] { return bench.heard(kB, "close"); });
   CHECK(server.set_ups.size() == 1);
-  CHECK(bench.router->table().standing() == 1);  // what stands goes on
+  CHECK(bench.router->table().established() == 1);  // what stands goes on
   server.event(3, "released", R"({"id":")" + kA + R"(","cause":16})");
   bench.until([&] { return bench.heard(kA, "close"); });
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -15,17 +15,17 @@
   const auto parsed = parse_settings(settings_text(), 9);
   const auto& settings = parsed.settings;
   EXPECT_EQ(settings.seed, 9U);
-  EXPECT_EQ(settings.siblings, 4U);
+  EXPECT_EQ(settings.peer_count, 4U);
   ASSERT_EQ(settings.classes.size(), 1U);
-  EXPECT_EQ(settings.classes[0].aim, 1500ms);
-  EXPECT_TRUE(settings.classes[0].repeatable);
-  EXPECT_EQ(settings.classes[0].pools, (std::vector{CellNo{0}, CellNo{1}}));
-  EXPECT_EQ(settings.classes[0].hold, 9100ms);
-  EXPECT_EQ(settings.resend, 800ms);
-  EXPECT_FALSE(settings.own_cell.has_value());
-  EXPECT_EQ(settings.invariants.fall_multiple, 4.0);
-  EXPECT_EQ(settings.invariants.release_wait, 300ms);
-  EXPECT_EQ(settings.limits.most_tries, 4U);
+  EXPECT_EQ(settings.classes[0].latency_objective, 1500ms);
+  EXPECT_TRUE(settings.classes[0].idempotent);
+  EXPECT_EQ(settings.classes[0].pools, (std::vector{PoolId{0}, PoolId{1}}));
+  EXPECT_EQ(settings.classes[0].mean_holding_time, 9100ms);
+  EXPECT_EQ(settings.retransmit_interval, 800ms);
+  EXPECT_FALSE(settings.own_pool.has_value());
+  EXPECT_EQ(settings.invariants.overload_multiple, 4.0);
+  EXPECT_EQ(settings.invariants.retry_pause, 300ms);
+  EXPECT_EQ(settings.limits.max_tries, 4U);
   ASSERT_EQ(settings.tenants.size(), 1U);
   EXPECT_EQ(settings.tenants[0].quota_per_s, 12.5);
   EXPECT_EQ(parsed.columns.size(), 4U);
@@ -40,8 +40,8 @@
   }
   keys["family_info.resend_us"] = "0";
   const auto parsed = parse_settings(settings_text(keys), 9);
-  EXPECT_FALSE(parsed.settings.resend.has_value());
-  EXPECT_FALSE(parsed.settings.classes[0].hold.has_value());
+  EXPECT_FALSE(parsed.settings.retransmit_interval.has_value());
+  EXPECT_FALSE(parsed.settings.classes[0].mean_holding_time.has_value());
   EXPECT_TRUE(parsed.settings.classes[0].pools.empty());
   EXPECT_TRUE(parsed.settings.tenants.empty());
   EXPECT_TRUE(parsed.columns.empty());
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -9,7 +9,7 @@
 namespace amberknot::tests {
 namespace {
 
-using core::Leaving;
+using core::GracefulShutdown;
 using std::chrono::seconds;
 
 constexpr std::size_t kCalls = 8;
@@ -29,7 +29,7 @@
   for (auto& call_class : config.settings.classes) {
     call_class.deadline = deadline;
     // No attempt is called off as silent before the shutdown ends it.
-    call_class.aim = seconds{6};
+    call_class.latency_objective = seconds{6};
   }
   return config;
 }
@@ -48,7 +48,7 @@
   }
   void shut_down() {
     began = Loop::now();
-    router->stop_when_answered([this] { ++exits; });
+    router->shut_down([this] { ++exits; });
   }
   /// Runs until the router has ended; false: it still ran when only the callers' own deadlines could end it.
   bool exits_in_time() {
@@ -75,7 +75,7 @@
   CHECK(router.exits == 1);
   CHECK(router.router->table().unanswered() == 0);
   router.until([&] { return router.caller->closed; });
-  CHECK(router.caller->why == net::Closed::kEnded);
+  CHECK(router.caller->why == net::CloseReason::kEnded);
   CHECK(router.caller->count("\"close\"") == kCalls + 1);
   // The late one is given up by the module, which was told of its short time: it advises only under pressure.
   CHECK(router.rejections_with_wait() >= kCalls);
@@ -117,7 +117,7 @@
 /// Counts final answers and keeps the retry advice of each.
 struct RecordingClient : core::ClientPort {
   bool answer(CallId, std::string_view) override { return true; }
-  void refuse(CallId, core::Reason, Duration retry_after) override { advice.push_back(retry_after); }
+  void reject(CallId, core::Reason, Duration retry_after) override { advice.push_back(retry_after); }
   void fail(CallId, core::Reason) override { ++failed; }
   void release(CallId, core::Cause) override {}
   [[nodiscard]] std::size_t answered() const { return advice.size() + failed; }
@@ -126,8 +126,8 @@
 };
 
 /// A server that never answers. A set-up is taken back unwritten while `is_connecting`.
-struct SilentServer : core::Links {
-  void server_changed(const core::ListedServer&) override {}
+struct SilentServer : core::UpstreamPool {
+  void on_endpoint_changed(const core::Endpoint&) override {}
   void forget_server(ServerId) override {}
   void set_up(const core::SetUp& set_up) override {
     ++sent;
@@ -151,15 +151,15 @@
       : dispatcher(config.settings, now), wheel(now) {
     auto& listed = servers.of("s1");
     listed.port = &server;
-    listed.state = ListState::kReady;
-    table.list_changed(true, {{listed.id, CellNo{0}, ListState::kReady, {}, core::kNotKnown}});
+    listed.state = EndpointState::kReady;
+    table.on_endpoints_changed(true, {{listed.id, PoolId{0}, EndpointState::kReady, {}, core::kNotKnown}});
   }
   void open(Duration patience) {
     core::NewSetUp set_up;
     set_up.id = "00000000000000a1";
     set_up.call_class = "voice";
     set_up.facts.expires = now + patience;
-    table.decide(table.take(client, std::move(set_up)));
+    table.route(table.admit(client, std::move(set_up)));
   }
   void advance_to(Instant moment) {
     while (now < moment) {
@@ -169,7 +169,7 @@
   }
   Instant now{seconds{50}};
   core::Dispatcher dispatcher;
-  core::ServerList servers;
+  core::EndpointRegistry servers;
   core::TimerWheel wheel;
   core::Counters counters;
   core::CallTable table{dispatcher, servers, wheel, counters, [this] { return now; }};
@@ -181,15 +181,15 @@
 
 TEST_CASE("no call that is taken late stands unanswered when SIGKILL may come") {
   SimulatedCore core;
-  const auto plan = Leaving::plan(core.now, seconds{3}, true);
+  const auto plan = GracefulShutdown::plan(core.now, seconds{3}, true);
   core.table.begin_shutdown(plan);
-  core.advance_to(plan.callers_until);
+  core.advance_to(plan.accept_until);
   for (int i = 0; i < 25; ++i) {
     core.open(seconds{9});
     core.advance_to(core.now + milliseconds{100});
   }
   CHECK(core.server.sent > 0);
-  core.advance_to(plan.leave_by);
+  core.advance_to(plan.exit_by);
   CHECK(core.client.advice.size() == 25);
   CHECK(core.table.unanswered() == 0);
 }
@@ -204,7 +204,7 @@
     const auto sent = core.server.sent;
     REQUIRE(sent > 0);
     REQUIRE(sent < 12);
-    const auto plan = Leaving::plan(core.now, seconds{3}, false);
+    const auto plan = GracefulShutdown::plan(core.now, seconds{3}, false);
     core.table.begin_shutdown(plan);
     core.advance_to(core.now + milliseconds{899});
     CHECK(core.client.answered() == 1);
@@ -216,11 +216,11 @@
     CHECK(core.server.cancelled >= sent);
     // Who is rejected by the shutdown comes back once this process has ended, and no sooner.
     for (std::size_t i = 1; i < core.client.advice.size(); ++i) {
-      CHECK(core.client.advice[i] >= plan.leave_by - plan.answer_by);
-      CHECK(core.client.advice[i] <= plan.leave_by - plan.answer_by + milliseconds{20});
+      CHECK(core.client.advice[i] >= plan.exit_by - plan.answer_by);
+      CHECK(core.client.advice[i] <= plan.exit_by - plan.answer_by + milliseconds{20});
     }
     const auto sent_by_then = core.server.sent;
-    core.advance_to(plan.leave_by);
+    core.advance_to(plan.exit_by);
     CHECK(core.server.sent == sent_by_then);
   }
 }
@@ -233,7 +233,7 @@
     config.settings.limits.max_retry_advice = most;
     SimulatedCore core(config);
     for (int i = 0; i < 12; ++i) core.open(seconds{9});
-    const auto plan = Leaving::plan(core.now, seconds{3}, false);
+    const auto plan = GracefulShutdown::plan(core.now, seconds{3}, false);
     core.table.begin_shutdown(plan);
     core.advance_to(plan.answer_by);
     CHECK(core.client.advice.size() == 12);
@@ -243,11 +243,11 @@
 
 TEST_CASE("a call that may have run and is not repeatable fails at a shutdown, and is not called rejected") {
   auto config = bench_config();
-  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  for (auto& call_class : config.settings.classes) call_class.idempotent = false;
   SimulatedCore core(config);
   core.open(seconds{9});
   REQUIRE(core.server.sent == 1);
-  const auto plan = Leaving::plan(core.now, seconds{3}, false);
+  const auto plan = GracefulShutdown::plan(core.now, seconds{3}, false);
   core.table.begin_shutdown(plan);
   core.advance_to(plan.answer_by);
   CHECK(core.client.failed == 1);
--- a/tests/stuck_connection_test.cpp
+++ b/tests/stuck_connection_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::string kStanding = "00000000000000a1";
+const std::string kEstablished = "00000000000000a1";
 // A set-up sent so much later and answered shows that the connection of the earlier one is stuck.
 constexpr Duration kSentLater = milliseconds{80};
 
@@ -43,10 +43,10 @@
 struct StuckConnectionFixture {
   StuckConnectionFixture() : acceptor(bench.loop.io, {asio::ip::make_address("127.0.0.1"), 0}) {
     accept();
-    feed::ListNews news;
+    feed::EndpointUpdate news;
     news.has_servers = true;
     const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    news.changes.push_back({"s1", address, 0, ListState::kReady, 0});
+    news.changes.push_back({"s1", address, 0, EndpointState::kReady, 0});
     bench.router->apply(news);
   }
   void accept() {
@@ -76,9 +76,9 @@
   /// One call stands that came by the returned connection, and the router has given that connection up since
   /// a later set-up on it was not answered; `unanswered` is that set-up.
   ServerConnection& stuck() {
-    bench.open(kStanding);
-    auto& one = invited(kStanding);
-    stand(kStanding, one);
+    bench.open(kEstablished);
+    auto& one = invited(kEstablished);
+    stand(kEstablished, one);
     while (unread == nullptr) {
       const auto sid = next_id();
       bench.open(sid);
@@ -96,7 +96,7 @@
     const auto later = next_id();
     bench.open(later);
     stand(later, invited(later));
-    bench.until([&] { return bench.router->counters().stuck_links == 1; });
+    bench.until([&] { return bench.router->counters().stalled_connections == 1; });
     return one;
   }
 
@@ -120,14 +120,14 @@
   // The connection that takes its place opens before the release, which is not told there again.
   bench.until([&] { return fixture.connections.size() > fixture.before_cut; });
   bench.settle();
-  stuck.say(Bench::sip("BYE sip:router@net SIP/2.0", kStanding, "2 BYE", "Reason: Q.850;cause=16\r\n"));
-  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kStanding); });
+  stuck.say(Bench::sip("BYE sip:router@net SIP/2.0", kEstablished, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kEstablished); });
   // Nothing more came by it: what was out on it is over for the server as soon as it reads the end.
   bench.until([&] {
     stuck.read();
     return stuck.ended;
   });
-  CHECK_FALSE(stuck.has("SIP/2.0 200 OK\r\nCall-ID: " + kStanding));
+  CHECK_FALSE(stuck.has("SIP/2.0 200 OK\r\nCall-ID: " + kEstablished));
 }
 
 TEST_CASE("an answer by a connection that was given up stands for nobody: it is released by another one") {
@@ -135,7 +135,7 @@
   auto& bench = fixture.bench;
   auto& stuck = fixture.stuck();
   bench.say("{\"msg\":\"close\",\"sid\":\"" + fixture.unanswered + "\",\"attrs\":{},\"code\":16}\n");
-  bench.until([&] { return bench.router->counters().given_up == 1; });
+  bench.until([&] { return bench.router->counters().abandoned == 1; });
   stuck.say(answer_to(fixture.unanswered));
   bench.until([&] { return bench.router->counters().late_answers == 1; });
   bench.until([&] {
--- a/tests/translate_state_test.cpp
+++ b/tests/translate_state_test.cpp
@@ -160,7 +160,7 @@
     CHECK(bench.taken().empty());
     bench.pass(milliseconds{1});
     CHECK(bench.taken() == Versions::Actions{ask(1)});
-    pause = std::min<Duration>(pause * 2, VersionRules{}.most_pause);
+    pause = std::min<Duration>(pause * 2, VersionRules{}.max_pause);
   }
   bench.told(1, "", {kOne});  // late, and still of this connection
   CHECK(bench.speaks() == kOne);
@@ -282,7 +282,7 @@
       // No question stays out for ever.
       if (bench.state() == VersionState::kAsking || bench.state() == VersionState::kBarred) {
         RC_ASSERT((bench.versions.next_tick().has_value()));
-        RC_ASSERT((*bench.versions.next_tick() <= bench.now + VersionRules{}.most_pause));
+        RC_ASSERT((*bench.versions.next_tick() <= bench.now + VersionRules{}.max_pause));
       }
       if (bench.state() == VersionState::kUnknown) RC_ASSERT((connections.empty()));
     }
@@ -359,9 +359,9 @@
   using What = DuplicateIndex::Seen::What;
   const Instant now{seconds{50}};
   DuplicateRules rules;
-  rules.most_bytes = 16 * 1024;
+  rules.max_bytes = 16 * 1024;
   DuplicateIndex index(now, rules);
-  const auto most = index.most_entries();
+  const auto most = index.max_entries();
   for (std::size_t i = 0; i < most; ++i) {
     REQUIRE(index.request(now, key(i), CallId{static_cast<std::uint32_t>(i)}).what == What::kNew);
   }
@@ -390,8 +390,8 @@
       std::uint64_t order;
     };
     DuplicateRules rules;
-    rules.most_bytes = std::size_t{1} << *rc::gen::inRange(13, 18);
-    rules.most_answer = 200;
+    rules.max_bytes = std::size_t{1} << *rc::gen::inRange(13, 18);
+    rules.max_answer = 200;
     Instant now{seconds{*rc::gen::inRange(1, 100'000)}};
     DuplicateIndex index(now, rules);
     std::map<std::uint64_t, Plain> model;
@@ -493,8 +493,8 @@
         }
         model.erase(oldest);
       }
-      RC_ASSERT((index.bytes() <= rules.most_bytes + 16 * 200));
-      RC_ASSERT((index.size() <= index.most_entries()));
+      RC_ASSERT((index.bytes() <= rules.max_bytes + 16 * 200));
+      RC_ASSERT((index.size() <= index.max_entries()));
     }
     index.advance(now);
     // All that is not due is there, with its state; all that is long due is not.
--- a/tests/translate_test.cpp
+++ b/tests/translate_test.cpp
@@ -366,10 +366,10 @@
       // A name that nobody has stated falls back to the number.
       CHECK(meaning_of(dialect, error.from, "unheard-of") == meaning_of(dialect, error.from));
       const auto verdict = verdict_of(error.meaning);
-      if (error.meaning.about != About::kServer) CHECK(verdict.of_the_call);
+      if (error.meaning.about != About::kServer) CHECK(verdict.is_caller_fault);
       if (error.meaning.ran == Ran::kMaybe) {
         CHECK(verdict.outcome != Outcome::kFull);
-        CHECK(verdict.outcome != Outcome::kMoot);
+        CHECK(verdict.outcome != Outcome::kNotSent);
       }
       for (const auto& client : kClients) {
         const auto& words = *find_dialect(client);
@@ -383,7 +383,7 @@
   for (std::size_t i = 0; i < kReasons; ++i) {
     const auto reason = static_cast<Reason>(i);
     const auto code = word_for(json, reason).code;
-    CHECK((code == 34 || code == 42 || code == 102) == (facts_of(reason).final_answer == Final::kRefused));
+    CHECK((code == 34 || code == 42 || code == 102) == (facts_of(reason).final_answer == Final::kRejected));
     CHECK(reason_of(name_of(reason)) == reason);
   }
 }
@@ -394,7 +394,7 @@
                     {"dialect":"session-2","code":418,"name":"teapot","reason":"number-unknown","ran":"no","about":"call"}]})");
   const auto dialect = with_errors(*find_dialect("session-2"), table);
   CHECK(faults_of(dialect).empty());
-  CHECK(meaning_of(dialect, 429).reason == Reason::kOverShare);
+  CHECK(meaning_of(dialect, 429).reason == Reason::kOverQuota);
   CHECK(meaning_of(dialect, 418, "teapot").reason == Reason::kNumberUnknown);
   CHECK(meaning_of(dialect, 418).reason == Reason::kServerFault);
   CHECK(with_errors(*find_dialect("session-1"), table).errors.size() ==
@@ -405,26 +405,26 @@
   const auto one = DialectNo{2};
   const auto two = DialectNo{3};
   core::Placement call(set_of(DialectNo{0}) | set_of(DialectNo{1}));
-  CHECK_FALSE(call.stranded(0));  // nothing is known to be spoken yet
-  CHECK_FALSE(call.stranded(set_of(one)));
-  CHECK(call.stranded(set_of(DialectNo{0})));
+  CHECK_FALSE(call.is_unroutable(0));  // nothing is known to be spoken yet
+  CHECK_FALSE(call.is_unroutable(set_of(one)));
+  CHECK(call.is_unroutable(set_of(DialectNo{0})));
   CHECK(call.reason(Reason::kTimeout) == Reason::kTimeout);
-  auto verdict = call.ended(one, {Reason::kCongestion, Ran::kNo, About::kServer}, seconds{4});
+  auto verdict = call.on_attempt_ended(one, {Reason::kCongestion, Ran::kNo, About::kServer}, seconds{4});
   CHECK(verdict.outcome == Outcome::kFull);
-  CHECK_FALSE(verdict.of_the_call);
-  verdict = call.ended(one, {Reason::kNoCircuit, Ran::kNo, About::kServer}, seconds{2});
-  CHECK(call.stay_away() == seconds{2});
+  CHECK_FALSE(verdict.is_caller_fault);
+  verdict = call.on_attempt_ended(one, {Reason::kNoCircuit, Ran::kNo, About::kServer}, seconds{2});
+  CHECK(call.retry_after() == seconds{2});
   CHECK(call.reason(Reason::kCongestion) == Reason::kNoCircuit);
-  CHECK(call.reason(Reason::kNoServerSpeaks) == Reason::kNoServerSpeaks);
-  verdict = call.ended(two, {Reason::kFieldRefused, Ran::kNo, About::kVersion});
-  CHECK(verdict.outcome == Outcome::kMoot);
-  CHECK(verdict.of_the_call);
-  CHECK(verdict.rules_out_version);
+  CHECK(call.reason(Reason::kNoCompatibleServer) == Reason::kNoCompatibleServer);
+  verdict = call.on_attempt_ended(two, {Reason::kFieldRejected, Ran::kNo, About::kVersion});
+  CHECK(verdict.outcome == Outcome::kNotSent);
+  CHECK(verdict.is_caller_fault);
+  CHECK(verdict.excludes_version);
   CHECK_FALSE(verdict.final_now);
-  CHECK_FALSE(call.stranded(set_of(one) | set_of(two)));
-  CHECK(call.stranded(set_of(two)));
-  CHECK(call.reason(Reason::kCongestion) == Reason::kFieldRefused);
-  verdict = call.ended(one, {Reason::kTenantSuspended, Ran::kNo, About::kCall});
+  CHECK_FALSE(call.is_unroutable(set_of(one) | set_of(two)));
+  CHECK(call.is_unroutable(set_of(two)));
+  CHECK(call.reason(Reason::kCongestion) == Reason::kFieldRejected);
+  verdict = call.on_attempt_ended(one, {Reason::kTenantSuspended, Ran::kNo, About::kCall});
   CHECK(verdict.final_now);
   CHECK(call.reason(Reason::kCongestion) == Reason::kTenantSuspended);
 }
--- a/tests/versions_guard_test.cpp
+++ b/tests/versions_guard_test.cpp
@@ -9,30 +9,32 @@
 namespace amberknot::testing {
 namespace {
 
-ListEntry speaking(std::uint32_t server, unsigned version, ListState state = ListState::kReady) {
-  return {ServerId{server}, CellNo{server}, state, {}, static_cast<VersionNo>(version)};
+EndpointEntry speaking(std::uint32_t server, unsigned version, EndpointState state = EndpointState::kReady) {
+  return {ServerId{server}, PoolId{server}, state, {}, static_cast<ProtocolVersion>(version)};
 }
-constexpr VersionSet bit(unsigned version) {
-  return VersionSet{1} << version;
+constexpr ProtocolVersionSet bit(unsigned version) {
+  return ProtocolVersionSet{1} << version;
 }
 
-std::vector<Action> call(Scenario& play, std::uint32_t id, std::uint32_t cell, VersionSet ruled_out) {
+std::vector<Action> call(Scenario& play, std::uint32_t id, std::uint32_t pool,
+                         ProtocolVersionSet excluded_versions) {
   NewCall news;
   news.call = CallId{id};
-  news.destination = CellNo{cell};
+  news.destination = PoolId{pool};
   news.expires = Instant{1000s} + 3s;
-  news.ruled_out = ruled_out;
+  news.excluded_versions = excluded_versions;
   return play.tell(news);
 }
 
-AttemptEnded refused(std::uint32_t id, std::uint32_t server, std::uint32_t attempt, VersionSet rules_out) {
+AttemptEnded refused(std::uint32_t id, std::uint32_t server, std::uint32_t attempt,
+                     ProtocolVersionSet excludes_versions) {
   AttemptEnded ended;
   ended.call = CallId{id};
   ended.server = ServerId{server};
   ended.attempt = attempt;
-  ended.outcome = Outcome::kMoot;
-  ended.of_the_call = true;
-  ended.rules_out = rules_out;
+  ended.outcome = Outcome::kNotSent;
+  ended.is_caller_fault = true;
+  ended.excludes_versions = excludes_versions;
   return ended;
 }
 
@@ -46,18 +48,18 @@
 
 TEST(Versions, WhereItCanBeSaidNowhereItIsAnsweredAtOnce) {
   Scenario play;
-  play.list({speaking(1, 0), speaking(2, 1), speaking(3, 2, ListState::kGone)});
+  play.list({speaking(1, 0), speaking(2, 1), speaking(3, 2, EndpointState::kRemoved)});
   EXPECT_EQ(answers(call(play, 1, 1, bit(0) | bit(1))), 1U);
   EXPECT_EQ(answers(call(play, 2, 1, kAllVersions)), 1U);
-  EXPECT_TRUE(of<Send>(play.all()).empty());
+  EXPECT_TRUE(of<ForwardCall>(play.all()).empty());
 }
 
 TEST(Versions, AServerThatDrainsMayComeBackAndIsWaitedFor) {
   Scenario play;
-  play.list({speaking(1, 0), speaking(2, 1, ListState::kDraining)});
+  play.list({speaking(1, 0), speaking(2, 1, EndpointState::kDraining)});
   EXPECT_EQ(answers(call(play, 1, 1, bit(0))), 0U);
   play.at(100ms);
-  EXPECT_EQ(sends_to(play.list({speaking(2, 1)}, ListScope::kDelta), 2), 1U);
+  EXPECT_EQ(sends_to(play.list({speaking(2, 1)}, EndpointUpdateScope::kDelta), 2), 1U);
 }
 
 TEST(Versions, WithNoServerListedItIsHeld) {
@@ -78,7 +80,7 @@
   // The last version refuses it too: answered at once, with no second attempt anywhere.
   const auto over = play.tell(refused(1, 3, 1, bit(1)));
   EXPECT_EQ(answers(over), 1U);
-  EXPECT_TRUE(of<Send>(over).empty());
+  EXPECT_TRUE(of<ForwardCall>(over).empty());
 }
 
 TEST(Versions, ErrorsOfTheCallNeverShutAServer) {
@@ -95,9 +97,9 @@
 
 TEST(Versions, AHeldCallIsAnsweredSoonAfterItsLastServerHasMovedOn) {
   Scenario play;
-  play.list({speaking(1, 0, ListState::kDraining)});
+  play.list({speaking(1, 0, EndpointState::kDraining)});
   EXPECT_EQ(answers(call(play, 1, 1, bit(1))), 0U);
-  play.at(50ms).list({speaking(1, 1)}, ListScope::kDelta);
+  play.at(50ms).list({speaking(1, 1)}, EndpointUpdateScope::kDelta);
   play.look_until(100ms);
   EXPECT_EQ(answers(play.all()), 1U);
 }
@@ -109,11 +111,11 @@
   for (int round = 0; round < 30; ++round) {
     Scenario play;
     std::vector<unsigned> speaks(6);
-    std::vector<ListEntry> all;
+    std::vector<EndpointEntry> all;
     for (std::uint32_t s = 0; s < 6; ++s) all.push_back(speaking(s, speaks[s] = random() % 3));
     play.list(all);
     struct Told {
-      VersionSet out = 0;
+      ProtocolVersionSet out = 0;
       std::uint32_t attempts = 0;
       int at = -1;
       int ends = 0;
@@ -121,7 +123,7 @@
     std::vector<Told> calls(120);
     const auto take = [&](const std::vector<Action>& actions) {
       for (const auto& action : actions) {
-        if (const auto* send = std::get_if<Send>(&action)) {
+        if (const auto* send = std::get_if<ForwardCall>(&action)) {
           auto& one = calls[static_cast<std::uint32_t>(send->call)];
           const auto server = static_cast<std::uint32_t>(send->server);
           ASSERT_EQ(one.out >> speaks[server] & 1U, 0U);
@@ -129,7 +131,7 @@
           ASSERT_EQ(one.ends, 0);
           one.at = static_cast<int>(server);
           ASSERT_LE(++one.attempts, 4U);
-        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        } else if (const auto* refuse = std::get_if<RejectCall>(&action)) {
           auto& one = calls[static_cast<std::uint32_t>(refuse->call)];
           ASSERT_EQ(one.at, -1);
           ASSERT_EQ(++one.ends, 1);
@@ -141,7 +143,7 @@
       if (random() % 5 == 0) {
         const std::uint32_t s = random() % 6;
         speaks[s] = random() % 3;
-        take(play.list({speaking(s, speaks[s])}, ListScope::kDelta));
+        take(play.list({speaking(s, speaks[s])}, EndpointUpdateScope::kDelta));
       }
       calls[id].out = random() % 8;
       take(call(play, id, random() % 6, calls[id].out));
--- a/tests/wire_format_admin_test.cpp
+++ b/tests/wire_format_admin_test.cpp
@@ -39,7 +39,7 @@
   AdminBench bench;
   bench.list();
   bench.standing("9b1f03aa5c7e2d41");
-  bench.router->stop_when_answered([] {});
+  bench.router->shut_down([] {});
   CHECK(bench.reply_to("status\n") == "-ERR no: stopping\n");
 }
 
@@ -54,10 +54,10 @@
 
 TEST_CASE("statsd line bytes: what a router counts, as a reply") {
   auto config = AdminBench::with_admin();
-  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  for (auto& call_class : config.settings.classes) call_class.idempotent = false;
   AdminBench bench(config);
   bench.list();
-  bench.list(ListState::kDraining, 0, "s2");
+  bench.list(EndpointState::kDraining, 0, "s2");
   bench.standing("9b1f03aa5c7e2d41");
   bench.open("9b1f03aa5c7e2d42");
   bench.invited("9b1f03aa5c7e2d42")
--- a/tests/wire_format_diameter_client_test.cpp
+++ b/tests/wire_format_diameter_client_test.cpp
@@ -235,7 +235,7 @@
 
 TEST_CASE("Diameter client bytes: a call that failed at its server") {
   auto config = bench_config();
-  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  for (auto& call_class : config.settings.classes) call_class.idempotent = false;
   DiameterClientBench bench(config);
   bench.exchange();
   bench.list();
--- a/tests/wire_format_diameter_server_test.cpp
+++ b/tests/wire_format_diameter_server_test.cpp
@@ -139,7 +139,7 @@
   bench.accept(bench.initial_request());
   bench.release();
   bench.next();
-  bench.router->stop_when_answered([] {});
+  bench.router->shut_down([] {});
   CHECK(bench.next_text() ==
         "010000508000011a000000000000000400000003\n"          // header
         "00000108400000186e302e6b617274752e6578616d706c65\n"  // Origin-Host
--- a/tests/wire_format_discovery_test.cpp
+++ b/tests/wire_format_discovery_test.cpp
@@ -24,7 +24,7 @@
   first.stream->send(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 42\n"
       "data: {\"cursor\":42,\"nodes\":{\"index\":8,\"snapshot\":false,\"endpoints\":[]}}\n\n");
-  bench.until([&] { return bench.router->counters().feed_events > 0; });
+  bench.until([&] { return bench.router->counters().endpoint_events > 0; });
   first.stream->finish();
   bench.until([&] { return bench.channel.with(kHeadEnd) != nullptr; });
   CHECK(mask_digits_after(bench.channel.with(kHeadEnd)->in, "Host: 127.0.0.1:") ==
--- a/tests/wire_format_jsonl_test.cpp
+++ b/tests/wire_format_jsonl_test.cpp
@@ -54,7 +54,7 @@
 
 TEST_CASE("JSON line bytes: a call that failed at its server, and one with a bad field") {
   auto config = bench_config();
-  for (auto& call_class : config.settings.classes) call_class.repeatable = false;
+  for (auto& call_class : config.settings.classes) call_class.idempotent = false;
   Bench bench({}, config);
   bench.list();
   bench.open(kCallId);
--- a/tests/wire_format_session_api_test.cpp
+++ b/tests/wire_format_session_api_test.cpp
@@ -68,9 +68,9 @@
 struct SessionApiBench : Bench {
   explicit SessionApiBench(const std::string& version)
       : Bench(session_api_setup(version)), session_server(loop, R"({"versions":[1,2],"process":"p1"})") {
-    feed::ListNews news;
+    feed::EndpointUpdate news;
     news.has_servers = true;
-    news.changes.push_back({"s1", session_server.http2.address(), 0, ListState::kReady, 0});
+    news.changes.push_back({"s1", session_server.http2.address(), 0, EndpointState::kReady, 0});
     router->apply(news);
     request_with("/events");
   }
--- a/tests/wire_format_simulator_test.cpp
+++ b/tests/wire_format_simulator_test.cpp
@@ -23,31 +23,31 @@
 }
 
 TEST_CASE("simulator reply bytes: each action") {
-  CHECK(reply_of({Send{CallId{0x5d3a91c4}, ServerId{0x03124a07}, microseconds{80'000}}}) ==
+  CHECK(reply_of({ForwardCall{CallId{0x5d3a91c4}, ServerId{0x03124a07}, microseconds{80'000}}}) ==
         "1800000001000000"
         "01c4913a5d074a1203803801000000000000000000000000");
-  CHECK(reply_of({Refuse{CallId{0x5d3a91c4}, microseconds{250'000}}}) ==
+  CHECK(reply_of({RejectCall{CallId{0x5d3a91c4}, microseconds{250'000}}}) ==
         "1800000001000000"
         "02c4913a5d90d00300000000000000000000000000000000");
-  CHECK(reply_of({Fail{CallId{0x5d3a91c4}}}) ==
+  CHECK(reply_of({FailCall{CallId{0x5d3a91c4}}}) ==
         "1800000001000000"
         "03c4913a5d00000000000000000000000000000000000000");
-  CHECK(reply_of({Cancel{CallId{0x5d3a91c4}, 2}}) ==
+  CHECK(reply_of({CancelAttempt{CallId{0x5d3a91c4}, 2}}) ==
         "1800000001000000"
         "04c4913a5d02000000000000000000000000000000000000");
   CHECK(reply_of({SetTimer{Instant{microseconds{0x0102030405060708}}, TimerHandle{0x1112131415161718}}}) ==
         "1800000001000000"
         "050807060504030201181716151413121100000000000000");
-  CHECK(reply_of({Probe{ServerId{0x03124a07}}}) ==
+  CHECK(reply_of({CheckHealth{ServerId{0x03124a07}}}) ==
         "1800000001000000"
         "06074a120300000000000000000000000000000000000000");
-  CHECK(reply_of({WatchList{}}) ==
+  CHECK(reply_of({WatchEndpoints{}}) ==
         "1800000001000000"
         "0b0100000000000000000000000000000000000000000000");
 }
 
 TEST_CASE("simulator reply bytes: durations are bounded") {
-  CHECK(reply_of({Refuse{CallId{1}, microseconds{-1}}, Refuse{CallId{1}, std::chrono::hours{2}}}) ==
+  CHECK(reply_of({RejectCall{CallId{1}, microseconds{-1}}, RejectCall{CallId{1}, std::chrono::hours{2}}}) ==
         "3000000002000000"
         "020100000000000000000000000000000000000000000000"
         "0201000000ffffff7f000000000000000000000000000000");
@@ -56,9 +56,9 @@
 TEST_CASE("simulator reply bytes: instances, and what is of variable length") {
   simhost::ReplyWriter writer;
   writer.speak_for(3);
-  writer.add(TellPeers{{0x68, 0x69}});
+  writer.add(BroadcastGossip{{0x68, 0x69}});
   writer.speak_for(3);
-  writer.add(Log{"two servers known"});
+  writer.add(LogMessage{"two servers known"});
   writer.speak_for(0x04030201);
   writer.add_panic("no");
   const auto bytes = writer.finish();
--- a/tests/wire_format_stored_files_test.cpp
+++ b/tests/wire_format_stored_files_test.cpp
@@ -19,9 +19,9 @@
                                       R"({"caller":"10.4.7.9","id":"9b1f03aa5c7e2d41","cause":16},)"
                                       R"({"caller":"10.4.7.10","id":"9b1f03aa5c7e2d42","cause":41}]})";
 
-const core::ServingRecord kInstance{"n\"0", "127.0.0.1:5070", 1'790'000'000'123'456};
+const core::InstanceRecord kInstance{"n\"0", "127.0.0.1:5070", 1'790'000'000'123'456};
 
-std::vector<core::HandedRelease> two_releases() {
+std::vector<core::UndeliveredRelease> two_releases() {
   return {{"10.4.7.9", "9b1f03aa5c7e2d41", 16}, {"10.4.7.10", "9b1f03aa5c7e2d42", 41}};
 }
 
@@ -51,7 +51,7 @@
 TEST_CASE("stored file bytes: the instance record") {
   const TemporaryFolder folder;
   std::string error;
-  const auto presence = store::Presence::declare(folder.path, kInstance, error);
+  const auto presence = store::InstanceLock::declare(folder.path, kInstance, error);
   REQUIRE(presence);
   CHECK(folder.file().filename().string().starts_with("amberknot-serving-"));
   CHECK(content_of(folder.file()) == kInstanceText);
