Open another connection while a server does not close one that was given up

The router's log has `link to s0 is stuck: cut, with 2 set-ups out`: it had given that connection up (set-ups of 4.92 s and 5.00 s were retried 500 ms later) and opened the next one before the release. The end vanished too, so that the server never closed; no other connection was opened, on which it would have told the release again.

What the router can notice is that a server does not close what was given up. While calls stand that came by such a connection it now opens another one every 2 s (a server keeps a release for 8 s), and an idle one is closed for it where there are four. It is read on as long as such calls stand.

--- a/src/sip/links.cpp
+++ b/src/sip/links.cpp
@@ -46,10 +46,13 @@
 // told a release on it that it tells on no other.
 constexpr Duration kLateUp = seconds{1};
 constexpr std::size_t kMostLate = 2;  // a machine that is cut off must not hold the other servers' places
-// What was told by a link that we gave up is of use so long: after that its server has told it elsewhere, or
-// it counts as never told. Each holds a descriptor.
+// A link that we gave up is read on until its server closes it too, so long at least, and longer while calls
+// stand that came by it: their releases are told there. Each holds a descriptor.
 constexpr Duration kHalfClosedFor = kUntold;
 constexpr std::size_t kMostHalfClosed = 4;
+// Until then another link is opened so often: what is told by the one given up may be lost, a server tells it
+// again on the next one that opens, and that one may meet the same fault. Several times within kUntold.
+constexpr Duration kSeekEvery = seconds{2};
 // A set-up that never left is moved from one lost link to the next so many times.
 constexpr int kMostResent = 3;
 
@@ -75,6 +78,7 @@
   std::shared_ptr<net::Stream> stream;
   std::vector<core::AttemptRef> out;  ///< in the order in which they were queued
   std::deque<Bye> byes;               ///< not yet confirmed
+  std::size_t standing = 0;           ///< calls that came by it and stand
   int resent = 0;                     ///< how often what waits on it has been moved, at most
   Instant up{};
   bool late = false;                  ///< not up in its time; nothing waits for it
@@ -97,8 +101,8 @@
   ServerId id;
   std::string address;
   bool wanted = false;
-  std::vector<std::shared_ptr<Link>> links;        // connecting and open
-  std::vector<std::shared_ptr<Link>> half_closed;  // given up by us and read on, the first one first
+  std::vector<std::shared_ptr<Link>> links;  // connecting and open
+  HalfClosed half_closed;
   std::size_t turn = 0;
   Duration backoff = kLeastBackoff;
   core::TimerWheel::Handle retry = 0;
@@ -109,6 +113,7 @@
   /// When a link broke while calls stood: releases in it are told again on the next link that opens, and only
   /// there (PROTOCOL). Empty: one has opened since.
   std::optional<Instant> untold_since;
+  Instant sought_at{};  // when a link was opened last since one that was given up is not closed by the server
 
   [[nodiscard]] std::size_t open_links() const {
     return static_cast<std::size_t>(
@@ -390,18 +395,18 @@
 // A server tells a release on the link of its set-up, and on the next one that opens. While what we said does
 // not reach it, it takes a link that we gave up for open, after the next one has opened too: closed at our
 // side, its releases would be lost for good.
-void Links::half_close(Link& link) {
+void Links::half_close(Link& link, net::Closed why) {
   auto& server = link.server;
   const auto keep = link.shared_from_this();
-  const bool has_room = links_ < bounds_.links && server.half_closed.size() < kMostHalfClosed;
-  if (!has_room || !link.stream->is_open()) {
-    link.stream->fail(net::Closed::kReset);
+  if (links_ >= bounds_.links || !link.stream->is_open()) {
+    link.stream->fail(why);
     return;
   }
+  if (server.half_closed.size() >= kMostHalfClosed) close_half_closed(server, server.half_closed.begin());
   std::erase(server.links, keep);
   server.half_closed.push_back(keep);
   link.half_closed_at = net::Loop::now();
-  on_lost(link, net::Closed::kReset);
+  on_lost(link, why);
   link.stream->close_output();
 }
 
@@ -417,6 +422,12 @@
   keep_warm(server);
 }
 
+Links::HalfClosed::iterator Links::close_half_closed(Server& server, HalfClosed::iterator at) {
+  (*at)->stream->close();
+  --links_;
+  return server.half_closed.erase(at);
+}
+
 bool Links::close_oldest_half_closed() {
   Server* oldest = nullptr;
   for (const auto& [id, server] : by_id_) {
@@ -426,18 +437,40 @@
     if (older) oldest = server.get();
   }
   if (oldest == nullptr) return false;
-  oldest->half_closed.front()->stream->close();
-  oldest->half_closed.erase(oldest->half_closed.begin());
-  --links_;
+  close_half_closed(*oldest, oldest->half_closed.begin());
   return true;
 }
 
-void Links::close_old_half_closed(Server& server, Instant now) {
-  while (!server.half_closed.empty() && now - *server.half_closed.front()->half_closed_at > kHalfClosedFor) {
-    server.half_closed.front()->stream->close();
-    server.half_closed.erase(server.half_closed.begin());
-    --links_;
+void Links::close_useless_half_closed(Server& server, Instant now) {
+  for (auto at = server.half_closed.begin(); at != server.half_closed.end();) {
+    const auto& link = **at;
+    const bool is_useless = link.standing == 0 && now - *link.half_closed_at > kHalfClosedFor;
+    at = is_useless ? close_half_closed(server, at) : std::next(at);
+  }
+}
+
+bool Links::seeks_releases(const Server& server, Instant now) {
+  if (!server.wanted || now - server.sought_at < kSeekEvery) return false;
+  return std::any_of(server.half_closed.begin(), server.half_closed.end(), [now](const auto& link) {
+    return link->standing > 0 && now - *link->half_closed_at >= kSeekEvery;
+  });
+}
+
+// With as many links as a server takes, one that carries nothing makes room.
+void Links::open_for_releases(Server& server) {
+  server.sought_at = net::Loop::now();
+  server.untold_since = server.sought_at;
+  if (server.counted_links() < kMostLinks) {
+    loop_.wheel.cancel(std::exchange(server.retry, 0));
+    keep_warm(server);
+    return;
   }
+  const auto idle = std::find_if(server.links.begin(), server.links.end(), [](const auto& link) {
+    return link->stream->is_open() && link->out.empty() && link->byes.empty();
+  });
+  if (idle == server.links.end()) return;
+  const auto link = *idle;
+  half_close(*link, net::Closed::kEnded);
 }
 
 bool Links::stands_at(ServerId server) const {
@@ -495,8 +528,10 @@
   loop_.after(kWatchEvery, [this] {
     const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Link>> stuck;
+    std::vector<Server*> seeking;
     for (const auto& [id, server] : by_id_) {
-      close_old_half_closed(*server, now);
+      close_useless_half_closed(*server, now);
+      if (seeks_releases(*server, now)) seeking.push_back(server.get());
       for (const auto& link : server->links) {
         note_overtaken(*link, now);
         if (link->torn && !link->stream->is_unsent(link->torn->first)) link->torn.reset();
@@ -509,8 +544,9 @@
       ++counters_.stuck_links;
       net::log::warn(log_bad_, "link to ", servers_.find(link->server.id)->name, " is stuck: cut, with ",
                      link->out.size(), " set-ups out");
-      half_close(*link);
+      half_close(*link, net::Closed::kReset);
     }
+    for (auto* server : seeking) open_for_releases(*server);
     watch_links();
   });
 }
@@ -530,7 +566,12 @@
   }
   Key key{server.id, std::string(set_up.id)};
   by_call_[set_up.attempt.call] = key;
-  attempts_[std::move(key)] = {set_up.attempt, std::string(set_up.number), link, net::Loop::now(), false};
+  attempts_[std::move(key)] = {.ref = set_up.attempt,
+                               .number = std::string(set_up.number),
+                               .link = link,
+                               .sent = net::Loop::now(),
+                               .standing = false,
+                               .came_by = {}};
   link->out.push_back(set_up.attempt);
   if (!link->silent_since) link->silent_since = net::Loop::now();
   link->stream->send(invite_head({set_up.id, set_up.number, set_up.attempt.attempt + 1}, own_name_,
@@ -610,6 +651,7 @@
   if (const auto& link = at->second.link) {
     std::erase_if(link->out, [&](const auto& ref) { return ref.call == at->second.ref.call; });
   }
+  if (const auto link = at->second.came_by.lock()) --link->standing;
   by_call_.erase(at->second.ref.call);
   attempts_.erase(at);
 }
@@ -708,6 +750,8 @@
       const auto ref = found->second.ref;
       found->second.standing = true;
       if (const auto by = std::exchange(found->second.link, nullptr)) {
+        ++by->standing;
+        found->second.came_by = by;
         std::erase_if(by->out, [&](const auto& one) { return one.call == ref.call; });
       }
       if (table_.stood(ref, read.body)) return;
--- a/src/sip/links.hpp
+++ b/src/sip/links.hpp
@@ -37,6 +37,7 @@
  private:
   struct Link;
   struct Server;
+  using HalfClosed = std::vector<std::shared_ptr<Link>>;  ///< given up by us and read on, the first one first
   /// One attempt that is out, or a call that stands.
   struct Attempt {
     core::AttemptRef ref;
@@ -44,6 +45,7 @@
     std::shared_ptr<Link> link;  ///< which it left by; null once it stands or that is lost
     Instant sent{};
     bool standing = false;
+    std::weak_ptr<Link> came_by;  ///< once it stands
   };
   struct Probe {
     ServerId server{};
@@ -76,11 +78,16 @@
   void on_lost(Link& link, net::Closed why);
   /// Gives a link up that is open and serves no further use. Its server may not know of that for some time:
   /// until it closes too what it tells by that link is heard.
-  void half_close(Link& link);
+  void half_close(Link& link, net::Closed why);
   void half_closed_ended(Link& link, net::Closed why);
+  HalfClosed::iterator close_half_closed(Server& server, HalfClosed::iterator at);
   /// Closes the one that was half-closed first, of all servers, for its descriptor; false: there is none.
   bool close_oldest_half_closed();
-  void close_old_half_closed(Server& server, Instant now);
+  void close_useless_half_closed(Server& server, Instant now);
+  /// Whether a server has not closed for long what we gave up, and calls stand that came by it.
+  static bool seeks_releases(const Server& server, Instant now);
+  /// Opens another link: a server tells there what was not confirmed.
+  void open_for_releases(Server& server);
   std::size_t link_bytes(Link& link, std::span<char> bytes);
   void on_message(Link& link, const SipRead& read);
   void on_invite_answer(Link& link, const SipRead& read);
--- a/tests/stuck_connection_test.cpp
+++ b/tests/stuck_connection_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 const std::string kStanding = "00000000000000a1";
+constexpr std::size_t kMostConnections = 4;
 // A set-up sent so much later and answered shows that the connection of the earlier one is stuck.
 constexpr Duration kSentLater = milliseconds{80};
 
@@ -100,6 +101,15 @@
     return one;
   }
 
+  /// As many connections as the router opens to one server, with nothing out.
+  void open_all() {
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < kMostConnections; ++i) bench.open(ids.emplace_back(next_id()));
+    for (const auto& id : ids) invited(id);
+    for (const auto& id : ids) stand(id, invited(id));
+    REQUIRE(connections.size() == kMostConnections);
+  }
+
   std::string next_id() { return std::to_string(1'000'000'000'000'000 + ++made); }
 
   Bench bench;
@@ -160,3 +170,21 @@
   fixture.stand(call, *next);
   CHECK_FALSE(bench.caller->has("\"close\",\"sid\":\"" + call));
 }
+
+// What is told by the connection that was given up is lost on its way, and so is its end.
+TEST_CASE("while a server does not close what was given up, another one is opened on which it tells again") {
+  StuckConnectionFixture fixture;
+  auto& bench = fixture.bench;
+  SUBCASE("with room for another connection") {}
+  SUBCASE("with as many connections as a server takes: one that carries nothing makes room") {
+    fixture.open_all();
+  }
+  fixture.stuck();
+  bench.until([&] { return fixture.connections.size() > fixture.before_cut; });
+  bench.settle();
+  const auto replaced = fixture.connections.size();
+  bench.until([&] { return fixture.connections.size() > replaced; });
+  fixture.connections.back()->say(
+      Bench::sip("BYE sip:router@net SIP/2.0", kStanding, "2 BYE", "Reason: Q.850;cause=16\r\n"));
+  bench.until([&] { return bench.caller->has("\"close\",\"sid\":\"" + kStanding); });
+}
