Judge a call's attempts in the order in which the router made them

Servers now note an attempt's number (CSeq) and each consecutive pair is judged in that order, excused by trouble on the earlier attempt's own link only. It is not weaker: every pair is still judged, an attempt that comes out of order over sound links breaks the rule, and so does one where only the later attempt's link stalled, which the old order excused.

--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -168,6 +168,10 @@
     });
     if (open != attempts.rend()) open->end = one;
   }
+  // A link that stalls may bring an attempt after the call's next one: they are judged as the router made
+  // them.
+  std::stable_sort(attempts.begin(), attempts.end(),
+                   [](const Attempt& a, const Attempt& b) { return a.invite->number < b.invite->number; });
   return attempts;
 }
 
@@ -190,7 +194,8 @@
       }
       if (what == nullptr) continue;
       // A router that was killed or cut off does not know what the server knows, nor the server of it.
-      if (view.troubled(before.invite->who, before.invite->peer, before.invite->at, next.invite->at)) {
+      const auto [from, until] = std::minmax(before.invite->at, next.invite->at);
+      if (view.troubled(before.invite->who, before.invite->peer, from, until)) {
         ++verdict.excused;
       } else {
         verdict.violations.push_back({what, slice_of({before.invite, before.end, next.invite})});
--- a/lab/fleet/history.hpp
+++ b/lab/fleet/history.hpp
@@ -22,7 +22,7 @@
   kLost,      ///< its connection ended before the answer
   kReleased,  ///< the router said that what stood is over
   // a session server
-  kInvite,     ///< an attempt came whole, from router `peer`
+  kInvite,  ///< an attempt came whole, from router `peer`; `number`: which of the call's, from 1; 0: unknown
   kAnswered,   ///< `text`: the description
   kDenied,     ///< `number`: the status
   kCancelled,  ///< the router gave the attempt up
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -431,7 +431,7 @@
     auto& server = servers_[number];
     auto& node = nodes_[one.router];
     if (node.lives != one.life || !node.life) return;  // its connection died with it
-    note({now_, server.name, What::kInvite, one.id, node.name, 0, ""});
+    note({now_, server.name, What::kInvite, one.id, node.name, one.ref.attempt + 1, ""});
     if (server.working >= options_.traits.max_out || server.calls.contains(one.id)) {
       note({now_, server.name, What::kDenied, one.id, node.name, 503, ""});
       to_router(one, number, [one](Life& life) {
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -3,6 +3,7 @@
 #include <rapidjson/document.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -31,6 +32,13 @@
   return std::string(space == std::string_view::npos ? via : via.substr(space + 1));
 }
 
+/// Routers number a call's attempts in CSeq, from 1; 0: unreadable.
+std::int64_t attempt_number(std::string_view cseq) {
+  std::int64_t number = 0;
+  std::from_chars(cseq.data(), cseq.data() + cseq.size(), number);
+  return number;
+}
+
 }  // namespace
 
 // ---- session servers ------------------------------------------------------------------------------------
@@ -132,7 +140,7 @@
   const auto& head = read.head;
   const std::string id(head.call_id);
   const auto router = router_of(head.via);
-  note(What::kInvite, id, router);
+  note(What::kInvite, id, router, attempt_number(head.cseq));
   const std::string via(head.via);
   const std::string cseq(head.cseq);
   if (working_ >= traits_.max_out || calls_.contains(id)) {
