Rename the core's files and their tests after what they are

The core's classes carry the field's names since the shared vocabulary was renamed, its files did not. Moved with git mv: server_list to endpoint_registry, leaving to graceful_shutdown, retune to reload_plan, report to load_report; the tests crossings to race_conditions, leaving to hot_restart, retune to reload_plan; the page crossings to race-conditions.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "control/figures.hpp"
-#include "core/retune.hpp"
+#include "core/reload_plan.hpp"
 #include "net/log.hpp"
 #include "store/handover.hpp"
 
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -19,9 +19,9 @@
       broadcast_([](const auto&) {}),
       log_([](const auto&) {}) {}
 
-void CallTable::connect(BroadcastSink send_final_answer, LogSink note) {
-  broadcast_ = std::move(send_final_answer);
-  log_ = std::move(note);
+void CallTable::connect(BroadcastSink broadcast, LogSink log) {
+  broadcast_ = std::move(broadcast);
+  log_ = std::move(log);
 }
 
 // ---- from the callers' side -----------------------------------------------------------------------------
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -14,10 +14,10 @@
 
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
-#include "core/leaving.hpp"
+#include "core/endpoint_registry.hpp"
+#include "core/graceful_shutdown.hpp"
 #include "core/placement.hpp"
 #include "core/ports.hpp"
-#include "core/server_list.hpp"
 #include "core/timer_wheel.hpp"
 
 namespace amberknot::core {
@@ -53,7 +53,7 @@
             Clock clock);
 
   /// Where the module's messages to its siblings and its log lines go.
-  void connect(BroadcastSink send_final_answer, LogSink note);
+  void connect(BroadcastSink broadcast, LogSink log);
 
   // From the callers' side.
   /// Enters the call; the front then notes its id and lets it be decided.
--- a/src/core/server_list.cpp
+++ b/src/core/endpoint_registry.cpp
@@ -1,4 +1,4 @@
-#include "core/server_list.hpp"
+#include "core/endpoint_registry.hpp"
 
 namespace amberknot::core {
 
--- a/src/core/leaving.cpp
+++ b/src/core/graceful_shutdown.cpp
@@ -1,4 +1,4 @@
-#include "core/leaving.hpp"
+#include "core/graceful_shutdown.hpp"
 
 #include <algorithm>
 
--- a/src/core/report.cpp
+++ b/src/core/load_report.cpp
@@ -1,4 +1,4 @@
-#include "core/report.hpp"
+#include "core/load_report.hpp"
 
 #include <cmath>
 
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 
 #include "amberknot/admission.hpp"
-#include "core/leaving.hpp"
+#include "core/graceful_shutdown.hpp"
 #include "core/reason.hpp"
 
 namespace amberknot::core {
--- a/src/core/retune.cpp
+++ b/src/core/reload_plan.cpp
@@ -1,4 +1,4 @@
-#include "core/retune.hpp"
+#include "core/reload_plan.hpp"
 
 #include <algorithm>
 
--- a/src/feed/parse.hpp
+++ b/src/feed/parse.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/server_list.hpp"
+#include "core/endpoint_registry.hpp"
 #include "settings/json_text.hpp"
 #include "settings/sse.hpp"
 
--- a/src/http2/links.cpp
+++ b/src/http2/links.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <utility>
 
-#include "core/report.hpp"
+#include "core/load_report.hpp"
 #include "translate/message.hpp"
 #include "translate/retry_after.hpp"
 
--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cmath>
 
-#include "core/report.hpp"
+#include "core/load_report.hpp"
 
 namespace amberknot::sip {
 namespace {
--- a/src/store/presence.hpp
+++ b/src/store/presence.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "core/leaving.hpp"
+#include "core/graceful_shutdown.hpp"
 
 namespace amberknot::store {
 
--- a/src/store/record_head.hpp
+++ b/src/store/record_head.hpp
@@ -5,7 +5,7 @@
 
 #include <optional>
 
-#include "core/leaving.hpp"
+#include "core/graceful_shutdown.hpp"
 
 namespace amberknot::store {
 
--- a/tests/leaving_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -1,6 +1,4 @@
 // Leaving after SIGTERM: the times, who has taken over, and what a caller sees of it.
-#include "core/leaving.hpp"
-
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/resource.h>
@@ -12,6 +10,7 @@
 #include <fstream>
 #include <numeric>
 
+#include "core/graceful_shutdown.hpp"
 #include "net_bench.hpp"
 #include "store/handover.hpp"
 #include "store/presence.hpp"
--- a/tests/crossings_test.cpp
+++ b/tests/race_conditions_test.cpp
@@ -1,6 +1,7 @@
-// Pairs of events that cross (docs/crossings.md). The peers are scripted and fix the order: one side goes on
-// only once it has seen the other's bytes, a paused reader blocks a link, a known event comes first. Nothing
-// sleeps as proof; what must not happen is looked for after exchanges that are behind it on every socket.
+// Pairs of events that cross (docs/race-conditions.md). The peers are scripted and fix the order: one side
+// goes on only once it has seen the other's bytes, a paused reader blocks a link, a known event comes first.
+// Nothing sleeps as proof; what must not happen is looked for after exchanges that are behind it on every
+// socket.
 #include <sys/socket.h>
 
 #include <thread>
--- a/tests/retune_test.cpp
+++ b/tests/reload_plan_test.cpp
@@ -1,6 +1,6 @@
 // New settings at SIGHUP (DAYS): classes added and taken away, tries lowered, and defective files refused
 // whole.
-#include "core/retune.hpp"
+#include "core/reload_plan.hpp"
 
 #include <array>
 
