Take the call table apart: call states, decision queue and final answer as modules

The call table held a call's states, the queue of decisions, the choice of the final answer and the counting in one class of twenty methods, with results built by positional braces. Now core/call.hpp has the states with their table of transitions, which the table asserts at each change; core/decision_queue carries decisions out one after the other; core/final_answer is a pure function; the versions of servers are the registry's and the counting of attempts the counters'. Results are built with designated initializers, functions are one step a line, and the comments of the core's headers use the field's terms.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -1,12 +1,12 @@
 #include "core/call_table.hpp"
 
 #include <algorithm>
-#include <iterator>
+#include <cassert>
 #include <utility>
 
 namespace amberknot::core {
 
-// An attempt is given up this much before its caller stops waiting, so that the answer still reaches it.
+// A call is ended this much before its caller stops waiting, so that the answer still reaches it.
 constexpr Duration kAnswerMargin = 2 * TimerWheel::kTick;
 
 CallTable::CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
@@ -17,7 +17,8 @@
       counters_(counters),
       clock_(std::move(clock)),
       broadcast_([](const auto&) {}),
-      log_([](const auto&) {}) {}
+      log_([](const auto&) {}),
+      decisions_([this](const Decision& decision) { execute_one(decision); }) {}
 
 void CallTable::connect(BroadcastSink broadcast, LogSink log) {
   broadcast_ = std::move(broadcast);
@@ -35,101 +36,75 @@
   call.client = &client;
   call.set_up = std::move(set_up);
   call.placement = Placement(call.set_up.facts.excluded_versions);
-  set_deadline(id, call, call.set_up.facts.expires);
+  set_timer(id, call, call.set_up.facts.expires);
   ++counters_.received;
   return id;
 }
 
-// SIGKILL may come sooner than the callers of these calls stop waiting: without an earlier end they would
-// never be answered. The module keeps the caller's own deadline, since only this process's time is short.
-void CallTable::begin_shutdown(const GracefulShutdown& plan) {
-  shutdown_ = plan;
-  const Instant latest = plan.answer_by - kAnswerMargin;
-  for (auto& [id, call] : calls_) {
-    const bool is_unanswered = call.state == State::kQueued || call.state == State::kInFlight;
-    if (!is_unanswered || call.set_up.facts.expires <= latest) continue;
-    call.set_up.facts.expires = latest;
-    // An attempt in flight may have been given less time than that: its own limit stays.
-    const bool has_earlier_limit = call.wakes_at <= latest;
-    if (!has_earlier_limit) set_deadline(id, call, latest);
-  }
-}
-
 void CallTable::route(CallId id) {
-  const auto found = calls_.find(id);
-  if (found != calls_.end()) execute(dispatcher_.pick(clock_(), id, found->second.set_up.facts));
+  if (const auto* call = find(id)) execute(dispatcher_.pick(clock_(), id, call->set_up.facts));
 }
 
 void CallTable::abandon(CallId id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end() || found->second.state == State::kEstablished) return;
+  const auto* call = find(id);
+  if (call == nullptr || call->state == CallState::kEstablished) return;
   ++counters_.abandoned;
-  const bool out = found->second.state == State::kInFlight;
-  const auto attempt = attempt_of(id, found->second);
-  const Duration elapsed = clock_() - found->second.sent;
-  const std::size_t cls = found->second.set_up.facts.call_class;
+  const bool is_in_flight = call->state == CallState::kInFlight;
+  const auto attempt = attempt_of(id, *call);
+  const Duration elapsed = clock_() - call->sent;
+  const std::size_t call_class = call->set_up.facts.call_class;
   forget(id);
-  Outcome outcome = Outcome::kCancelled;
-  if (out) {
-    outcome = cancel_attempt(attempt, Outcome::kCancelled);
-    count_attempt_end(outcome, cls);
-  } else {
+  if (!is_in_flight) {
     ++counters_.abandoned_while_queued;
+    execute(dispatcher_.report_abandoned(clock_(), id));
+    return;
   }
+  const Outcome outcome = cancel_attempt(attempt, Outcome::kCancelled);
+  counters_.count_attempt_end(outcome, call_class);
   execute(dispatcher_.report_abandoned(clock_(), id));
-  if (out) {
-    execute(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
-                                   {outcome, elapsed, true, false, 0, {}}));
-  }
-}
-
-Outcome CallTable::cancel_attempt(const AttemptRef& attempt, Outcome otherwise) {
-  auto* to = port(attempt.server);
-  if (to != nullptr && to->cancel(attempt)) return Outcome::kNotSent;
-  ++counters_.cancels;
-  return otherwise;
-}
-
-// Taken back before its first byte was written: no attempt reached the server.
-void CallTable::count_attempt_end(Outcome outcome, std::size_t call_class) {
-  ++counters_.attempt_ends[static_cast<std::size_t>(outcome)];
-  auto& relayed = counters_.of_class(call_class).relayed;
-  if (outcome == Outcome::kNotSent && relayed > 0) --relayed;
+  execute(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
+                                 {.outcome = outcome, .elapsed = elapsed, .call_ended = true}));
 }
 
 void CallTable::close_by_client(CallId id, Cause cause) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  if (found->second.state != State::kEstablished) {
+  const auto* call = find(id);
+  if (call == nullptr) return;
+  if (call->state != CallState::kEstablished) {
     abandon(id);
     return;
   }
-  const auto attempt = attempt_of(id, found->second);
-  const Duration elapsed = clock_() - found->second.sent;
+  const auto attempt = attempt_of(id, *call);
+  const Duration elapsed = clock_() - call->sent;
   ++counters_.released;
   forget(id);
   if (auto* to = port(attempt.server)) to->release(attempt, cause);
   execute(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt,
-                                 {Outcome::kOk, elapsed, true, false, 0, {}}));
+                                 {.outcome = Outcome::kOk, .elapsed = elapsed, .call_ended = true}));
+}
+
+// SIGKILL may come sooner than the callers of these calls stop waiting: without an earlier end they would
+// never be answered. The module keeps the caller's own deadline, since only this process's time is short.
+void CallTable::begin_shutdown(const GracefulShutdown& plan) {
+  shutdown_ = plan;
+  const Instant latest = plan.answer_by - kAnswerMargin;
+  for (auto& [id, call] : calls_) {
+    if (!call.is_unanswered() || call.set_up.facts.expires <= latest) continue;
+    call.set_up.facts.expires = latest;
+    // An attempt in flight may have been given less time than that: its own limit stays.
+    if (call.timer_due > latest) set_timer(id, call, latest);
+  }
 }
 
 // ---- from the servers' side -----------------------------------------------------------------------------
 
 bool CallTable::on_established(const AttemptRef& attempt, std::string_view description) {
   auto* call = find(attempt);
-  if (call == nullptr || call->state != State::kInFlight) return false;
-  wheel_.cancel(std::exchange(call->deadline, 0));
-  call->state = State::kEstablished;
-  ++established_;
+  if (call == nullptr || call->state != CallState::kInFlight) return false;
+  wheel_.cancel(std::exchange(call->timer, 0));
+  change_state(*call, CallState::kEstablished);
   const Duration elapsed = clock_() - call->sent;
   if (!call->client->answer(attempt.call, description)) {
-    // The caller is owed a final answer, and this one does not fit its side.
-    ++counters_.failed;
-    ++counters_.of_class(call->set_up.facts.call_class).faulted;
-    call->client->fail(attempt.call, Reason::kFieldRejected);
-    forget(attempt.call);
-    execute(dispatcher_.report_end(clock_(), attempt.call, attempt.server, attempt.attempt,
-                                   {Outcome::kError, elapsed, true, false, 0, {}}));
+    fail_established(attempt, *call, elapsed);
     return false;
   }
   ++counters_.established;
@@ -138,51 +113,31 @@
   return true;
 }
 
-void CallTable::on_attempt_ended(const AttemptRef& attempt, const AttemptEnd& end) {
-  if (find(attempt) != nullptr) end_attempt(attempt.call, end);
+void CallTable::fail_established(const AttemptRef& attempt, Call& call, Duration elapsed) {
+  ++counters_.failed;
+  ++counters_.of_class(call.set_up.facts.call_class).faulted;
+  call.client->fail(attempt.call, Reason::kFieldRejected);
+  forget(attempt.call);
+  execute(dispatcher_.report_end(clock_(), attempt.call, attempt.server, attempt.attempt,
+                                 {.outcome = Outcome::kError, .elapsed = elapsed, .call_ended = true}));
 }
 
-void CallTable::end_attempt(CallId id, const AttemptEnd& end) {
-  auto& call = calls_.at(id);
-  const auto attempt = attempt_of(id, call);
-  EndFacts facts{end.outcome, clock_() - call.sent, call.state == State::kEstablished, end.is_caller_fault, 0,
-                 end.load};
-  if (end.outcome == Outcome::kFull && !end.error && end.retry_after) {
-    // No call waits longer than its deadline: what asks for more is spoilt, and must not shut the server for
-    // good.
-    facts.retry_after = std::min(*end.retry_after, dispatcher_.longest_deadline());
-  }
-  if (end.error && call.state == State::kInFlight) {
-    const auto verdict = call.placement.on_attempt_ended(call.version, *end.error, end.retry_after);
-    facts.outcome = verdict.outcome;
-    facts.is_caller_fault = verdict.is_caller_fault;
-    facts.excludes_versions = verdict.final_now ? kAllVersions : call.placement.excluded_versions();
-  }
-  if (facts.call_ended) {
-    call.state = State::kReleasing;
-    --established_;
-    ++counters_.released;
-    if (end.outcome != Outcome::kOk) ++counters_.aborted;
-    call.client->release(id, end.cause);
-    forget(id);
-  } else {
-    count_attempt_end(facts.outcome, call.set_up.facts.call_class);
-    call.state = State::kQueued;
-  }
-  execute(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt, facts));
+void CallTable::on_attempt_ended(const AttemptRef& attempt, const AttemptEnd& end) {
+  if (find(attempt) != nullptr) end_attempt(attempt.call, end);
 }
 
 void CallTable::abort_sent_before(ServerId server, Instant moment, const char* why) {
-  std::vector<CallId> cut;
+  std::vector<CallId> aborted;
   for (const auto& [id, call] : calls_) {
-    if (call.state == State::kEstablished && call.server == server && call.sent < moment) cut.push_back(id);
+    const bool is_there = call.state == CallState::kEstablished && call.server == server;
+    if (is_there && call.sent < moment) aborted.push_back(id);
   }
-  if (!cut.empty()) log_("cut " + std::to_string(cut.size()) + " standing calls: " + why);
-  for (const CallId id : cut) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) continue;
-    if (auto* to = port(server)) to->forget(attempt_of(id, found->second));
-    end_attempt(id, {Outcome::kReset, Cause::kTemporaryFailure, false, {}});
+  if (!aborted.empty()) log_("cut " + std::to_string(aborted.size()) + " standing calls: " + why);
+  for (const CallId id : aborted) {
+    const auto* call = find(id);
+    if (call == nullptr) continue;
+    if (auto* to = port(server)) to->forget(attempt_of(id, *call));
+    end_attempt(id, {.outcome = Outcome::kReset, .cause = Cause::kTemporaryFailure});
   }
 }
 
@@ -197,8 +152,8 @@
   execute(dispatcher_.report_load(clock_(), server, load));
 }
 
-void CallTable::on_endpoints_changed(bool whole_list, const std::vector<ServerFacts>& servers) {
-  execute(dispatcher_.report_servers(clock_(), whole_list, servers));
+void CallTable::on_endpoints_changed(bool is_whole_list, const std::vector<ServerFacts>& servers) {
+  execute(dispatcher_.report_servers(clock_(), is_whole_list, servers));
 }
 
 void CallTable::on_gossip(std::uint32_t from, std::vector<std::uint8_t> bytes) {
@@ -207,14 +162,14 @@
 
 bool CallTable::has_calls_at(ServerId server) const {
   return std::any_of(calls_.begin(), calls_.end(), [server](const auto& item) {
-    return item.second.state != State::kQueued && item.second.server == server;
+    return item.second.state != CallState::kQueued && item.second.server == server;
   });
 }
 
 void CallTable::release_all() {
   std::vector<CallId> established;
   for (const auto& [id, call] : calls_) {
-    if (call.state == State::kEstablished) established.push_back(id);
+    if (call.state == CallState::kEstablished) established.push_back(id);
   }
   for (const CallId id : established) {
     auto& call = calls_.at(id);
@@ -227,51 +182,28 @@
   }
 }
 
-// ---- what the module decides ----------------------------------------------------------------------------
+// ---- decisions of the module ----------------------------------------------------------------------------
 
-// Carrying one decision out may lead to the next: they are queued, never nested, since a call may end in
-// between.
 void CallTable::execute(Decisions decisions) {
-  pending_decisions_.insert(pending_decisions_.end(), std::make_move_iterator(decisions.begin()),
-                            std::make_move_iterator(decisions.end()));
-  if (is_executing_) return;
-  is_executing_ = true;
-  while (!pending_decisions_.empty()) {
-    Decision decision = std::move(pending_decisions_.front());
-    pending_decisions_.pop_front();
-    execute_one(decision);
-  }
-  is_executing_ = false;
-  arm_tick();
+  if (decisions_.execute(std::move(decisions))) arm_tick();
 }
 
-void CallTable::execute_one(Decision& decision) {
-  const auto found = calls_.find(decision.call);
-  const bool held = found != calls_.end() && found->second.state == State::kQueued;
+void CallTable::execute_one(const Decision& decision) {
+  const auto* call = find(decision.call);
+  const bool is_queued = call != nullptr && call->state == CallState::kQueued;
   switch (decision.kind) {
     case Decision::Kind::kForward:
-      if (!held) break;
-      // A shutdown ends calls sooner than the module knows.
-      if (clock_() < found->second.set_up.facts.expires) {
-        send(decision);
-      } else {
-        reject_expired(decision.call);
-      }
+      if (is_queued) forward_unless_expired(decision);
       break;
     case Decision::Kind::kReject:
-      // Given up on is answered at once: the advice tells the caller when to come back.
-      if (held) send_final_answer(decision.call, Reason::kCongestion, decision.time);
+      if (is_queued) send_final_answer(decision.call, Reason::kCongestion, decision.time);
       break;
     case Decision::Kind::kFail:
-      if (held) send_final_answer(decision.call, Reason::kServerFault, Duration::zero());
+      if (is_queued) send_final_answer(decision.call, Reason::kServerFault, Duration::zero());
       break;
-    case Decision::Kind::kCancel: {
-      if (found == calls_.end() || found->second.state != State::kInFlight) break;
-      const auto attempt = attempt_of(decision.call, found->second);
-      if (attempt.attempt != decision.attempt) break;
-      end_attempt(decision.call, {cancel_attempt(attempt, Outcome::kCancelled), Cause::kNormal, false, {}});
+    case Decision::Kind::kCancel:
+      cancel(decision);
       break;
-    }
     case Decision::Kind::kCheckHealth:
       ++counters_.health_checks;
       if (auto* to = port(decision.server)) to->probe(decision.server);
@@ -285,79 +217,115 @@
   }
 }
 
-void CallTable::send_final_answer(CallId id, Reason otherwise, Duration retry_after) {
-  auto& call = calls_.at(id);
-  const bool nobody =
-      call.placement.excluded_versions() != 0 && call.placement.is_unroutable(listed_versions());
-  const auto reason = call.placement.reason(nobody ? Reason::kNoCompatibleServer : otherwise);
-  if (facts_of(reason).final_answer == Final::kRejected) {
-    ++counters_.rejected;
-    ++counters_.of_class(call.set_up.facts.call_class).throttled;
-    // The servers' wish counts where the settings allow any, and no longer than they do.
-    const auto& limits = dispatcher_.settings().limits;
-    const Duration asked = call.placement.retry_after().value_or(Duration::zero());
-    if (limits.retry_advice) retry_after = std::max(retry_after, std::min(asked, limits.max_retry_advice));
-    call.client->reject(id, reason, retry_after);
+// A shutdown ends calls sooner than the module knows.
+void CallTable::forward_unless_expired(const Decision& decision) {
+  if (clock_() < calls_.at(decision.call).set_up.facts.expires) {
+    forward(decision);
   } else {
-    ++counters_.failed;
-    ++counters_.of_class(call.set_up.facts.call_class).faulted;
-    call.client->fail(id, reason);
-  }
-  forget(id);
-}
-
-ProtocolVersionSet CallTable::listed_versions() const {
-  ProtocolVersionSet set = 0;
-  for (const auto& [id, server] : servers_.all()) {
-    if (server.state != EndpointState::kRemoved) set |= set_of(server.version);
+    reject_expired(decision.call);
   }
-  return set;
 }
 
-void CallTable::send(const Decision& decision) {
+void CallTable::forward(const Decision& decision) {
   auto& call = calls_.at(decision.call);
-  call.state = State::kInFlight;
+  change_state(call, CallState::kInFlight);
   call.server = decision.server;
-  if (const auto* listed = servers_.find(decision.server)) call.version = listed->version;
+  if (const auto* server = servers_.find(decision.server)) call.version = server->version;
   call.sent = clock_();
   ++call.attempts;
   ++counters_.attempts;
   ++counters_.of_class(call.set_up.facts.call_class).relayed;
-  const auto attempt = attempt_of(decision.call, call);
   auto* to = port(decision.server);
   if (to == nullptr) {
-    end_attempt(decision.call, {Outcome::kNotSent, Cause::kOutOfOrder, false, {}});
+    end_attempt(decision.call, {.outcome = Outcome::kNotSent, .cause = Cause::kOutOfOrder});
     return;
   }
   Duration wait = call.set_up.facts.expires - call.sent;
-  if (decision.time > Duration::zero() && decision.time < wait) wait = decision.time;
-  set_deadline(decision.call, call, call.sent + wait);
-  to->set_up({attempt, call.set_up.id, call.set_up.call_class, call.set_up.number, call.set_up.description,
-              wait, call.set_up.message.get()});
+  if (decision.time > Duration::zero()) wait = std::min(wait, decision.time);
+  set_timer(decision.call, call, call.sent + wait);
+  to->set_up({.attempt = attempt_of(decision.call, call),
+              .id = call.set_up.id,
+              .call_class = call.set_up.call_class,
+              .number = call.set_up.number,
+              .description = call.set_up.description,
+              .wait = wait,
+              .message = call.set_up.message.get()});
 }
 
-void CallTable::set_deadline(CallId id, Call& call, Instant moment) {
-  wheel_.cancel(call.deadline);
-  call.wakes_at = moment;
-  call.deadline = wheel_.at(moment, [this, id] { time_out(id); });
+void CallTable::cancel(const Decision& decision) {
+  const auto* call = find(decision.call);
+  if (call == nullptr || call->state != CallState::kInFlight) return;
+  const auto attempt = attempt_of(decision.call, *call);
+  if (attempt.attempt != decision.attempt) return;
+  const Outcome outcome = cancel_attempt(attempt, Outcome::kCancelled);
+  end_attempt(decision.call, {.outcome = outcome, .cause = Cause::kNormal});
 }
 
-void CallTable::time_out(CallId id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  auto& call = found->second;
-  call.deadline = 0;
-  const bool last = clock_() >= call.set_up.facts.expires;
-  if (!last) set_deadline(id, call, call.set_up.facts.expires);
-  if (call.state == State::kInFlight) {
-    const auto attempt = attempt_of(id, call);
-    end_attempt(id, {cancel_attempt(attempt, Outcome::kTimeout), Cause::kTimerExpiry, false, {}});
+// ---- ends of attempts and calls -------------------------------------------------------------------------
+
+void CallTable::end_attempt(CallId id, const AttemptEnd& end) {
+  auto& call = calls_.at(id);
+  const auto attempt = attempt_of(id, call);
+  const auto facts = facts_of_end(call, end);
+  if (facts.call_ended) {
+    release_to_client(id, call, end);
   } else {
-    execute(dispatcher_.tick(clock_()));
+    counters_.count_attempt_end(facts.outcome, call.set_up.facts.call_class);
+    change_state(call, CallState::kQueued);
+  }
+  execute(dispatcher_.report_end(clock_(), id, attempt.server, attempt.attempt, facts));
+}
+
+EndFacts CallTable::facts_of_end(Call& call, const AttemptEnd& end) const {
+  EndFacts facts{.outcome = end.outcome,
+                 .elapsed = clock_() - call.sent,
+                 .call_ended = call.state == CallState::kEstablished,
+                 .is_caller_fault = end.is_caller_fault,
+                 .load = end.load};
+  if (end.outcome == Outcome::kFull && !end.error && end.retry_after) {
+    // No call waits longer than the longest deadline: a server that asks for more must not be ejected for
+    // good.
+    facts.retry_after = std::min(*end.retry_after, dispatcher_.longest_deadline());
+  }
+  if (end.error && call.state == CallState::kInFlight) {
+    const auto verdict = call.placement.on_attempt_ended(call.version, *end.error, end.retry_after);
+    facts.outcome = verdict.outcome;
+    facts.is_caller_fault = verdict.is_caller_fault;
+    facts.excludes_versions = verdict.final_now ? kAllVersions : call.placement.excluded_versions();
+  }
+  return facts;
+}
+
+void CallTable::release_to_client(CallId id, Call& call, const AttemptEnd& end) {
+  change_state(call, CallState::kReleasing);
+  ++counters_.released;
+  if (end.outcome != Outcome::kOk) ++counters_.aborted;
+  call.client->release(id, end.cause);
+  forget(id);
+}
+
+Outcome CallTable::cancel_attempt(const AttemptRef& attempt, Outcome otherwise) {
+  auto* to = port(attempt.server);
+  if (to != nullptr && to->cancel(attempt)) return Outcome::kNotSent;
+  ++counters_.cancels;
+  return otherwise;
+}
+
+void CallTable::send_final_answer(CallId id, Reason reason, Duration retry_after) {
+  auto& call = calls_.at(id);
+  auto& counts = counters_.of_class(call.set_up.facts.call_class);
+  const auto answer = final_answer(call.placement, servers_.supported_versions(), reason, retry_after,
+                                   dispatcher_.settings().limits);
+  if (answer.is_rejection()) {
+    ++counters_.rejected;
+    ++counts.throttled;
+    call.client->reject(id, answer.reason, answer.retry_after);
+  } else {
+    ++counters_.failed;
+    ++counts.faulted;
+    call.client->fail(id, answer.reason);
   }
-  // Guards the rule of one final answer in time: whatever is still undecided now is refused.
-  const auto still = calls_.find(id);
-  if (last && still != calls_.end() && still->second.state == State::kQueued) reject_expired(id);
+  forget(id);
 }
 
 void CallTable::reject_expired(CallId id) {
@@ -372,6 +340,39 @@
   return std::clamp(until_exit, Duration::zero(), limits.max_retry_advice);
 }
 
+void CallTable::forget(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  wheel_.cancel(found->second.timer);
+  if (found->second.state == CallState::kEstablished) --established_;
+  calls_.erase(found);
+}
+
+// ---- timers ---------------------------------------------------------------------------------------------
+
+void CallTable::set_timer(CallId id, Call& call, Instant due) {
+  wheel_.cancel(call.timer);
+  call.timer_due = due;
+  call.timer = wheel_.at(due, [this, id] { on_timer(id); });
+}
+
+void CallTable::on_timer(CallId id) {
+  auto* call = find(id);
+  if (call == nullptr) return;
+  call->timer = 0;
+  const bool is_expired = clock_() >= call->set_up.facts.expires;
+  if (!is_expired) set_timer(id, *call, call->set_up.facts.expires);
+  if (call->state == CallState::kInFlight) {
+    const Outcome outcome = cancel_attempt(attempt_of(id, *call), Outcome::kTimeout);
+    end_attempt(id, {.outcome = outcome, .cause = Cause::kTimerExpiry});
+  } else {
+    execute(dispatcher_.tick(clock_()));
+  }
+  // Guards the rule of one final answer in time: whatever is still queued now is rejected.
+  const auto* still = find(id);
+  if (is_expired && still != nullptr && still->state == CallState::kQueued) reject_expired(id);
+}
+
 void CallTable::arm_tick() {
   const auto next = dispatcher_.next_tick();
   if (!next || (tick_ != 0 && tick_at_ && *tick_at_ <= *next)) return;
@@ -383,25 +384,31 @@
   });
 }
 
-ServerPort* CallTable::port(ServerId server) {
-  auto* entry = servers_.find(server);
-  return entry != nullptr ? entry->port : nullptr;
-}
+// ---- look-ups -------------------------------------------------------------------------------------------
 
-CallTable::Call* CallTable::find(const AttemptRef& attempt) {
-  const auto found = calls_.find(attempt.call);
-  if (found == calls_.end()) return nullptr;
-  auto& call = found->second;
-  const bool alive = call.state == State::kInFlight || call.state == State::kEstablished;
-  return alive && call.server == attempt.server && call.attempts == attempt.attempt + 1 ? &call : nullptr;
+void CallTable::change_state(Call& call, CallState next) {
+  assert(is_transition(call.state, next));
+  if (call.state == CallState::kEstablished) --established_;
+  if (next == CallState::kEstablished) ++established_;
+  call.state = next;
 }
 
-void CallTable::forget(CallId id) {
+Call* CallTable::find(CallId id) {
   const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  wheel_.cancel(found->second.deadline);
-  if (found->second.state == State::kEstablished) --established_;
-  calls_.erase(found);
+  return found != calls_.end() ? &found->second : nullptr;
+}
+
+Call* CallTable::find(const AttemptRef& attempt) {
+  auto* call = find(attempt.call);
+  if (call == nullptr) return nullptr;
+  const bool has_attempt = call->state == CallState::kInFlight || call->state == CallState::kEstablished;
+  const bool is_this_one = call->server == attempt.server && call->attempts == attempt.attempt + 1;
+  return has_attempt && is_this_one ? call : nullptr;
+}
+
+ServerPort* CallTable::port(ServerId server) {
+  auto* entry = servers_.find(server);
+  return entry != nullptr ? entry->port : nullptr;
 }
 
 }  // namespace amberknot::core
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -1,48 +1,28 @@
-// Every call's life, from its set-up to its release: held, attempt out, standing, releasing, ended. Fronts
-// and server links report here; what the module decides is carried out from here.
+// All calls of the process, from set-up to release (states and transitions: core/call.hpp). Frontends and
+// upstream pools report here; the module's decisions are carried out from here. One thread, that of the event
+// loop; no I/O but through the ports.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "core/call.hpp"
 #include "core/counters.hpp"
+#include "core/decision_queue.hpp"
 #include "core/dispatcher.hpp"
 #include "core/endpoint_registry.hpp"
+#include "core/final_answer.hpp"
 #include "core/graceful_shutdown.hpp"
-#include "core/placement.hpp"
 #include "core/ports.hpp"
 #include "core/timer_wheel.hpp"
 
 namespace amberknot::core {
 
-/// A caller's set-up, read and checked.
-struct NewSetUp {
-  std::string id;  ///< 16 hex digits
-  std::string call_class;
-  std::string number;
-  std::string description;
-  CallFacts facts;  ///< `expires` is when the caller stops waiting
-  std::unique_ptr<const ProtocolMessage> message = {};
-};
-
-/// How an attempt ended before or after it stood, as a server's side saw it.
-struct AttemptEnd {
-  Outcome outcome = Outcome::kOk;
-  Cause cause = Cause::kNormal;
-  bool is_caller_fault = false;
-  LoadReport load;
-  /// What the error means, where a server answered with one; it then says the outcome.
-  std::optional<ErrorMeaning> error = {};
-  std::optional<Duration> retry_after = {};  ///< asked by the server
-};
-
 class CallTable {
  public:
   using Clock = std::function<Instant()>;
@@ -52,83 +32,82 @@
   CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
             Clock clock);
 
-  /// Where the module's messages to its siblings and its log lines go.
+  /// Where the module's messages to its peers and its log lines go.
   void connect(BroadcastSink broadcast, LogSink log);
 
   // From the callers' side.
-  /// Enters the call; the front then notes its id and lets it be decided.
+  /// Enters a call. The frontend notes its id and then has it routed.
   CallId admit(ClientPort& client, NewSetUp set_up);
-  /// The process is shutting down: every unanswered call, queued, in flight or still to come, gets its final
-  /// answer by `plan.answer_by`, whatever its own deadline. Calls that stand are not touched.
-  void begin_shutdown(const GracefulShutdown& plan);
   void route(CallId call);
-  void abandon(CallId call);  ///< of no effect after the answer
-  /// Before the answer the set-up is given up, after it the call is released.
+  /// Its caller waits no longer. Of no effect once the call is established.
+  void abandon(CallId call);
+  /// Before the answer the set-up is abandoned, after it the call is released.
   void close_by_client(CallId call, Cause cause);
+  /// The process is shutting down: every unanswered call, queued, in flight or still to come, gets its final
+  /// answer by `plan.answer_by`, whatever its own deadline. Established calls are not touched.
+  void begin_shutdown(const GracefulShutdown& plan);
 
   // From the servers' side.
   /// False: the attempt is over, so the answer is to be acknowledged and released.
   bool on_established(const AttemptRef& attempt, std::string_view description);
   void on_attempt_ended(const AttemptRef& attempt, const AttemptEnd& end);
-  /// All that stands at a server whose process is known to have died.
-  void abort_all(ServerId server, const char* why) { abort_sent_before(server, Instant::max(), why); }
-  /// Of these, what was sent before that moment.
-  void abort_sent_before(ServerId server, Instant moment, const char* why);
   void on_health_check_result(ServerId server, Outcome outcome, Duration elapsed, const LoadReport& load);
   void on_load_report(ServerId server, const LoadReport& load);
+  /// Ends all established calls at a server whose process is known to have died.
+  void abort_all(ServerId server, const char* why) { abort_sent_before(server, Instant::max(), why); }
+  /// Of these, the ones forwarded before that moment.
+  void abort_sent_before(ServerId server, Instant moment, const char* why);
 
-  // From the channel and the siblings.
-  void on_endpoints_changed(bool whole_list, const std::vector<ServerFacts>& servers);
+  // From service discovery and the peers.
+  void on_endpoints_changed(bool is_whole_list, const std::vector<ServerFacts>& servers);
   void on_gossip(std::uint32_t from, std::vector<std::uint8_t> bytes);
 
   [[nodiscard]] std::size_t unanswered() const { return calls_.size() - established_; }
   [[nodiscard]] std::size_t established() const { return established_; }
-  /// Whether a call is out or stands at that server.
+  /// Whether a call is in flight to that server or established there.
   [[nodiscard]] bool has_calls_at(ServerId server) const;
-  /// Releases all that stands towards both sides: the program ends.
+  /// Releases all established calls towards both sides: the process ends.
   void release_all();
 
  private:
-  enum class State { kQueued, kInFlight, kEstablished, kReleasing };
-  struct Call {
-    NewSetUp set_up;
-    ClientPort* client = nullptr;
-    State state = State::kQueued;
-    std::uint32_t attempts = 0;
-    ServerId server{};
-    ProtocolVersion version{};  ///< of the latest attempt
-    Placement placement;
-    Instant sent{};
-    TimerWheel::Handle deadline = 0;
-    Instant wakes_at{};  ///< when `deadline` is due
-  };
-
+  // Decisions of the module.
   void execute(Decisions decisions);
-  void execute_one(Decision& decision);
-  void send(const Decision& decision);
+  void execute_one(const Decision& decision);
+  void forward_unless_expired(const Decision& decision);
+  void forward(const Decision& decision);
+  void cancel(const Decision& decision);
+
+  // Ends of attempts and calls.
   void end_attempt(CallId id, const AttemptEnd& end);
-  /// Gives up an attempt that is out towards its server. The outcome is `otherwise`, or moot where nothing of
-  /// it had left: then it never ran, and no pause is owed before the next.
+  [[nodiscard]] EndFacts facts_of_end(Call& call, const AttemptEnd& end) const;
+  void release_to_client(CallId id, Call& call, const AttemptEnd& end);
+  /// The server's answer does not fit the caller's protocol: the call fails, and is released at the server.
+  void fail_established(const AttemptRef& attempt, Call& call, Duration elapsed);
+  /// Cancels an attempt in flight towards its server. The outcome is `otherwise`, or `kNotSent` where nothing
+  /// of it had left: then it never ran, and no pause is owed before the next.
   Outcome cancel_attempt(const AttemptRef& attempt, Outcome otherwise);
-  /// The one final answer of a held call: refused or failed, as its reason says.
-  void send_final_answer(CallId id, Reason otherwise, Duration retry_after);
-  /// The versions of all servers that have not gone.
-  [[nodiscard]] ProtocolVersionSet listed_versions() const;
-  void set_deadline(CallId id, Call& call, Instant moment);
-  void time_out(CallId id);
+  /// The one final answer of a queued call; `reason` and `retry_after` as in final_answer().
+  void send_final_answer(CallId id, Reason reason, Duration retry_after);
   /// The final answer of a queued call whose time is over: rejected, and the module forgets it.
   void reject_expired(CallId id);
   /// How long callers rejected by a shutdown should stay away: until this process has exited.
   [[nodiscard]] Duration shutdown_retry_after() const;
+  void forget(CallId id);
+
+  // Timers.
+  void set_timer(CallId id, Call& call, Instant due);
+  void on_timer(CallId id);
+  /// The module's next tick.
   void arm_tick();
-  ServerPort* port(ServerId server);
+
+  void change_state(Call& call, CallState next);
+  [[nodiscard]] Call* find(CallId id);
+  /// The call whose attempt is in flight or established as named; null once that is over.
+  [[nodiscard]] Call* find(const AttemptRef& attempt);
+  [[nodiscard]] ServerPort* port(ServerId server);
   [[nodiscard]] AttemptRef attempt_of(CallId id, const Call& call) const {
-    return {id, call.attempts - 1, call.server};
+    return {.call = id, .attempt = call.attempts - 1, .server = call.server};
   }
-  /// The call whose attempt is out or stands as named; null once that is over.
-  Call* find(const AttemptRef& attempt);
-  void count_attempt_end(Outcome outcome, std::size_t call_class);
-  void forget(CallId id);
 
   Dispatcher& dispatcher_;
   EndpointRegistry& servers_;
@@ -137,12 +116,11 @@
   Clock clock_;
   BroadcastSink broadcast_;
   LogSink log_;
+  DecisionQueue decisions_;
   std::unordered_map<CallId, Call> calls_;
   std::size_t established_ = 0;
-  std::optional<GracefulShutdown> shutdown_;  ///< absent: not shutting down
   std::uint32_t next_id_ = 0;
-  std::deque<Decision> pending_decisions_;
-  bool is_executing_ = false;
+  std::optional<GracefulShutdown> shutdown_;  ///< absent: not shutting down
   TimerWheel::Handle tick_ = 0;
   std::optional<Instant> tick_at_;
 };
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -19,7 +19,7 @@
       << " unheard=" << undelivered_answers << " cut=" << aborted << "; attempts ended:";
   static constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                            "reset", "cancelled", "moot"};
-  for (std::size_t i = 0; i < 8; ++i) out << ' ' << kNames[i] << '=' << attempt_ends[i];
+  for (std::size_t i = 0; i < kOutcomes; ++i) out << ' ' << kNames[i] << '=' << attempt_ends[i];
 }
 
 }  // namespace amberknot::core
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -120,8 +120,9 @@
   return run(now, HealthCheckResult{server, Outcome::kOk, true, Duration::zero(), load});
 }
 
-Decisions Dispatcher::report_servers(Instant now, bool whole_list, const std::vector<ServerFacts>& servers) {
-  EndpointUpdate news{whole_list ? EndpointUpdateScope::kFull : EndpointUpdateScope::kDelta, {}};
+Decisions Dispatcher::report_servers(Instant now, bool is_whole_list,
+                                     const std::vector<ServerFacts>& servers) {
+  EndpointUpdate news{is_whole_list ? EndpointUpdateScope::kFull : EndpointUpdateScope::kDelta, {}};
   for (const auto& one : servers)
     news.entries.push_back({one.server, one.pool, one.state, one.started, one.version});
   return run(now, news);
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -1,5 +1,5 @@
-// The decision module in blocking style: say what happened, get back what to do. Its events, actions and
-// timers are seen here and nowhere else.
+// The decision module in blocking style: report what happened, get back what to do. Its events, actions and
+// timers are seen here and nowhere else. No I/O; time comes in as an argument.
 #pragma once
 
 #include <cstdint>
@@ -12,18 +12,20 @@
 
 namespace amberknot::core {
 
+/// What the module wants done, in the order in which it decided.
 struct Decision {
   enum class Kind { kForward, kReject, kFail, kCancel, kCheckHealth, kBroadcast, kLog };
   Kind kind = Kind::kLog;
   CallId call{};
   ServerId server{};
   std::uint32_t attempt = 0;
-  Duration time{};  ///< kForward: the wait, zero for the caller's; kReject: the time to stay away
+  Duration time{};  ///< kForward: the attempt's timeout, zero: the caller's; kReject: Retry-After
   std::vector<std::uint8_t> bytes;  ///< kBroadcast
   std::string text;                 ///< kLog
 };
 using Decisions = std::vector<Decision>;
 
+/// What a call asks for, as its frontend read it.
 struct CallFacts {
   Instant expires{};
   std::optional<PoolId> first_choice;
@@ -34,16 +36,18 @@
   ProtocolVersionSet excluded_versions = 0;
 };
 
+/// How an attempt ended, as the module is to hear it.
 struct EndFacts {
   Outcome outcome = Outcome::kOk;
   Duration elapsed{};
   bool call_ended = false;
   bool is_caller_fault = false;
   ProtocolVersionSet excludes_versions = 0;
-  LoadReport load;
-  std::optional<Duration> retry_after = {};  ///< by a full server, of everybody
+  LoadReport load = {};
+  std::optional<Duration> retry_after = {};  ///< asked by an overloaded server of all senders
 };
 
+/// A server as the module is to see it.
 struct ServerFacts {
   ServerId server{};
   PoolId pool{};
@@ -56,6 +60,7 @@
  public:
   Dispatcher(Settings settings, Instant now);
 
+  /// A new call: it is forwarded, queued or rejected.
   Decisions pick(Instant now, CallId call, const CallFacts& facts);
 
   Decisions report_established(Instant now, CallId call, ServerId server, std::uint32_t attempt,
@@ -66,11 +71,11 @@
   Decisions report_health_check(Instant now, ServerId server, Outcome outcome, Duration elapsed,
                                 const LoadReport& load);
   Decisions report_load(Instant now, ServerId server, const LoadReport& load);
-  Decisions report_servers(Instant now, bool whole_list, const std::vector<ServerFacts>& servers);
+  Decisions report_servers(Instant now, bool is_whole_list, const std::vector<ServerFacts>& servers);
   Decisions report_peer(Instant now, std::uint32_t from, std::vector<std::uint8_t> bytes);
 
   Decisions tick(Instant now);
-  /// When tick() has something to do next.
+  /// When tick() has something to do next; empty: nothing is due.
   [[nodiscard]] std::optional<Instant> next_tick() const;
 
   [[nodiscard]] const Settings& settings() const { return settings_; }
--- a/src/core/endpoint_registry.cpp
+++ b/src/core/endpoint_registry.cpp
@@ -1,5 +1,7 @@
 #include "core/endpoint_registry.hpp"
 
+#include "core/placement.hpp"
+
 namespace amberknot::core {
 
 Endpoint& EndpointRegistry::of(std::string_view name) {
@@ -27,6 +29,14 @@
   return found != by_name_.end() ? find(found->second) : nullptr;
 }
 
+ProtocolVersionSet EndpointRegistry::supported_versions() const {
+  ProtocolVersionSet versions = 0;
+  for (const auto& [id, server] : servers_) {
+    if (server.state != EndpointState::kRemoved) versions |= set_of(server.version);
+  }
+  return versions;
+}
+
 void EndpointRegistry::forget(ServerId id) {
   const auto found = servers_.find(id);
   if (found == servers_.end()) return;
--- a/src/core/endpoint_registry.hpp
+++ b/src/core/endpoint_registry.hpp
@@ -1,4 +1,5 @@
-// The core servers, by name: an address may pass from a server that has gone to a new one.
+// The registry of session servers, by name: an address may pass from a server that was removed to a new one.
+// No I/O and no clock; the event loop's thread only.
 #pragma once
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 
 namespace amberknot::core {
 
+/// One session server as service discovery last described it.
 struct Endpoint {
   ServerId id{};
   std::string name;
@@ -20,29 +22,32 @@
   EndpointState state = EndpointState::kReady;
   std::int64_t started_unix_ms = 0;   ///< zero: long ago
   std::optional<Instant> started;     ///< the same on the monotonic clock, read once for each start
-  UpstreamPool* port = nullptr;       ///< whose links lead there
-  ProtocolVersion version{};          ///< of the protocol that it speaks
-  std::optional<Instant> removed_at;  ///< while it is gone
+  UpstreamPool* port = nullptr;       ///< the upstream pool that leads there; null: none assigned yet
+  ProtocolVersion version{};          ///< the protocol it supports
+  std::optional<Instant> removed_at;  ///< set while its state is kRemoved
 };
 
-/// One line of news.
+/// One entry of an endpoint update.
 struct EndpointChange {
   std::string name;
-  std::string address;
+  std::string address;  ///< host:port
   std::uint32_t pool = 0;
   EndpointState state = EndpointState::kReady;
-  std::int64_t started_unix_ms = 0;
+  std::int64_t started_unix_ms = 0;  ///< zero: long ago
 };
 
 class EndpointRegistry {
  public:
-  /// The entry of that name, made on first sight. Ids are never used again.
+  /// The entry of that name, made on first use. Ids are never used again.
   Endpoint& of(std::string_view name);
+  /// Null where it is not registered.
   [[nodiscard]] Endpoint* find(ServerId id);
   [[nodiscard]] const Endpoint* find(std::string_view name) const;
   [[nodiscard]] const Endpoint* find(ServerId id) const;
   [[nodiscard]] const std::map<ServerId, Endpoint>& all() const { return servers_; }
-  /// Nothing refers to it any more. Its name, if it comes again, gets another id.
+  /// The protocol versions of all servers that have not been removed.
+  [[nodiscard]] ProtocolVersionSet supported_versions() const;
+  /// Deletes the entry, to which nothing may refer any more. Its name, if it returns, gets another id.
   void forget(ServerId id);
 
  private:
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -1,5 +1,5 @@
-// One call among servers of several versions: what is ruled out for it, and which of the errors it met is
-// told.
+// One call among servers of several protocol versions: which are excluded for it, and which of the errors it
+// met its caller is given. No I/O and no clock.
 #pragma once
 
 #include <optional>
@@ -9,34 +9,35 @@
 
 namespace amberknot::core {
 
-/// The version of a server that has not said what it speaks: no call rules it out, but one that is over.
+/// The version of a server that has not reported which it supports: no call excludes it, but one that is
+/// over.
 inline constexpr ProtocolVersion kNotKnown{31};
 
 constexpr ProtocolVersionSet set_of(ProtocolVersion version) {
   return ProtocolVersionSet{1} << static_cast<unsigned>(version);
 }
 
-/// One call's way through the versions: what is ruled out by now, and what its caller is told in the end. The
-/// last error that says something of the call itself goes before those that say something of a server, and
-/// these before mere shortage: "the tenant is suspended" tells more than "all are full".
+/// One call's attempts across versions: which are excluded by now, and the reason its caller is given in the
+/// end. The last error about the call itself takes precedence over errors about a server, and these over lack
+/// of capacity: "the tenant is suspended" says more than "all servers are full".
 class Placement {
  public:
   Placement() = default;
   explicit Placement(ProtocolVersionSet excluded_versions) : excluded_(excluded_versions) {}
 
-  /// An attempt in that dialect ended with that error. Tells what the module is to hear.
+  /// An attempt at a server of that version ended with that error. Returns what the module is to hear.
   Verdict on_attempt_ended(ProtocolVersion version, const ErrorMeaning& meaning,
                            std::optional<Duration> retry_after = std::nullopt);
 
   [[nodiscard]] ProtocolVersionSet excluded_versions() const { return excluded_; }
-  /// Whether none of what is spoken now is left for it: it is answered at once. Where nothing is spoken yet
-  /// (all servers are being asked) it may wait.
+  /// Whether all supported versions are excluded: the call is answered at once. While no server has reported
+  /// its version yet (`supported` is empty) the call may wait.
   [[nodiscard]] bool is_unroutable(ProtocolVersionSet supported) const {
     return supported != 0 && (supported & ~excluded_) == 0;
   }
-  /// What the caller is told when the call is given up, `otherwise` being why the module gave it up.
+  /// The reason the caller is given; `otherwise` is why the module ended the call.
   [[nodiscard]] Reason reason(Reason otherwise) const;
-  /// How long servers have asked to be left alone, the least of them: one that is free sooner will do.
+  /// The shortest Retry-After that servers have asked for: one that is available sooner will do.
   [[nodiscard]] std::optional<Duration> retry_after() const { return retry_after_; }
 
  private:
--- a/src/core/reload_plan.hpp
+++ b/src/core/reload_plan.hpp
@@ -1,4 +1,4 @@
-// New settings at SIGHUP (DAYS, "New settings"): what of them a running router takes, decided without I/O.
+// Configuration reload at SIGHUP: which of the new settings a running router applies. Decided without I/O.
 #pragma once
 
 #include <string>
@@ -9,6 +9,7 @@
 
 namespace amberknot::core {
 
+/// What a reload changes, and what it cannot.
 struct ReloadPlan {
   Names names;                     ///< the classes in their old places, new ones after them
   std::vector<CallClass> classes;  ///< in the same order
