Name frontends and connection pools, and the ports between core and protocols, after the field's terms

The files of the callers' and servers' sides still bore the words of the house (front, links), and so did the ports' methods: leave, settled, closed, hand_over, take_over, probe.

--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -40,7 +40,7 @@
   bool cancel(const core::AttemptRef& attempt) override;
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
   void forget(const core::AttemptRef& /*attempt*/) override {}
-  void probe(ServerId server) override;
+  void check_health(ServerId server) override;
   void on_endpoint_changed(const core::Endpoint& /*server*/) override {}
   void forget_server(ServerId /*server*/) override {}
   bool answer(CallId call, std::string_view description) override;
@@ -521,7 +521,7 @@
 void Port::release(const core::AttemptRef& attempt, core::Cause /*cause*/) {
   node_.simulation.send_end(node_, attempt, false);
 }
-void Port::probe(ServerId server) {
+void Port::check_health(ServerId server) {
   node_.simulation.send_probe(node_, server);
 }
 bool Port::answer(CallId call, std::string_view description) {
--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <array>
 
-#include "diameter/front.hpp"
-#include "diameter/links.hpp"
-#include "http2/links.hpp"
-#include "jsonl/front.hpp"
+#include "diameter/connection_pool.hpp"
+#include "diameter/frontend.hpp"
+#include "http2/connection_pool.hpp"
+#include "jsonl/frontend.hpp"
 #include "net/log.hpp"
-#include "sip/links.hpp"
+#include "sip/connection_pool.hpp"
 
 namespace amberknot::app {
 namespace {
@@ -29,7 +29,7 @@
         return server != nullptr ? std::optional(server->pool) : std::nullopt;
       },
       site.translator.get());
-  net::log::info("diameter: ", site.identity.host, " serves clients at ", front->where());
+  net::log::info("diameter: ", site.identity.host, " serves clients at ", front->listen_address());
   return front;
 }
 
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -78,7 +78,7 @@
   if (standby_ == on) return;
   standby_ = on;
   for (const auto& frontend : frontends_) {
-    if (frontend) frontend->standby(on);
+    if (frontend) frontend->set_standby(on);
   }
 }
 
@@ -163,7 +163,7 @@
 std::optional<asio::ip::tcp::endpoint> Router::frontend_at(std::string_view name) const {
   const auto kinds = frontend_kinds();
   for (std::size_t i = 0; i < kinds.size(); ++i) {
-    if (kinds[i].name == name && frontends_[i]) return net::read_endpoint(frontends_[i]->where());
+    if (kinds[i].name == name && frontends_[i]) return net::read_endpoint(frontends_[i]->listen_address());
   }
   return std::nullopt;
 }
@@ -340,7 +340,7 @@
   if (unreadable > 0) net::log::warn("releases of a replaced process not readable: ", unreadable, " files");
   for (const auto& release : releases) {
     for (const auto& frontend : frontends_) {
-      if (frontend) frontend->take_over(release);
+      if (frontend) frontend->deliver_release(release);
     }
   }
   if (more) loop_.after(kStoredReleasesInterval, [this] { deliver_stored_releases(); });
@@ -368,7 +368,7 @@
   if (replaced) {
     for (const auto& frontend : frontends_) {
       if (frontend)
-        frontend->hand_over(
+        frontend->begin_hot_restart(
             [this](core::UndeliveredRelease one) { undelivered_releases_.push_back(std::move(one)); });
     }
   }
@@ -379,15 +379,15 @@
   const Instant now = net::Loop::now();
   store_undelivered_releases();
   const bool settled = std::all_of(frontends_.begin(), frontends_.end(),
-                                   [](const auto& frontend) { return !frontend || frontend->settled(); });
+                                   [](const auto& frontend) { return !frontend || frontend->is_settled(); });
   if (shutdown_plan_.may_exit(now, table_.unanswered(), table_.established(), !settled)) {
     table_.release_all();
     store_undelivered_releases();
     for (const auto& frontend : frontends_) {
-      if (frontend) frontend->leave();
+      if (frontend) frontend->shut_down();
     }
     for (const auto& pool : upstream_pools_) {
-      if (pool) pool->leave();
+      if (pool) pool->shut_down();
     }
     exit_when_closed(shutdown_plan_.end_by(now));
     return;
@@ -399,7 +399,7 @@
 // each is closed by its caller first, or its time is up.
 void Router::exit_when_closed(Instant by) {
   const bool closed = std::all_of(frontends_.begin(), frontends_.end(),
-                                  [](const auto& frontend) { return !frontend || frontend->closed(); });
+                                  [](const auto& frontend) { return !frontend || frontend->is_closed(); });
   if (closed || net::Loop::now() >= by) {
     on_exit_();
     return;
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -206,7 +206,7 @@
       break;
     case Decision::Kind::kCheckHealth:
       ++counters_.health_checks;
-      if (auto* to = port(decision.server)) to->probe(decision.server);
+      if (auto* to = port(decision.server)) to->check_health(decision.server);
       break;
     case Decision::Kind::kBroadcast:
       broadcast_(decision.bytes);
--- a/src/diameter/links.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "diameter/links.hpp"
+#include "diameter/connection_pool.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -150,7 +150,7 @@
   return found != by_id_.end() && found->second->peer && found->second->peer->healthy();
 }
 
-void ConnectionPool::leave() {
+void ConnectionPool::shut_down() {
   for (auto& [id, server] : by_id_) {
     server->wanted = false;
     if (server->peer) server->peer->disconnect();
@@ -233,7 +233,7 @@
 }
 
 // The watchdog is the test that every Diameter peer answers.
-void ConnectionPool::probe(ServerId id) {
+void ConnectionPool::check_health(ServerId id) {
   auto& server = of(id);
   if (!is_available(id)) {
     asio::post(loop_.io, [this, id] {
--- a/src/diameter/links.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -27,13 +27,13 @@
   void on_endpoint_changed(const core::Endpoint& server) override;
   void forget_server(ServerId server) override;
   [[nodiscard]] bool is_available(ServerId server) const override;
-  void leave() override;
+  void shut_down() override;
 
   void set_up(const core::SetUp& set_up) override;
   bool cancel(const core::AttemptRef& attempt) override;
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
   void forget(const core::AttemptRef& attempt) override;
-  void probe(ServerId server) override;
+  void check_health(ServerId server) override;
 
  private:
   struct Server;
--- a/src/diameter/front.cpp
+++ b/src/diameter/frontend.cpp
@@ -1,4 +1,4 @@
-#include "diameter/front.hpp"
+#include "diameter/frontend.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -78,7 +78,7 @@
   });
 }
 
-void Frontend::leave() {
+void Frontend::shut_down() {
   for (const auto& [key, peer] : peers_) peer->disconnect();
 }
 
--- a/src/diameter/front.hpp
+++ b/src/diameter/frontend.hpp
@@ -35,9 +35,11 @@
   void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
-  [[nodiscard]] std::string where() const override { return net::text_of(acceptor_.local_endpoint()); }
+  [[nodiscard]] std::string listen_address() const override {
+    return net::text_of(acceptor_.local_endpoint());
+  }
   [[nodiscard]] std::size_t connections() const override { return peers_.size(); }
-  void leave() override;
+  void shut_down() override;
 
  private:
   struct Session {
--- a/src/http2/links.cpp
+++ b/src/http2/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "http2/links.hpp"
+#include "http2/connection_pool.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -522,7 +522,7 @@
   });
 }
 
-void ConnectionPool::probe(ServerId id) {
+void ConnectionPool::check_health(ServerId id) {
   auto& server = of(id);
   auto* conn = pick(server);
   if (conn == nullptr) {
--- a/src/http2/links.hpp
+++ b/src/http2/connection_pool.hpp
@@ -45,7 +45,7 @@
   bool cancel(const core::AttemptRef& attempt) override;
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
   void forget(const core::AttemptRef& attempt) override;
-  void probe(ServerId server) override;
+  void check_health(ServerId server) override;
 
   [[nodiscard]] const translate::Versions& versions() const { return versions_; }
 
--- a/src/jsonl/front.cpp
+++ b/src/jsonl/frontend.cpp
@@ -1,4 +1,4 @@
-#include "jsonl/front.hpp"
+#include "jsonl/frontend.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -15,28 +15,28 @@
 using std::chrono::seconds;
 
 // A connection that has said nothing of use by then is closed: who is owed an answer or a close has 3 s.
-constexpr Duration kProveWithin = milliseconds{2400};
+constexpr Duration kFirstMessageTimeout = milliseconds{2400};
 // So long may a line be on its way.
-constexpr Duration kLineWithin = milliseconds{2400};
+constexpr Duration kLineTimeout = milliseconds{2400};
 // Without a call, unanswered or standing, a connection is kept so long.
-constexpr Duration kIdle = seconds{30};
+constexpr Duration kIdleTimeout = seconds{30};
 // A caller that has not come back by then is not told any more.
-constexpr Duration kReleaseKept = seconds{30};
+constexpr Duration kReleaseRetention = seconds{30};
 // A release that its caller has not confirmed (`closed`) when the connection is lost is told again, up to
 // this age; so many are remembered for a connection. Callers need not confirm: one that never does hears some
 // twice.
-constexpr Duration kHeardWithin = seconds{3};
-constexpr std::size_t kMaxTold = 256;
-constexpr Duration kSweepEvery = milliseconds{200};
+constexpr Duration kConfirmationTimeout = seconds{3};
+constexpr std::size_t kMaxSentReleases = 256;
+constexpr Duration kSweepInterval = milliseconds{200};
 // In standby: how often connections that owe nothing are looked for, and how long a new one has to say its
 // first line. The front keeps sending new connections for 0.2 s after the drain, and at 4 s none that is idle
 // or carried a request in the last 2 s may be left (DAYS, drain).
-constexpr Duration kStandbyEvery = milliseconds{50};
-constexpr Duration kFirstLineWithin = milliseconds{150};
+constexpr Duration kIdleCloseInterval = milliseconds{50};
+constexpr Duration kFirstLineGracePeriod = milliseconds{150};
 // Lines that one connection may have read before the others get their turn.
-constexpr int kMaxLinesATurn = 16;
+constexpr int kMaxLinesPerTurn = 16;
 // Of its class's deadline a caller may say to wait so many times.
-constexpr double kMaxLeft = 2.0;
+constexpr double kMaxDeadlineFactor = 2.0;
 // What a call holds beside its texts, in all tables together.
 constexpr std::size_t kCallBytes = 1024;
 
@@ -92,21 +92,21 @@
       });
       return;
     }
-    take_or_turn_away(std::move(socket));
+    accept_or_reject(std::move(socket));
     if (acceptor_.is_open()) accept();
   });
 }
 
-void Frontend::take_or_turn_away(asio::ip::tcp::socket socket) {
+void Frontend::accept_or_reject(asio::ip::tcp::socket socket) {
   if (make_room()) {
-    take(std::move(socket));
+    add_connection(std::move(socket));
   } else {
     ++counters_.rejected_for_capacity;
-    net::log::warn(log_full_, "connection refused: ", connections_.size(), " are open already");
+    net::log::warn(capacity_log_limit_, "connection refused: ", connections_.size(), " are open already");
   }
 }
 
-void Frontend::take(asio::ip::tcp::socket socket) {
+void Frontend::add_connection(asio::ip::tcp::socket socket) {
   auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
   auto& connection = connections_[stream.get()];
   connection.stream = stream;
@@ -136,23 +136,23 @@
     lingering_.pop_front();
     return true;
   }
-  Connection* least = nullptr;
-  std::tuple<bool, bool, bool, Instant> min_rank;
+  Connection* victim = nullptr;
+  std::tuple<bool, bool, bool, Instant> victim_rank;
   for (auto& [key, one] : connections_) {
     if (one.unanswered > 0) continue;
-    const std::tuple rank(is_busy(one), one.useful, !one.calls.empty(),
-                          one.useful ? one.stream->used_at() : one.accepted);
-    if (least != nullptr && rank >= min_rank) continue;
-    least = &one;
-    min_rank = rank;
+    const std::tuple rank(is_busy(one), one.is_useful, !one.calls.empty(),
+                          one.is_useful ? one.stream->used_at() : one.accepted);
+    if (victim != nullptr && rank >= victim_rank) continue;
+    victim = &one;
+    victim_rank = rank;
   }
-  if (least == nullptr) return false;
+  if (victim == nullptr) return false;
   ++counters_.evicted;
-  leave(*least, false);
+  close_connection(*victim, false);
   return true;
 }
 
-void Frontend::leave(Connection& connection, bool with_what_is_queued) {
+void Frontend::close_connection(Connection& connection, bool with_what_is_queued) {
   const auto stream = connection.stream;
   forget(*stream, with_what_is_queued);
   if (with_what_is_queued) {
@@ -164,28 +164,28 @@
 }
 
 bool Frontend::is_busy(const Connection& one) {
-  return one.half_line_since || one.stream->queued() > 0 || one.stream->has_unread();
+  return one.partial_line_since || one.stream->queued() > 0 || one.stream->has_unread();
 }
 
 std::size_t Frontend::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   auto& from = connections_.at(&stream);
   std::size_t taken = 0;
-  for (int lines = 0; lines < kMaxLinesATurn; ++lines) {
+  for (int lines = 0; lines < kMaxLinesPerTurn; ++lines) {
     const auto rest = bytes.subspan(taken);
     const auto end = std::find(rest.begin(), rest.end(), '\n');
     const auto size = static_cast<std::size_t>(end - rest.begin());
     if (size > net::kMaxMessage || (end != rest.end() && !on_line(from, rest.first(size), &*end))) {
       ++counters_.unreadable;
-      net::log::warn(log_unreadable_, "unreadable line from ", stream.remote(), ": connection closed");
-      leave(from, true);
+      net::log::warn(unreadable_log_limit_, "unreadable line from ", stream.remote(), ": connection closed");
+      close_connection(from, true);
       return bytes.size();
     }
     if (stream.is_closed()) return bytes.size();
     if (end == rest.end()) {
       if (rest.empty()) {
-        from.half_line_since.reset();
-      } else if (taken > 0 || !from.half_line_since) {
-        from.half_line_since = net::Loop::now();
+        from.partial_line_since.reset();
+      } else if (taken > 0 || !from.partial_line_since) {
+        from.partial_line_since = net::Loop::now();
       }
       return taken;
     }
@@ -194,7 +194,7 @@
   if (taken < bytes.size()) {
     stream.yield();
   } else {
-    from.half_line_since.reset();
+    from.partial_line_since.reset();
   }
   return taken;
 }
@@ -212,11 +212,11 @@
       close(from, *read);
       break;
     case JsonLine::Type::kProbe:
-      from.useful = true;
-      from.stream->send(probed_line(read->sid, !standby_));
+      from.is_useful = true;
+      from.stream->send(probed_line(read->sid, !is_standby_));
       break;
     case JsonLine::Type::kOther:  // `closed` among them: that release is heard
-      std::erase_if(from.told, [&](const Told& one) { return one.release.id == read->sid; });
+      std::erase_if(from.sent_releases, [&](const SentRelease& one) { return one.release.id == read->sid; });
       break;
   }
   return true;
@@ -230,7 +230,7 @@
 void Frontend::forget(net::TcpConnection& stream, bool was_written) {
   const auto found = connections_.find(&stream);
   if (found == connections_.end()) return;
-  const auto gone = std::move(found->second);
+  const auto closed = std::move(found->second);
   connections_.erase(found);
   if (const auto caller = by_caller_.find(stream.remote().address()); caller != by_caller_.end()) {
     std::erase(caller->second, &stream);
@@ -239,13 +239,13 @@
   // What was not answered on it never can be; what stands belongs to no connection.
   std::vector<CallId> given_up;
   std::vector<CallId> unwritten;
-  for (const CallId id : gone.calls) {
+  for (const CallId id : closed.calls) {
     auto& call = calls_.at(id);
-    call.on = nullptr;
-    const bool unheard = call.answered && !was_written && stream.is_unsent(answer_tag(id));
-    if (call.answered && !unheard) continue;
+    call.connection = nullptr;
+    const bool is_undelivered = call.answered && !was_written && stream.is_unsent(answer_tag(id));
+    if (call.answered && !is_undelivered) continue;
     remove_call(id);
-    (unheard ? unwritten : given_up).push_back(id);
+    (is_undelivered ? unwritten : given_up).push_back(id);
   }
   for (const CallId id : given_up) table_.abandon(id);
   // Its caller cannot have heard that the call stands, and will never end it.
@@ -255,36 +255,38 @@
   // What was told on it and not confirmed may be lost with it: told again elsewhere, as servers' releases
   // are.
   const Instant now = net::Loop::now();
-  for (const auto& one : gone.told) {
-    if (stream.is_unsent(one.tag) || now - one.at <= kHeardWithin) tell_release(one.release);
+  for (const auto& one : closed.sent_releases) {
+    if (stream.is_unsent(one.tag) || now - one.at <= kConfirmationTimeout)
+      send_release_to_caller(one.release);
   }
 }
 
 // Guards against connections that hold a place and say nothing, or never end a line: descriptors are few, and
 // their other side is owed a close.
 void Frontend::sweep() {
-  loop_.after(kSweepEvery, [this] {
+  loop_.after(kSweepInterval, [this] {
     const Instant now = net::Loop::now();
     std::vector<net::TcpConnection*> out;
     for (const auto& [key, one] : connections_) {
-      const bool silent = !one.useful && now - one.accepted > kProveWithin;
-      const bool halted = one.half_line_since && now - *one.half_line_since > kLineWithin;
-      const bool idle = one.calls.empty() && now - one.stream->used_at() > kIdle;
-      const bool due = (silent && one.unanswered == 0) || halted || idle;
+      const bool is_silent = !one.is_useful && now - one.accepted > kFirstMessageTimeout;
+      const bool is_stalled = one.partial_line_since && now - *one.partial_line_since > kLineTimeout;
+      const bool is_idle = one.calls.empty() && now - one.stream->used_at() > kIdleTimeout;
+      const bool due = (is_silent && one.unanswered == 0) || is_stalled || is_idle;
       // Bytes that have come and are not read yet: a set-up that its caller had written before this close.
       if (due && !one.stream->has_unread()) out.push_back(key);
     }
     for (auto* key : out) {
       const auto found = connections_.find(key);
       if (found == connections_.end()) continue;
-      if (!found->second.useful) {
+      if (!found->second.is_useful) {
         ++counters_.idle_closed;
-        net::log::info(log_silent_, "caller ", key->remote(), " has said nothing of use: connection closed");
+        net::log::info(idle_log_limit_, "caller ", key->remote(),
+                       " has said nothing of use: connection closed");
       }
-      leave(found->second, true);
+      close_connection(found->second, true);
     }
     std::erase_if(undelivered_, [&](const auto& item) {
-      if (now - item.second.since <= kReleaseKept) return false;
+      if (now - item.second.since <= kReleaseRetention) return false;
       undelivered_lines_ -= item.second.releases.size();
       return true;
     });
@@ -293,94 +295,94 @@
   });
 }
 
-void Frontend::standby(bool on) {
-  if (standby_ == on) return;
-  standby_ = on;
-  net::log::info(on ? "standby: callers are sent away" : "active: callers are taken again");
-  if (handing_over_) return;
+void Frontend::set_standby(bool is_standby) {
+  if (is_standby_ == is_standby) return;
+  is_standby_ = is_standby;
+  net::log::info(is_standby ? "standby: callers are sent away" : "active: callers are taken again");
+  if (is_hot_restarting_) return;
   loop_.wheel.cancel(std::exchange(closing_, 0));
-  if (on) close_what_owes_nothing_now_and_then();
+  if (is_standby) schedule_idle_close();
 }
 
-void Frontend::hand_over(std::function<void(core::UndeliveredRelease)> untold) {
-  if (std::exchange(handing_over_, true)) return;
-  untold_ = std::move(untold);
+void Frontend::begin_hot_restart(std::function<void(core::UndeliveredRelease)> undelivered) {
+  if (std::exchange(is_hot_restarting_, true)) return;
+  undelivered_sink_ = std::move(undelivered);
   // The kernel deals new connections out among all that listen, and resets those that wait at a listener that
   // closes: what waits is taken first.
-  take_waiting();
+  accept_pending();
   acceptor_.close();
   // Their callers will come to the other process.
   for (auto& [caller, waiting] : std::exchange(undelivered_, {})) {
-    for (auto& release : waiting.releases) untold_(std::move(release));
+    for (auto& release : waiting.releases) undelivered_sink_(std::move(release));
   }
   undelivered_lines_ = 0;
   net::log::info("handing over: ", connections_.size(), " callers' connections, each closed once answered");
   loop_.wheel.cancel(std::exchange(closing_, 0));
-  close_what_owes_nothing_now_and_then();
+  schedule_idle_close();
 }
 
-void Frontend::take_waiting() {
+void Frontend::accept_pending() {
   acceptor_.non_blocking(true);
   for (;;) {
     asio::error_code none;
     auto socket = acceptor_.accept(none);
     if (none) break;
-    take_or_turn_away(std::move(socket));
+    accept_or_reject(std::move(socket));
   }
 }
 
-bool Frontend::settled() {
-  if (acceptor_.is_open()) take_waiting();
+bool Frontend::is_settled() {
+  if (acceptor_.is_open()) accept_pending();
   return std::none_of(connections_.begin(), connections_.end(),
                       [](const auto& item) { return is_busy(item.second); }) &&
          std::none_of(lingering_.begin(), lingering_.end(),
                       [](const auto& stream) { return stream->queued() > 0; });
 }
 
-void Frontend::leave() {
+void Frontend::shut_down() {
   acceptor_.close();
   std::vector<net::TcpConnection*> all;
   for (const auto& [key, one] : connections_) all.push_back(key);
-  for (auto* key : all) leave(connections_.at(key), true);
+  for (auto* key : all) close_connection(connections_.at(key), true);
 }
 
-bool Frontend::closed() const {
+bool Frontend::is_closed() const {
   return std::none_of(lingering_.begin(), lingering_.end(),
                       [](const auto& stream) { return stream->is_lingering(); });
 }
 
-bool Frontend::owes_nothing(const Connection& one, Instant now) const {
-  const bool fresh = !one.useful && now - one.accepted < kFirstLineWithin;
+bool Frontend::may_close(const Connection& one, Instant now) const {
+  const bool is_fresh = !one.is_useful && now - one.accepted < kFirstLineGracePeriod;
   // A set-up that has begun to come is read whole and answered here.
-  const bool owes = handing_over_ ? one.unanswered > 0 : !one.calls.empty();
-  return !fresh && !owes && !one.half_line_since && !one.stream->has_unread();
+  const bool has_calls = is_hot_restarting_ ? one.unanswered > 0 : !one.calls.empty();
+  return !is_fresh && !has_calls && !one.partial_line_since && !one.stream->has_unread();
 }
 
-void Frontend::close_answered() {
+void Frontend::close_idle_connections() {
   const Instant now = net::Loop::now();
   std::vector<net::TcpConnection*> out;
   for (const auto& [key, one] : connections_) {
-    if (owes_nothing(one, now)) out.push_back(key);
+    if (may_close(one, now)) out.push_back(key);
   }
   for (auto* key : out) {
     const auto found = connections_.find(key);
-    if (found != connections_.end()) leave(found->second, true);
+    if (found != connections_.end()) close_connection(found->second, true);
   }
 }
 
-void Frontend::close_what_owes_nothing_now_and_then() {
-  if (!standby_ && !handing_over_) return;
-  close_answered();
-  closing_ = loop_.after(kStandbyEvery, [this] { close_what_owes_nothing_now_and_then(); });
+void Frontend::schedule_idle_close() {
+  if (!is_standby_ && !is_hot_restarting_) return;
+  close_idle_connections();
+  closing_ = loop_.after(kIdleCloseInterval, [this] { schedule_idle_close(); });
 }
 
-std::shared_ptr<net::TcpConnection> Frontend::any_of(const asio::ip::address& caller) {
+std::shared_ptr<net::TcpConnection> Frontend::best_connection_of(const asio::ip::address& caller) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return nullptr;
   // One that has served calls, and the latest used, is the likeliest to be read: others may come from the
   // same address and never ask for anything.
   const auto rank = [this](net::TcpConnection* one) {
-    return std::pair(connections_.at(one).useful, one->used_at());
+    return std::pair(connections_.at(one).is_useful, one->used_at());
   };
   net::TcpConnection* best = nullptr;
   for (auto* one : found->second) {
@@ -400,8 +402,8 @@
   const auto& rules = settings_.classes[*cls];
   // A caller keeps trying as long as its class's deadline: no try lasts much longer.
   const auto left = settings::number_of(line.left);
-  const double max_left = kMaxLeft * static_cast<double>(rules.deadline.count()) / 1000.0;
-  if (!left || *left < 0 || *left > max_left) return "left";
+  const double max_wait_ms = kMaxDeadlineFactor * static_cast<double>(rules.deadline.count()) / 1000.0;
+  if (!left || *left < 0 || *left > max_wait_ms) return "left";
   if (!core::is_number_called(line.key)) return "key";
   const auto extras = read_extras(line.extras);
   if (line.extras.empty() || !extras || !extras->dest) return "extras";
@@ -441,23 +443,25 @@
 void Frontend::open(Connection& from, const JsonLine& line) {
   const std::string sid(line.sid);
   if (const auto live = by_sid_.find(sid); live != by_sid_.end()) {
-    open_again(from, sid, live->second);
+    on_repeated_id(from, sid, live->second);
     return;
   }
   core::NewSetUp set_up;
   if (const char* wrong = check(line, set_up)) {
     ++counters_.malformed;
-    net::log::warn(log_malformed_, "set-up ", sid, " failed: bad or missing ", wrong);
+    net::log::warn(malformed_log_limit_, "set-up ", sid, " failed: bad or missing ", wrong);
     from.stream->send(close_line(sid, core::Cause::kInvalidContents));
     return;
   }
-  from.useful = true;
-  const std::size_t told = set_up.message ? sizeof(translate::Message) + 2 * set_up.description.size() : 0;
-  const std::size_t held = kCallBytes + 2 * (set_up.description.size() + set_up.number.size()) + told;
+  from.is_useful = true;
+  const std::size_t message_bytes =
+      set_up.message ? sizeof(translate::Message) + 2 * set_up.description.size() : 0;
+  const std::size_t held =
+      kCallBytes + 2 * (set_up.description.size() + set_up.number.size()) + message_bytes;
   if (held_ + held > bounds_.calls || from.held + held > bounds_.calls_of_one) {
     // There is no memory to hold it: refused at once, with the time to stay away.
     ++counters_.rejected_for_capacity;
-    net::log::warn(log_full_, "set-up refused: ", held_, " bytes are held for unanswered calls");
+    net::log::warn(capacity_log_limit_, "set-up refused: ", held_, " bytes are held for unanswered calls");
     from.stream->send(close_line(
         sid, core::Cause::kCongestion,
         settings_.limits.retry_advice ? std::optional(settings_.limits.max_retry_advice) : std::nullopt));
@@ -475,10 +479,10 @@
 
 // Two set-ups under one id. On one connection its caller could not tell their answers apart: both end with
 // the one that the id is owed. A stranger is answered where it asked, and the live call goes on.
-void Frontend::open_again(Connection& from, const std::string& sid, CallId live) {
+void Frontend::on_repeated_id(Connection& from, const std::string& sid, CallId live) {
   ++counters_.repeated_ids;
-  net::log::warn(log_repeated_, "set-up with the id of a live call failed: ", sid);
-  if (calls_.at(live).on == &from) {
+  net::log::warn(repeated_log_limit_, "set-up with the id of a live call failed: ", sid);
+  if (calls_.at(live).connection == &from) {
     finish(live, core::Cause::kInvalidContents);
     table_.close_by_client(live, core::Cause::kInvalidContents);
   } else {
@@ -494,7 +498,7 @@
     ++counters_.unknown_ids;
     return;
   }
-  from.useful = true;
+  from.is_useful = true;
   const CallId id = found->second;
   remove_call(id);
   table_.close_by_client(id, static_cast<core::Cause>(line.code.value_or(16)));
@@ -503,12 +507,12 @@
 // ---- what the core says ---------------------------------------------------------------------------------
 
 // The call is answered or over: what it held is free.
-void Frontend::settled(Call& call) {
+void Frontend::mark_answered(Call& call) {
   if (std::exchange(call.answered, true)) return;
   held_ -= call.held;
-  if (call.on == nullptr) return;
-  --call.on->unanswered;
-  call.on->held -= call.held;
+  if (call.connection == nullptr) return;
+  --call.connection->unanswered;
+  call.connection->held -= call.held;
 }
 
 Frontend::Call Frontend::remove_call(CallId id) {
@@ -517,21 +521,21 @@
   calls_.erase(found);
   by_sid_.erase(call.sid);
   const bool answered = call.answered;
-  settled(call);
+  mark_answered(call);
   call.answered = answered;
-  if (call.on != nullptr) call.on->calls.erase(id);
+  if (call.connection != nullptr) call.connection->calls.erase(id);
   return call;
 }
 
 bool Frontend::answer(CallId id, std::string_view description) {
   const auto found = calls_.find(id);
-  if (found == calls_.end() || found->second.on == nullptr) return false;
+  if (found == calls_.end() || found->second.connection == nullptr) return false;
   // A connection that cannot be written any more is lost, and its end about to be told.
-  if (!found->second.on->stream->is_open()) return false;
+  if (!found->second.connection->stream->is_open()) return false;
   auto line = ready_line(found->second.sid, description);
   if (line.size() > net::kMaxMessage) return false;
-  settled(found->second);
-  found->second.on->stream->send(std::move(line), {}, answer_tag(id));
+  mark_answered(found->second);
+  found->second.connection->stream->send(std::move(line), {}, answer_tag(id));
   return true;
 }
 
@@ -550,7 +554,7 @@
 void Frontend::finish(CallId id, core::Cause cause, std::optional<Duration> wait) {
   if (!calls_.contains(id)) return;
   const auto call = remove_call(id);
-  const auto to = call.on != nullptr ? call.on->stream : nullptr;
+  const auto to = call.connection != nullptr ? call.connection->stream : nullptr;
   if (!call.answered) {
     if (to) to->send(close_line(call.sid, cause, wait));
     return;
@@ -559,34 +563,36 @@
   if (to && to->is_open()) {
     send_release(*to, std::move(release));
   } else {
-    tell_release(std::move(release));
+    send_release_to_caller(std::move(release));
   }
 }
 
-void Frontend::take_over(const core::UndeliveredRelease& release) {
+void Frontend::deliver_release(const core::UndeliveredRelease& release) {
   asio::error_code bad;
   asio::ip::make_address(release.caller, bad);
   if (bad || !is_call_id(release.id)) return;
-  tell_release(release);
+  send_release_to_caller(release);
 }
 
 void Frontend::send_release(net::TcpConnection& stream, core::UndeliveredRelease release) {
-  auto& told = connections_.at(&stream).told;
+  auto& sent_releases = connections_.at(&stream).sent_releases;
   const Instant now = net::Loop::now();
-  while (!told.empty() && (told.size() >= kMaxTold || now - told.front().at > kHeardWithin)) told.pop_front();
+  while (!sent_releases.empty() &&
+         (sent_releases.size() >= kMaxSentReleases || now - sent_releases.front().at > kConfirmationTimeout))
+    sent_releases.pop_front();
   const auto tag = kReleaseTags + next_release_++;
   stream.send(close_line(release.id, static_cast<core::Cause>(release.cause)), {}, tag);
-  told.push_back({tag, std::move(release), now});
+  sent_releases.push_back({tag, std::move(release), now});
 }
 
-void Frontend::tell_release(core::UndeliveredRelease release) {
+void Frontend::send_release_to_caller(core::UndeliveredRelease release) {
   const auto caller = asio::ip::make_address(release.caller);
-  if (const auto to = any_of(caller)) {
+  if (const auto to = best_connection_of(caller)) {
     send_release(*to, std::move(release));
     return;
   }
-  if (handing_over_ && untold_) {
-    untold_(std::move(release));
+  if (is_hot_restarting_ && undelivered_sink_) {
+    undelivered_sink_(std::move(release));
     return;
   }
   if (undelivered_lines_ >= bounds_.waiting) return;
--- a/src/jsonl/front.hpp
+++ b/src/jsonl/frontend.hpp
@@ -33,17 +33,17 @@
   void fail(CallId call, core::Reason reason) override;
   void release(CallId call, core::Cause cause) override;
 
-  [[nodiscard]] std::string where() const override { return where_; }
+  [[nodiscard]] std::string listen_address() const override { return where_; }
   [[nodiscard]] std::size_t connections() const override { return connections_.size(); }
-  [[nodiscard]] bool settled() override;
-  void leave() override;
-  [[nodiscard]] bool closed() const override;
-  void standby(bool on) override;
-  void hand_over(std::function<void(core::UndeliveredRelease)> untold) override;
-  void take_over(const core::UndeliveredRelease& release) override;
+  [[nodiscard]] bool is_settled() override;
+  void shut_down() override;
+  [[nodiscard]] bool is_closed() const override;
+  void set_standby(bool is_standby) override;
+  void begin_hot_restart(std::function<void(core::UndeliveredRelease)> undelivered) override;
+  void deliver_release(const core::UndeliveredRelease& release) override;
 
  private:
-  struct Told {
+  struct SentRelease {
     net::TcpConnection::Tag tag = 0;
     core::UndeliveredRelease release;
     Instant at{};
@@ -51,17 +51,17 @@
   struct Connection {
     std::shared_ptr<net::TcpConnection> stream;
     Instant accepted{};
-    std::optional<Instant> half_line_since;
-    bool useful = false;               ///< a set-up of it was taken, or it ended or tested something
+    std::optional<Instant> partial_line_since;
+    bool is_useful = false;            ///< a set-up of it was taken, or it ended or tested something
     std::unordered_set<CallId> calls;  ///< that came by it
     std::size_t unanswered = 0;        ///< of these
     std::size_t held = 0;              ///< bytes for the unanswered ones
     /// Releases told on it that its caller has not said it has heard.
-    std::deque<Told> told;
+    std::deque<SentRelease> sent_releases;
   };
   struct Call {
     std::string sid;
-    Connection* on = nullptr;  ///< by which it came; null once that is gone
+    Connection* connection = nullptr;  ///< by which it came; null once that is gone
     asio::ip::address caller;
     bool answered = false;
     std::size_t held = 0;
@@ -72,8 +72,8 @@
   };
 
   void accept();
-  void take_or_turn_away(asio::ip::tcp::socket socket);
-  void take(asio::ip::tcp::socket socket);
+  void accept_or_reject(asio::ip::tcp::socket socket);
+  void add_connection(asio::ip::tcp::socket socket);
   bool make_room();
   std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
   void on_closed(net::TcpConnection& stream, net::CloseReason why) override;
@@ -81,30 +81,30 @@
   void open(Connection& from, const JsonLine& line);
   /// What is wrong with a set-up, or null.
   const char* check(const JsonLine& line, core::NewSetUp& to) const;
-  void open_again(Connection& from, const std::string& sid, CallId live);
+  void on_repeated_id(Connection& from, const std::string& sid, CallId live);
   void close(Connection& from, const JsonLine& line);
-  void leave(Connection& connection, bool with_what_is_queued);
+  void close_connection(Connection& connection, bool with_what_is_queued);
   /// The connection is gone: what was not answered on it is given up, and so is what was answered and not
   /// written. Releases that were not written are told elsewhere.
   void forget(net::TcpConnection& stream, bool was_written);
-  void take_waiting();
+  void accept_pending();
   /// A close now would drop bytes: of a set-up on its way in, or of what was said.
   [[nodiscard]] static bool is_busy(const Connection& one);
   /// The final message of a call; on its own connection before the answer, on any of the caller's after it.
   void finish(CallId call, core::Cause cause, std::optional<Duration> wait = std::nullopt);
   /// After the answer: on any connection of the caller's, or its next one.
-  void tell_release(core::UndeliveredRelease release);
+  void send_release_to_caller(core::UndeliveredRelease release);
   void send_release(net::TcpConnection& stream, core::UndeliveredRelease release);
   Call remove_call(CallId call);
-  void settled(Call& call);
-  std::shared_ptr<net::TcpConnection> any_of(const asio::ip::address& caller);
+  void mark_answered(Call& call);
+  std::shared_ptr<net::TcpConnection> best_connection_of(const asio::ip::address& caller);
   void sweep();
   /// Whether a connection may be closed: in standby nothing waits or stands on it, and it had time for its
   /// first line; handing over nothing waits on it.
-  [[nodiscard]] bool owes_nothing(const Connection& one, Instant now) const;
+  [[nodiscard]] bool may_close(const Connection& one, Instant now) const;
   /// In standby and handing over: closes each connection that owes nothing.
-  void close_answered();
-  void close_what_owes_nothing_now_and_then();
+  void close_idle_connections();
+  void schedule_idle_close();
 
   net::Loop& loop_;
   core::CallTable& table_;
@@ -128,11 +128,12 @@
   std::size_t undelivered_lines_ = 0;
   net::TcpConnection::Tag next_release_ = 1;
   std::string where_;
-  bool standby_ = false;
-  bool handing_over_ = false;
-  std::function<void(core::UndeliveredRelease)> untold_;
+  bool is_standby_ = false;
+  bool is_hot_restarting_ = false;
+  std::function<void(core::UndeliveredRelease)> undelivered_sink_;
   core::TimerWheel::Handle closing_ = 0;
-  net::log::RateLimiter log_unreadable_, log_malformed_, log_repeated_, log_full_, log_silent_;
+  net::log::RateLimiter unreadable_log_limit_, malformed_log_limit_, repeated_log_limit_, capacity_log_limit_,
+      idle_log_limit_;
 };
 
 }  // namespace amberknot::jsonl
--- a/src/sip/links.cpp
+++ b/src/sip/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "sip/links.hpp"
+#include "sip/connection_pool.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -630,7 +630,7 @@
   keep_warm(server);
 }
 
-void ConnectionPool::probe(ServerId id) {
+void ConnectionPool::check_health(ServerId id) {
   auto& server = of(id);
   const auto link = pick_link(server);
   char text[17];
--- a/src/sip/links.hpp
+++ b/src/sip/connection_pool.hpp
@@ -33,7 +33,7 @@
   bool cancel(const core::AttemptRef& attempt) override;
   void release(const core::AttemptRef& attempt, core::Cause cause) override;
   void forget(const core::AttemptRef& attempt) override { drop(find(attempt)); }
-  void probe(ServerId server) override;
+  void check_health(ServerId server) override;
 
  private:
   struct Link;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -139,7 +139,7 @@
   }
   void release(const core::AttemptRef&, core::Cause) override {}
   void forget(const core::AttemptRef&) override {}
-  void probe(ServerId) override {}
+  void check_health(ServerId) override {}
   std::size_t sent = 0, cancelled = 0;
   Duration latest_limit{};
   bool is_connecting = false;
