--- a/src/rules.cpp
+++ b/src/policy/admission.cpp
@@ -1,6 +1,8 @@
 // Every admission decision of amberknot. Interface: include/amberknot/admission.hpp.
 // One sender holds a count of tokens per core server (Widell and Nyberg, NTS-15, 2000, "Tokens"); what
 // departs from that is marked "Departure" here and listed with its condition in docs/design.md.
+#include "amberknot/admission.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -14,8 +16,6 @@
 #include <utility>
 #include <vector>
 
-#include "amberknot/admission.hpp"
-
 namespace amberknot {
 namespace {
 
