--- a/src/policy/call_queue.hpp
+++ b/src/policy/call_queue.hpp
@@ -25,8 +25,8 @@
   bool established = false;
   bool may_have_run = false;
 
-  Call(const NewCall& news, std::shared_ptr<const CallClass> call_class, Instant now, Duration batch_interval)
-      : facts(news), cls(std::move(call_class)), arrived(now), not_before(now) {
+  Call(const NewCall& call, std::shared_ptr<const CallClass> call_class, Instant now, Duration batch_interval)
+      : facts(call), cls(std::move(call_class)), arrived(now), not_before(now) {
     reject_after = facts.expires - 2 * batch_interval;
     // A marked redial belongs to a first attempt whose objective has most likely gone by.
     const bool is_repeated = facts.is_redial && !facts.was_aborted;
--- a/src/policy/outlier_ejection.hpp
+++ b/src/policy/outlier_ejection.hpp
@@ -51,8 +51,8 @@
   // True while there is something to watch the server for.
   [[nodiscard]] bool check(Server& server) const {
     const bool is_watched = !server.in_flight.empty() || (server.suspected && server.is_ready());
-    if (is_silent(server) && !context_.settings.limits.probes) suspect(server, "silent");
-    if (is_silent(server)) check_health(server);  // a long queue is silent too: the health check decides
+    if (is_stalled(server) && !context_.settings.limits.probes) suspect(server, "silent");
+    if (is_stalled(server)) check_health(server);  // a long queue is silent too: the health check decides
     calls_.cancel_overdue(server);
     if (server.suspected && server.is_ready()) check_health(server);
     return is_watched;
@@ -63,7 +63,7 @@
   static constexpr int kMaxConsecutiveErrors = 3;  // so many show that the server is at fault, not the calls
   static constexpr double kCheckIntervalShare = 0.5;  // of the least objective: one lost check costs little
 
-  [[nodiscard]] bool is_silent(const Server& server) const {
+  [[nodiscard]] bool is_stalled(const Server& server) const {
     if (server.in_flight.empty() || !server.is_available()) return false;
     const Instant since = std::max(server.last_response, server.in_flight.begin()->first);
     return context_.now - since > context_.silence_timeout();
