Name what is in the SIP connection pool after the field's terms

Connections, pending releases, stall detection and health checks of the pool bore the house's words (link, bye, torn, doubted, overtaken).

--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -1,5 +1,5 @@
-// The links to the session servers that speak SIP: some are kept warm to each, and every attempt knows the
-// one it left by.
+// The connections to the session servers that speak SIP: some are kept warm to each, and every attempt knows
+// the one it left by.
 #pragma once
 
 #include <cstdint>
@@ -36,21 +36,22 @@
   void check_health(ServerId server) override;
 
  private:
-  struct Link;
+  struct Connection;
   struct Server;
-  using HalfClosed = std::vector<std::shared_ptr<Link>>;  ///< given up by us and read on, the first one first
+  using HalfClosed =
+      std::vector<std::shared_ptr<Connection>>;  ///< given up by us and read on, the first one first
   /// One attempt that is out, or a call that stands.
   struct Attempt {
     core::AttemptRef ref;
     std::string number;
-    std::shared_ptr<Link> link;  ///< which it left by; null once it stands or that is lost
+    std::shared_ptr<Connection> connection;  ///< which it left by; null once it stands or that is lost
     Instant sent{};
-    bool standing = false;
-    std::weak_ptr<Link> came_by;  ///< once it stands
+    bool established = false;
+    std::weak_ptr<Connection> established_on;  ///< once it stands
   };
   struct PendingHealthCheck {
     ServerId server{};
-    std::shared_ptr<Link> link;
+    std::shared_ptr<Connection> connection;
     Instant sent{};
     core::TimerWheel::Handle limit = 0;
   };
@@ -63,43 +64,44 @@
   using Attempts = std::unordered_map<Key, Attempt, KeyHash>;
 
   Server& of(ServerId id);
-  void keep_warm(Server& server);
+  void open_warm_connections(Server& server);
   void connect(Server& server);
-  /// `avoid`: not that link, as long as there is another or one can be opened.
-  std::shared_ptr<Link> pick_link(Server& server, const Link* avoid = nullptr);
-  /// The link by which an attempt of the call went to that server and ended of late; null: none.
-  [[nodiscard]] const Link* over_on(const core::AttemptRef& attempt) const;
-  void link_open(Link& link);
+  /// `avoid`: not that connection, as long as there is another or one can be opened.
+  std::shared_ptr<Connection> pick_connection(Server& server, const Connection* avoid = nullptr);
+  /// The connection by which an attempt of the call went to that server and ended of late; null: none.
+  [[nodiscard]] const Connection* recently_ended_on(const core::AttemptRef& attempt) const;
+  void on_connection_open(Connection& connection);
   /// Its time to come up is over, and what waits on it is not kept; it may come up for others.
-  void link_late(Link& link);
-  /// What never left by the link goes by another one, or ends where nothing listens any more (`dead`).
-  void move_unsent(Link& link, bool dead);
-  void link_closed(Link& link, net::CloseReason why);
-  /// What a link carried goes by others or ends, and others are opened in its place. It is listed no more.
-  void on_lost(Link& link, net::CloseReason why);
-  /// Gives a link up that is open and serves no further use. Its server may not know of that for some time:
-  /// until it closes too what it tells by that link is heard.
-  void half_close(Link& link, net::CloseReason why);
-  void half_closed_ended(Link& link, net::CloseReason why);
+  void on_connection_late(Connection& connection);
+  /// What never left by the connection goes by another one, or ends where nothing listens any more (`dead`).
+  void move_unsent(Connection& connection, bool dead);
+  void on_connection_closed(Connection& connection, net::CloseReason why);
+  /// What a connection carried goes by others or ends, and others are opened in its place. It is listed no
+  /// more.
+  void on_lost(Connection& connection, net::CloseReason why);
+  /// Gives a connection up that is open and serves no further use. Its server may not know of that for some
+  /// time: until it closes too what it tells by that connection is heard.
+  void half_close(Connection& connection, net::CloseReason why);
+  void on_half_closed_end(Connection& connection, net::CloseReason why);
   HalfClosed::iterator close_half_closed(Server& server, HalfClosed::iterator at);
   /// Closes the one that was half-closed first, of all servers, for its descriptor; false: there is none.
   bool close_oldest_half_closed();
   void close_useless_half_closed(Server& server, Instant now);
-  /// Whether a server has not closed for long what we gave up, and calls stand that came by it.
-  static bool seeks_releases(const Server& server, Instant now);
-  /// Opens another link: a server tells there what was not confirmed.
-  void open_for_releases(Server& server);
-  std::size_t link_bytes(Link& link, std::span<char> bytes);
-  void on_message(Link& link, const SipRead& read);
-  void on_invite_answer(Link& link, const SipRead& read);
-  void on_bye(Link& link, const SipHead& head);
-  void send_bye(Server& server, std::string id, std::string bye);
-  [[nodiscard]] bool stands_at(ServerId server) const;
-  void end_on(Link& link, Outcome outcome);
-  void end_probe(const std::string& id, Outcome outcome, const LoadReport& load);
-  void watch_links();
-  static void note_overtaken(Link& link, Instant now);
-  [[nodiscard]] static bool is_stuck(const Link& link, Instant now);
+  /// Whether a server has not closed for long what we gave up, and calls are established that came by it.
+  static bool should_reopen(const Server& server, Instant now);
+  /// Opens another connection: a server tells there what was not confirmed.
+  void open_connection_for_releases(Server& server);
+  std::size_t on_connection_bytes(Connection& connection, std::span<char> bytes);
+  void on_message(Connection& connection, const SipRead& read);
+  void on_invite_answer(Connection& connection, const SipRead& read);
+  void on_bye(Connection& connection, const SipHead& head);
+  void send_release(Server& server, std::string id, std::string release);
+  [[nodiscard]] bool has_established_calls_at(ServerId server) const;
+  void end_on(Connection& connection, Outcome outcome);
+  void end_health_check(const std::string& id, Outcome outcome, const LoadReport& load);
+  void schedule_watch();
+  static void update_stall_detection(Connection& connection, Instant now);
+  [[nodiscard]] static bool is_stalled(const Connection& connection, Instant now);
   Attempts::iterator find(const core::AttemptRef& attempt);
   void drop(Attempts::iterator at);
   static net::TcpConnection::Tag tag(const core::AttemptRef& attempt) {
@@ -115,18 +117,18 @@
   Duration connect_limit_;
   std::map<ServerId, std::unique_ptr<Server>> by_id_;
   Attempts attempts_;
-  /// Attempts that ended of late, and by which link they had left: a second or late answer may follow.
+  /// Attempts that ended of late, and by which connection they had left: a second or late answer may follow.
   struct Over {
     CallId call{};
-    std::weak_ptr<Link> link;
+    std::weak_ptr<Connection> connection;
     Instant at{};
   };
   std::deque<Over> over_;
   std::unordered_map<CallId, Key> by_call_;
   std::unordered_map<std::string, PendingHealthCheck> pending_health_checks_;
-  std::uint64_t next_probe_ = 1;
-  std::size_t links_ = 0;  ///< connecting and open, to all servers
-  net::log::RateLimiter log_late_, log_bad_, log_link_;
+  std::uint64_t next_health_check_id_ = 1;
+  std::size_t connection_count_ = 0;  ///< connecting and open, to all servers
+  net::log::RateLimiter late_answer_log_limit_, malformed_log_limit_, connection_log_limit_;
 };
 
 }  // namespace amberknot::sip
