--- a/src/control/door.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,10 +1,10 @@
-#include "control/door.hpp"
+#include "admin/admin_server.hpp"
 
 #include <algorithm>
 
-namespace amberknot::control {
+namespace amberknot::admin {
 
-Door::Door(net::Loop& loop, const asio::ip::tcp::endpoint& at, std::size_t most, Answer answer)
+AdminServer::AdminServer(net::Loop& loop, const asio::ip::tcp::endpoint& at, std::size_t most, Answer answer)
     : loop_(loop),
       acceptor_(loop.io, at, true),
       most_(std::max<std::size_t>(most, 1)),
@@ -12,14 +12,14 @@
   accept();
 }
 
-Door::~Door() {
+AdminServer::~AdminServer() {
   for (auto& [key, one] : open_) {
     loop_.wheel.cancel(one.deadline);
     one.stream->close();
   }
 }
 
-void Door::accept() {
+void AdminServer::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
@@ -53,7 +53,7 @@
   });
 }
 
-std::size_t Door::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
+std::size_t AdminServer::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   const auto found = open_.find(&stream);
   if (found == open_.end()) return bytes.size();
   const auto end = std::find(bytes.begin(), bytes.end(), '\n');
@@ -74,11 +74,11 @@
   return bytes.size();
 }
 
-void Door::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
+void AdminServer::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
   remove_call(&stream);
 }
 
-std::optional<Door::Open> Door::remove_call(net::TcpConnection* stream) {
+std::optional<AdminServer::Open> AdminServer::remove_call(net::TcpConnection* stream) {
   const auto found = open_.find(stream);
   if (found == open_.end()) return std::nullopt;
   auto one = std::move(found->second);
@@ -87,7 +87,7 @@
   return one;
 }
 
-void Door::drop(net::TcpConnection* stream, bool with_what_is_queued) {
+void AdminServer::drop(net::TcpConnection* stream, bool with_what_is_queued) {
   auto one = remove_call(stream);
   if (!one) return;
   if (with_what_is_queued) {
@@ -98,4 +98,4 @@
   }
 }
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/control/door.hpp
+++ b/src/admin/admin_server.hpp
@@ -10,20 +10,20 @@
 #include <string>
 #include <unordered_map>
 
-#include "control/command.hpp"
+#include "admin/command.hpp"
 #include "net/log.hpp"
 #include "net/stream.hpp"
 
-namespace amberknot::control {
+namespace amberknot::admin {
 
-class Door : public net::TcpConnection::Owner {
+class AdminServer : public net::TcpConnection::Owner {
  public:
   /// The reply to a call that was read, without its line feed; `stats` ends with its own line `.`.
   using Answer = std::function<std::string(Command)>;
 
   /// `most` connections at once; past that the oldest gives way to the newcomer.
-  Door(net::Loop& loop, const asio::ip::tcp::endpoint& at, std::size_t most, Answer answer);
-  ~Door() override;
+  AdminServer(net::Loop& loop, const asio::ip::tcp::endpoint& at, std::size_t most, Answer answer);
+  ~AdminServer() override;
 
   [[nodiscard]] asio::ip::tcp::endpoint where() const { return acceptor_.local_endpoint(); }
   [[nodiscard]] std::size_t connections() const { return open_.size(); }
@@ -54,4 +54,4 @@
   net::log::RateLimiter log_bad_, log_full_;
 };
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/control/command.cpp
+++ b/src/admin/command.cpp
@@ -1,9 +1,9 @@
-#include "control/command.hpp"
+#include "admin/command.hpp"
 
 #include <array>
 #include <utility>
 
-namespace amberknot::control {
+namespace amberknot::admin {
 namespace {
 
 constexpr std::array<std::pair<std::string_view, Command>, 4> kCommands{{
@@ -32,4 +32,4 @@
   return {std::nullopt, "unknown call: " + shown};
 }
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/control/command.hpp
+++ b/src/admin/command.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace amberknot::control {
+namespace amberknot::admin {
 
 enum class Command { kStatus, kStats, kStandby, kActive };
 
@@ -22,4 +22,4 @@
 /// Reads one line without its line feed; a carriage return at its end and blanks around it are ignored.
 ReadCommand read_command(std::string_view line);
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/control/figures.cpp
+++ b/src/admin/metrics.cpp
@@ -1,6 +1,6 @@
-#include "control/figures.hpp"
+#include "admin/metrics.hpp"
 
-namespace amberknot::control {
+namespace amberknot::admin {
 namespace {
 
 void line(std::string& to, const std::string& name, std::uint64_t value, const char* kind) {
@@ -37,4 +37,4 @@
   return out;
 }
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/control/figures.hpp
+++ b/src/admin/metrics.hpp
@@ -8,7 +8,7 @@
 
 #include "core/counters.hpp"
 
-namespace amberknot::control {
+namespace amberknot::admin {
 
 struct Gauges {
   std::uint64_t open_requests = 0;
@@ -21,4 +21,4 @@
 std::string statsd_lines(const core::Counters& counters, const std::vector<std::string>& classes,
                          const Gauges& gauges);
 
-}  // namespace amberknot::control
+}  // namespace amberknot::admin
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -90,8 +90,8 @@
   config.listen = endpoint(listen.empty() ? settings::text_in(document, "listen") : listen, "listen");
   if (!control.empty()) {
     config.control = endpoint(control, "control");
-  } else if (const auto* door = settings::member(document, "control")) {
-    config.control = endpoint(settings::text_of(*door), "control");
+  } else if (const auto* admin_address = settings::member(document, "control")) {
+    config.control = endpoint(settings::text_of(*admin_address), "control");
   }
   const auto seed = settings::text_of(need(document, "seed"));
   const auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -24,7 +24,7 @@
 struct Config {
   std::string name;
   asio::ip::tcp::endpoint listen;
-  std::optional<asio::ip::tcp::endpoint> control;  ///< the operators' door; none: not open
+  std::optional<asio::ip::tcp::endpoint> control;  ///< the admin server's address; none: not started
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 64;
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "control/figures.hpp"
+#include "admin/metrics.hpp"
 #include "core/retune.hpp"
 #include "net/log.hpp"
 #include "store/handover.hpp"
@@ -68,8 +68,8 @@
   if (config.control) {
     // Its own places, beside the callers' and the servers': a sixteenth of the descriptors, at least eight.
     const std::size_t most = std::max<std::size_t>(8, config.sockets / 16);
-    admin_server_ = std::make_unique<control::Door>(
-        loop, *config.control, most, [this](control::Command command) { return answer(command); });
+    admin_server_ = std::make_unique<admin::AdminServer>(
+        loop, *config.control, most, [this](admin::Command command) { return answer(command); });
     net::log::info("control: the operators' door is at ", net::text_of(admin_server_->where()));
   }
 }
@@ -82,27 +82,27 @@
   }
 }
 
-std::string Router::answer(control::Command command) {
+std::string Router::answer(admin::Command command) {
   switch (command) {
-    case control::Command::kStatus:
+    case admin::Command::kStatus:
       if (ready()) return "+OK yes";
       return on_exit_ ? "-ERR no: stopping" : "-ERR no: standby";
-    case control::Command::kStats: {
-      control::Gauges gauges;
+    case admin::Command::kStats: {
+      admin::Gauges gauges;
       gauges.open_requests = table_.unanswered() + table_.established();
       for (const auto& [id, server] : servers_.all()) {
         if (server.state == EndpointState::kRemoved) continue;
         ++gauges.registry_entries;
         if (server.state != EndpointState::kReady || !server.port->is_available(id)) ++gauges.out_of_rotation;
       }
-      auto lines = control::statsd_lines(counters_, names_.classes, gauges);
-      lines.pop_back();  // the door ends the reply
+      auto lines = admin::statsd_lines(counters_, names_.classes, gauges);
+      lines.pop_back();  // the admin server ends the reply
       return "+OK\n" + lines;
     }
-    case control::Command::kStandby:
+    case admin::Command::kStandby:
       standby(true);
       return "+OK standby";
-    case control::Command::kActive:
+    case admin::Command::kActive:
       standby(false);
       return "+OK active";
   }
@@ -358,7 +358,7 @@
 void Router::shut_down(std::function<void()> done) {
   if (on_exit_) return;
   on_exit_ = std::move(done);
-  // The door says no from now on. Where nobody has taken over, the callers' connections stay and what comes
+  // `status` says no from now on. Where nobody has taken over, the callers' connections stay and what comes
   // is answered; else callers are to go to the other process at once.
   const bool replaced = is_replaced();
   shutdown_plan_ = core::GracefulShutdown::plan(net::Loop::now(), dispatcher_.longest_deadline(), replaced);
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -5,10 +5,10 @@
 #include <memory>
 #include <vector>
 
+#include "admin/admin_server.hpp"
 #include "app/config.hpp"
 #include "app/kinds.hpp"
 #include "app/operator_file.hpp"
-#include "control/door.hpp"
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "core/dispatcher.hpp"
@@ -40,12 +40,12 @@
   void reload_failed(std::string_view why);
   /// Forgets the servers that had been gone for long by then and that nothing refers to.
   void forget_removed(Instant now);
-  /// The operators' door: standby sends callers away, active takes them again (DAYS, drain).
+  /// Standby sends callers away, active takes them again, as the admin server's commands say.
   void standby(bool on);
   /// Whether this process takes clients: it has started, and is neither in standby nor stopping.
   [[nodiscard]] bool ready() const { return !standby_ && !on_exit_; }
-  /// The reply to one call at the door, without its line feed.
-  [[nodiscard]] std::string answer(control::Command command);
+  /// The reply to one admin command, without its line feed.
+  [[nodiscard]] std::string answer(admin::Command command);
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> control_at() const {
     return admin_server_ ? std::optional(admin_server_->where()) : std::nullopt;
   }
@@ -94,7 +94,7 @@
   std::unique_ptr<directory::Refresher> refresher_;
   std::unique_ptr<feed::Peers> gossip_;
   std::unique_ptr<feed::Feed> endpoint_watcher_;
-  std::unique_ptr<control::Door> admin_server_;
+  std::unique_ptr<admin::AdminServer> admin_server_;
   bool standby_ = false;
   std::function<void()> on_exit_;
   core::GracefulShutdown shutdown_plan_;
--- a/tests/door_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -1,8 +1,8 @@
-// The operators' door (DAYS): its reader as a table, its figures, and the door on real sockets.
+// The admin server: its command parser as a table, the metrics, and its replies on real sockets.
 #include <array>
 
-#include "control/command.hpp"
-#include "control/figures.hpp"
+#include "admin/command.hpp"
+#include "admin/metrics.hpp"
 #include "net_bench.hpp"
 
 namespace amberknot::tests {
@@ -10,14 +10,14 @@
 
 const std::string kA = "00000000000000a1";
 
-struct DoorBench : Bench {
-  static app::Config with_door() {
+struct AdminServerFixture : Bench {
+  static app::Config config_with_admin_server() {
     auto config = bench_config();
     config.control = asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0};
     return config;
   }
-  DoorBench() : Bench({}, with_door()) {}
-  /// One call at the door, on a connection of its own; returns the whole reply once the door has closed it.
+  AdminServerFixture() : Bench({}, config_with_admin_server()) {}
+  /// Sends one command on a connection of its own; returns the whole reply once the server has closed it.
   std::string call(const std::string& line) {
     auto end = connect(*router->control_at());
     end->stream->send(line);
@@ -29,7 +29,7 @@
 }  // namespace
 
 TEST_CASE("the door's reader: each call, and what it refuses") {
-  using control::Command;
+  using admin::Command;
   struct Row {
     std::string line;
     std::optional<Command> command;
@@ -46,11 +46,11 @@
       Row{"status now", std::nullopt, "unknown call: status now"},
       Row{"maint-on", std::nullopt, "unknown call: maint-on"},
       Row{std::string("st\x01t"), std::nullopt, "unknown call: st?t"},
-      Row{std::string(control::kMaxLine + 1, 's'), std::nullopt, "line too long"},
+      Row{std::string(admin::kMaxLine + 1, 's'), std::nullopt, "line too long"},
   };
   for (const auto& row : rows) {
     CAPTURE(row.line);
-    const auto read = control::read_command(row.line);
+    const auto read = admin::read_command(row.line);
     CHECK(read.command == row.command);
     CHECK(read.error == row.error);
   }
@@ -62,7 +62,7 @@
   counters.of_class(0).throttled = 3;
   counters.reloads = 2;
   counters.reloads_failed = 1;
-  const auto text = control::statsd_lines(counters, {"voice", "data"}, {14, 3, 1});
+  const auto text = admin::statsd_lines(counters, {"voice", "data"}, {14, 3, 1});
   CHECK(text ==
         "router.fulfilled.voice:0|c\nrouter.throttled.voice:3|c\nrouter.faulted.voice:0|c\n"
         "router.relayed.voice:0|c\nrouter.fulfilled.data:812|c\nrouter.throttled.data:0|c\n"
@@ -72,19 +72,19 @@
 }
 
 TEST_CASE("the door answers status while 200 callers hold it and say nothing or half a line") {
-  DoorBench bench;
+  AdminServerFixture bench;
   std::vector<std::unique_ptr<End>> silent;
   for (int i = 0; i < 200; ++i) {
     silent.push_back(bench.connect(*bench.router->control_at()));
     if (i % 2 == 1) silent.back()->stream->send("sta");
   }
-  // None of them is answered, however long the test waits: they hold places, not the door.
+  // None of them is answered, however long the test waits: they hold connections, not the server.
   CHECK(bench.call("status\n") == "+OK yes\n");
   for (const auto& one : silent) CHECK(one->in.empty());
 }
 
 TEST_CASE("a bad call gets one -ERR naming it, and the door and the router go on") {
-  DoorBench bench;
+  AdminServerFixture bench;
   CHECK(bench.call("reboot\n") == "-ERR unknown call: reboot\n");
   CHECK(bench.call("\n") == "-ERR empty line\n");
   CHECK(bench.call(std::string(400, 'x') + "\n").starts_with("-ERR line too long"));
@@ -93,7 +93,7 @@
 }
 
 TEST_CASE("stats counts each outcome of a scripted run where it was decided") {
-  DoorBench bench;
+  AdminServerFixture bench;
   bench.list();
   bench.standing(kA);  // fulfilled, one attempt relayed
   const std::string refused = "00000000000000b2";
@@ -116,7 +116,7 @@
 }
 
 TEST_CASE("standby: the door and the probe say no at once, what is open is served, then closed") {
-  DoorBench bench;
+  AdminServerFixture bench;
   bench.list();
   bench.open(kA);
   auto& end = bench.invited(kA);
@@ -151,7 +151,7 @@
 namespace amberknot::tests {
 
 TEST_CASE("after SIGTERM's request the door says no, so that a process beside it is asked instead") {
-  DoorBench bench;
+  AdminServerFixture bench;
   CHECK(bench.call("status\n") == "+OK yes\n");
   bool done = false;
   bench.router->shut_down([&] { done = true; });
--- a/tests/wire_format_admin_test.cpp
+++ b/tests/wire_format_admin_test.cpp
@@ -1,20 +1,20 @@
 // The bytes of every admin reply, and the statsd lines that `stats` holds.
 #include <limits>
 
-#include "control/figures.hpp"
+#include "admin/metrics.hpp"
 #include "net_bench.hpp"
 #include "wire_format.hpp"
 
 namespace amberknot::tests {
 namespace {
 
-struct AdminBench : Bench {
-  static app::Config with_admin() {
+struct AdminServerFixture : Bench {
+  static app::Config config_with_admin_server() {
     auto config = bench_config();
     config.control = asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0};
     return config;
   }
-  explicit AdminBench(const app::Config& config = with_admin()) : Bench({}, config) {}
+  explicit AdminServerFixture(const app::Config& config = config_with_admin_server()) : Bench({}, config) {}
   /// The whole reply to one line, on a connection of its own.
   std::string reply_to(const std::string& line) {
     auto end = connect(*router->control_at());
@@ -27,7 +27,7 @@
 }  // namespace
 
 TEST_CASE("admin reply bytes: status, standby and active") {
-  AdminBench bench;
+  AdminServerFixture bench;
   CHECK(bench.reply_to("status\n") == "+OK yes\n");
   CHECK(bench.reply_to("standby\n") == "+OK standby\n");
   CHECK(bench.reply_to("status\n") == "-ERR no: standby\n");
@@ -36,7 +36,7 @@
 }
 
 TEST_CASE("admin reply bytes: status of a router that is stopping") {
-  AdminBench bench;
+  AdminServerFixture bench;
   bench.list();
   bench.standing("9b1f03aa5c7e2d41");
   bench.router->shut_down([] {});
@@ -44,7 +44,7 @@
 }
 
 TEST_CASE("admin reply bytes: a line that is no command") {
-  AdminBench bench;
+  AdminServerFixture bench;
   CHECK(bench.reply_to("\n") == "-ERR empty line\n");
   CHECK(bench.reply_to("reboot \x01\x7f now\n") == "-ERR unknown call: reboot ?? now\n");
   CHECK(bench.reply_to(std::string(40, 'x') + "\n") ==
@@ -53,9 +53,9 @@
 }
 
 TEST_CASE("statsd line bytes: what a router counts, as a reply") {
-  auto config = AdminBench::with_admin();
+  auto config = AdminServerFixture::config_with_admin_server();
   for (auto& call_class : config.settings.classes) call_class.idempotent = false;
-  AdminBench bench(config);
+  AdminServerFixture bench(config);
   bench.list();
   bench.list(EndpointState::kDraining, 0, "s2");
   bench.standing("9b1f03aa5c7e2d41");
@@ -89,8 +89,8 @@
       .fulfilled = std::numeric_limits<std::uint64_t>::max(), .throttled = 6, .faulted = 7, .relayed = 8};
   counters.reloads = 9;
   counters.reloads_failed = 10;
-  const control::Gauges gauges{.open_requests = 11, .registry_entries = 12, .out_of_rotation = 13};
-  CHECK(control::statsd_lines(counters, {"voice"}, gauges) ==
+  const admin::Gauges gauges{.open_requests = 11, .registry_entries = 12, .out_of_rotation = 13};
+  CHECK(admin::statsd_lines(counters, {"voice"}, gauges) ==
         "router.fulfilled.voice:1|c\n"
         "router.throttled.voice:2|c\n"
         "router.faulted.voice:3|c\n"
