Give admin commands typed errors and the admin server one function for each event

`parse_command` returns a Command or a CommandError with its fault; AdminServer has a function for each of a failed accept, the connection limit, a timeout and a reply; `drop` with a flag is `abort` and `finish`. The parser's test checks the fault as well as the message.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,21 +1,30 @@
 #include "admin/admin_server.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace amberknot::admin {
+namespace {
 
-AdminServer::AdminServer(net::Loop& loop, const asio::ip::tcp::endpoint& at, std::size_t most, Answer answer)
+/// The pause before the next accept after a failed one, so that a lasting failure does not keep the loop
+/// busy.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds{20};
+
+}  // namespace
+
+AdminServer::AdminServer(net::Loop& loop, const asio::ip::tcp::endpoint& address, std::size_t max_connections,
+                         CommandHandler handler)
     : loop_(loop),
-      acceptor_(loop.io, at, true),
-      most_(std::max<std::size_t>(most, 1)),
-      answer_(std::move(answer)) {
+      acceptor_(loop.io, address, true),
+      max_connections_(std::max<std::size_t>(max_connections, 1)),
+      handler_(std::move(handler)) {
   accept();
 }
 
 AdminServer::~AdminServer() {
-  for (auto& [key, one] : open_) {
-    loop_.wheel.cancel(one.deadline);
-    one.stream->close();
+  for (auto& [key, connection] : connections_) {
+    loop_.wheel.cancel(connection.command_timer);
+    connection.stream->close();
   }
 }
 
@@ -23,79 +32,89 @@
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
     if (error) {
-      net::log::warn("control: accept failed: ", error.message());
-      loop_.after(std::chrono::milliseconds{20}, [this] { accept(); });
+      on_accept_failed(error);
       return;
     }
     std::erase_if(finishing_, [](const auto& stream) { return !stream->is_lingering(); });
-    if (open_.size() >= most_) {
-      // The oldest has had longest to say its line; a caller that holds a place and says nothing must not
-      // keep the next one out.
-      const auto oldest = std::min_element(open_.begin(), open_.end(), [](const auto& a, const auto& b) {
-        return a.second.since < b.second.since;
-      });
-      net::log::info(log_full_, "control: ", open_.size(), " connections open: the oldest is closed");
-      drop(oldest->first, false);
-    }
-    auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
-    auto* key = stream.get();
-    auto& one = open_[key];
-    one.stream = stream;
-    one.since = net::Loop::now();
-    one.deadline = loop_.after(kLineWithin, [this, key] {
-      if (const auto found = open_.find(key); found != open_.end()) {
-        found->second.deadline = 0;
-        drop(key, false);
-      }
-    });
-    stream->adopt(std::move(socket));
+    if (connections_.size() >= max_connections_) close_oldest();
+    add_connection(std::move(socket));
     accept();
   });
 }
 
+void AdminServer::on_accept_failed(const asio::error_code& error) {
+  net::log::warn("control: accept failed: ", error.message());
+  loop_.after(kAcceptRetryDelay, [this] { accept(); });
+}
+
+void AdminServer::close_oldest() {
+  // The oldest has had longest to send its command; an idle client must not keep the next one out.
+  const auto oldest = std::min_element(
+      connections_.begin(), connections_.end(),
+      [](const auto& a, const auto& b) { return a.second.accepted_at < b.second.accepted_at; });
+  net::log::info(connection_limit_log_, "control: ", connections_.size(),
+                 " connections open: the oldest is closed");
+  abort(oldest->first);
+}
+
+void AdminServer::add_connection(asio::ip::tcp::socket socket) {
+  auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
+  auto* key = stream.get();
+  auto& connection = connections_[key];
+  connection.stream = stream;
+  connection.accepted_at = net::Loop::now();
+  connection.command_timer = loop_.after(kCommandTimeout, [this, key] { on_command_timeout(key); });
+  stream->adopt(std::move(socket));
+}
+
+void AdminServer::on_command_timeout(net::TcpConnection* stream) {
+  const auto found = connections_.find(stream);
+  if (found == connections_.end()) return;
+  found->second.command_timer = 0;  // it has just fired: nothing is left to cancel
+  abort(stream);
+}
+
 std::size_t AdminServer::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
-  const auto found = open_.find(&stream);
-  if (found == open_.end()) return bytes.size();
+  if (!connections_.contains(&stream)) return bytes.size();
   const auto end = std::find(bytes.begin(), bytes.end(), '\n');
-  if (end == bytes.end()) {
-    if (bytes.size() <= kMaxLine) return 0;  // the rest of the line is still on its way
-  }
-  const auto line = std::string_view(bytes.data(), static_cast<std::size_t>(end - bytes.begin()));
-  const auto read = read_command(line);
-  std::string reply;
-  if (read.command) {
-    reply = answer_(*read.command);
-  } else {
-    net::log::warn(log_bad_, "control: ", read.error, " from ", stream.remote());
-    reply = "-ERR " + read.error;
-  }
-  stream.send(reply + "\n");
-  drop(&stream, true);
+  const bool is_incomplete = end == bytes.end();
+  if (is_incomplete && bytes.size() <= kMaxCommandBytes) return 0;
+  const std::string_view line(bytes.data(), static_cast<std::size_t>(end - bytes.begin()));
+  stream.send(reply_to(line, stream) + "\n");
+  finish(&stream);
   return bytes.size();
 }
 
+std::string AdminServer::reply_to(std::string_view line, net::TcpConnection& stream) {
+  const auto parsed = parse_command(line);
+  if (const auto* command = std::get_if<Command>(&parsed)) return handler_(*command);
+  const auto& error = std::get<CommandError>(parsed);
+  net::log::warn(rejected_command_log_, "control: ", error.message, " from ", stream.remote());
+  return "-ERR " + error.message;
+}
+
 void AdminServer::on_closed(net::TcpConnection& stream, net::CloseReason /*why*/) {
-  remove_call(&stream);
+  remove(&stream);
 }
 
-std::optional<AdminServer::Open> AdminServer::remove_call(net::TcpConnection* stream) {
-  const auto found = open_.find(stream);
-  if (found == open_.end()) return std::nullopt;
-  auto one = std::move(found->second);
-  open_.erase(found);
-  loop_.wheel.cancel(one.deadline);
-  return one;
+std::optional<AdminServer::Connection> AdminServer::remove(net::TcpConnection* stream) {
+  const auto found = connections_.find(stream);
+  if (found == connections_.end()) return std::nullopt;
+  auto connection = std::move(found->second);
+  connections_.erase(found);
+  loop_.wheel.cancel(connection.command_timer);
+  return connection;
 }
 
-void AdminServer::drop(net::TcpConnection* stream, bool with_what_is_queued) {
-  auto one = remove_call(stream);
-  if (!one) return;
-  if (with_what_is_queued) {
-    one->stream->finish();
-    finishing_.push_back(one->stream);
-  } else {
-    one->stream->close();
-  }
+void AdminServer::abort(net::TcpConnection* stream) {
+  if (auto connection = remove(stream)) connection->stream->close();
+}
+
+void AdminServer::finish(net::TcpConnection* stream) {
+  auto connection = remove(stream);
+  if (!connection) return;
+  connection->stream->finish();
+  finishing_.push_back(std::move(connection->stream));
 }
 
 }  // namespace amberknot::admin
--- a/src/admin/command.cpp
+++ b/src/admin/command.cpp
@@ -13,23 +13,36 @@
     {"active", Command::kActive},
 }};
 
-bool blank(char c) {
+/// So many bytes of an unknown command are repeated in its error: enough to recognize a mistyped one.
+constexpr std::size_t kMaxQuotedBytes = 32;
+
+bool is_blank(char c) {
   return c == ' ' || c == '\t' || c == '\r';
 }
 
+std::string_view trim(std::string_view line) {
+  while (!line.empty() && is_blank(line.front())) line.remove_prefix(1);
+  while (!line.empty() && is_blank(line.back())) line.remove_suffix(1);
+  return line;
+}
+
+/// The first bytes of `text`, with a question mark in place of each byte that is not printable ASCII.
+std::string quote(std::string_view text) {
+  std::string quoted;
+  for (const char c : text.substr(0, kMaxQuotedBytes)) quoted += (c >= 0x20 && c < 0x7f) ? c : '?';
+  return quoted;
+}
+
 }  // namespace
 
-ReadCommand read_command(std::string_view line) {
-  if (line.size() > kMaxLine) return {std::nullopt, "line too long"};
-  while (!line.empty() && blank(line.front())) line.remove_prefix(1);
-  while (!line.empty() && blank(line.back())) line.remove_suffix(1);
-  if (line.empty()) return {std::nullopt, "empty line"};
+std::variant<Command, CommandError> parse_command(std::string_view line) {
+  if (line.size() > kMaxCommandBytes) return CommandError{CommandFault::kLineTooLong, "line too long"};
+  line = trim(line);
+  if (line.empty()) return CommandError{CommandFault::kEmptyLine, "empty line"};
   for (const auto& [word, command] : kCommands) {
-    if (line == word) return {command, {}};
+    if (line == word) return command;
   }
-  std::string shown;
-  for (const char c : line.substr(0, 32)) shown += (c >= 0x20 && c < 0x7f) ? c : '?';
-  return {std::nullopt, "unknown call: " + shown};
+  return CommandError{CommandFault::kUnknownCommand, "unknown call: " + quote(line)};
 }
 
 }  // namespace amberknot::admin
--- a/src/admin/command.hpp
+++ b/src/admin/command.hpp
@@ -1,25 +1,36 @@
-// The operators' door (DAYS, "A door for operators"): one line a connection, one reply. Pure: no socket.
+// The commands of the admin server and the parser of one command line. Pure functions: no socket, no state.
 #pragma once
 
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace amberknot::admin {
 
-enum class Command { kStatus, kStats, kStandby, kActive };
+/// What an operator may ask for.
+enum class Command {
+  kStatus,   ///< `status`: whether this process takes clients
+  kStats,    ///< `stats`: the metrics as statsd lines
+  kStandby,  ///< `standby`: begin to drain the clients' connections
+  kActive,   ///< `active`: end the drain
+};
+
+/// Why a line is no command.
+enum class CommandFault { kLineTooLong, kEmptyLine, kUnknownCommand };
 
-/// A line that could be read, or why not: the reason goes back after `-ERR `.
-struct ReadCommand {
-  std::optional<Command> command;
-  std::string error;
+/// A rejected line.
+struct CommandError {
+  CommandFault fault = CommandFault::kUnknownCommand;
+  std::string message;  ///< the reply's text after `-ERR `; printable ASCII
 };
 
-/// The longest line that is read; a longer one is refused whole.
-inline constexpr std::size_t kMaxLine = 256;
+/// The longest command line, in bytes without its line feed; a longer one is rejected whole. The longest
+/// command has 7 bytes: the rest is for blanks around it.
+inline constexpr std::size_t kMaxCommandBytes = 256;
 
-/// Reads one line without its line feed; a carriage return at its end and blanks around it are ignored.
-ReadCommand read_command(std::string_view line);
+/// Parses one line without its line feed. Blanks and tabs around the command and a carriage return at the end
+/// are ignored; commands are lower-case.
+std::variant<Command, CommandError> parse_command(std::string_view line);
 
 }  // namespace amberknot::admin
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -66,11 +66,12 @@
                                                    [this](const feed::EndpointUpdate& news) { apply(news); });
   schedule_forgetting();
   if (config.control) {
-    // Its own places, beside the callers' and the servers': a sixteenth of the descriptors, at least eight.
-    const std::size_t most = std::max<std::size_t>(8, config.sockets / 16);
+    // Its own connection limit, beside the callers' and the servers': a sixteenth of the descriptors, at
+    // least eight.
+    const std::size_t max_connections = std::max<std::size_t>(8, config.sockets / 16);
     admin_server_ = std::make_unique<admin::AdminServer>(
-        loop, *config.control, most, [this](admin::Command command) { return answer(command); });
-    net::log::info("control: the operators' door is at ", net::text_of(admin_server_->where()));
+        loop, *config.control, max_connections, [this](admin::Command command) { return answer(command); });
+    net::log::info("control: the operators' door is at ", net::text_of(admin_server_->local_endpoint()));
   }
 }
 
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -47,7 +47,7 @@
   /// The reply to one admin command, without its line feed.
   [[nodiscard]] std::string answer(admin::Command command);
   [[nodiscard]] std::optional<asio::ip::tcp::endpoint> control_at() const {
-    return admin_server_ ? std::optional(admin_server_->where()) : std::nullopt;
+    return admin_server_ ? std::optional(admin_server_->local_endpoint()) : std::nullopt;
   }
   /// News of the servers, as from the command channel.
   void apply(const feed::EndpointUpdate& news);
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -30,29 +30,39 @@
 
 TEST_CASE("the door's reader: each call, and what it refuses") {
   using admin::Command;
-  struct Row {
+  using admin::CommandError;
+  using admin::CommandFault;
+  struct Accepted {
     std::string line;
-    std::optional<Command> command;
-    std::string error;
+    Command command;
+  };
+  for (const auto& row : {Accepted{"status", Command::kStatus}, Accepted{"stats\r", Command::kStats},
+                          Accepted{"  standby ", Command::kStandby}, Accepted{"active", Command::kActive}}) {
+    CAPTURE(row.line);
+    const auto parsed = admin::parse_command(row.line);
+    REQUIRE(std::holds_alternative<Command>(parsed));
+    CHECK(std::get<Command>(parsed) == row.command);
+  }
+  struct Rejected {
+    std::string line;
+    CommandFault fault;
+    std::string message;
   };
   const std::array rows{
-      Row{"status", Command::kStatus, ""},
-      Row{"stats\r", Command::kStats, ""},
-      Row{"  standby ", Command::kStandby, ""},
-      Row{"active", Command::kActive, ""},
-      Row{"", std::nullopt, "empty line"},
-      Row{" \r", std::nullopt, "empty line"},
-      Row{"STATUS", std::nullopt, "unknown call: STATUS"},
-      Row{"status now", std::nullopt, "unknown call: status now"},
-      Row{"maint-on", std::nullopt, "unknown call: maint-on"},
-      Row{std::string("st\x01t"), std::nullopt, "unknown call: st?t"},
-      Row{std::string(admin::kMaxLine + 1, 's'), std::nullopt, "line too long"},
+      Rejected{"", CommandFault::kEmptyLine, "empty line"},
+      Rejected{" \r", CommandFault::kEmptyLine, "empty line"},
+      Rejected{"STATUS", CommandFault::kUnknownCommand, "unknown call: STATUS"},
+      Rejected{"status now", CommandFault::kUnknownCommand, "unknown call: status now"},
+      Rejected{"maint-on", CommandFault::kUnknownCommand, "unknown call: maint-on"},
+      Rejected{std::string("st\x01t"), CommandFault::kUnknownCommand, "unknown call: st?t"},
+      Rejected{std::string(admin::kMaxCommandBytes + 1, 's'), CommandFault::kLineTooLong, "line too long"},
   };
   for (const auto& row : rows) {
     CAPTURE(row.line);
-    const auto read = admin::read_command(row.line);
-    CHECK(read.command == row.command);
-    CHECK(read.error == row.error);
+    const auto parsed = admin::parse_command(row.line);
+    REQUIRE(std::holds_alternative<CommandError>(parsed));
+    CHECK(std::get<CommandError>(parsed).fault == row.fault);
+    CHECK(std::get<CommandError>(parsed).message == row.message);
   }
 }
 
