--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -124,7 +124,7 @@
   const auto& events = need(known, "cmds");
   if (!events.IsArray()) throw ConfigError("config: known.cmds is not a list");
   for (const auto& event : events.GetArray()) {
-    auto news = feed::read_endpoint_update(event);
+    auto news = discovery::read_endpoint_update(event);
     if (!news) throw ConfigError("config: an event in known.cmds cannot be read");
     config.known.push_back(std::move(*news));
   }
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -11,7 +11,7 @@
 
 #include "amberknot/admission.hpp"
 #include "core/names.hpp"
-#include "feed/parse.hpp"
+#include "discovery/endpoint_update.hpp"
 
 namespace amberknot::app {
 
@@ -33,7 +33,7 @@
   std::vector<asio::ip::udp::endpoint> peers;
   std::optional<asio::ip::udp::endpoint> peers_all;
   std::uint64_t cursor = 0;
-  std::vector<feed::EndpointUpdate> known;
+  std::vector<discovery::EndpointUpdate> known;
   Settings settings;
   std::string settings_text;  ///< as path=value lines, to tell whether they were changed
   core::Names names;
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -46,10 +46,11 @@
   loop.outgoing.most = bounds_.queued;
   loop.outgoing.max_on_one = bounds_.queued_on_one;
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
-    gossip_ = std::make_unique<feed::Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
-                                            [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-                                              table_.on_gossip(from, std::move(bytes));
-                                            });
+    gossip_ = std::make_unique<discovery::GossipTransport>(
+        loop, *config.peer_listen, config.peers, *config.peers_all,
+        [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+          table_.on_gossip(from, std::move(bytes));
+        });
   }
   table_.connect(
       [this](const std::vector<std::uint8_t>& bytes) {
@@ -62,8 +63,9 @@
   for (const auto& kind : frontend_kinds()) frontends_.push_back(kind.make(site_));
   for (const auto& news : config.known) apply(news);
   config_.known.clear();  // told; a reload brings its own
-  endpoint_watcher_ = std::make_unique<feed::Feed>(loop, counters_, config.channel, config.cursor,
-                                                   [this](const feed::EndpointUpdate& news) { apply(news); });
+  endpoint_watcher_ = std::make_unique<discovery::EndpointWatcher>(
+      loop, counters_, config.channel, config.cursor,
+      [this](const discovery::EndpointUpdate& news) { apply(news); });
   schedule_forgetting();
   if (config.control) {
     // Its own connection limit, beside the callers' and the servers': a sixteenth of the descriptors, at
@@ -188,7 +190,7 @@
   return facts;
 }
 
-void Router::apply(const feed::EndpointUpdate& news) {
+void Router::apply(const discovery::EndpointUpdate& news) {
   if (!news.has_servers) return;
   std::set<std::string> listed;
   std::vector<core::EndpointChange> changes = news.changes;
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -16,8 +16,8 @@
 #include "core/names.hpp"
 #include "core/server_list.hpp"
 #include "directory/tenants.hpp"
-#include "feed/feed.hpp"
-#include "feed/peers.hpp"
+#include "discovery/endpoint_watcher.hpp"
+#include "discovery/gossip_transport.hpp"
 #include "net/log.hpp"
 #include "net/loop.hpp"
 #include "store/presence.hpp"
@@ -50,7 +50,7 @@
     return admin_server_ ? std::optional(admin_server_->local_endpoint()) : std::nullopt;
   }
   /// News of the servers, as from the command channel.
-  void apply(const feed::EndpointUpdate& news);
+  void apply(const discovery::EndpointUpdate& news);
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
@@ -92,8 +92,8 @@
   std::vector<std::unique_ptr<core::Frontend>> frontends_;  ///< the same
   directory::TenantMap directory_;
   std::unique_ptr<directory::Refresher> refresher_;
-  std::unique_ptr<feed::Peers> gossip_;
-  std::unique_ptr<feed::Feed> endpoint_watcher_;
+  std::unique_ptr<discovery::GossipTransport> gossip_;
+  std::unique_ptr<discovery::EndpointWatcher> endpoint_watcher_;
   std::unique_ptr<admin::AdminServer> admin_server_;
   bool standby_ = false;
   std::function<void()> on_exit_;
--- a/src/feed/parse.cpp
+++ b/src/discovery/endpoint_update.cpp
@@ -1,6 +1,6 @@
-#include "feed/parse.hpp"
+#include "discovery/endpoint_update.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 
 std::optional<EndpointUpdate> read_endpoint_update(std::string json) {
   rapidjson::Document document;
@@ -44,4 +44,4 @@
   return news;
 }
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/src/feed/parse.hpp
+++ b/src/discovery/endpoint_update.hpp
@@ -11,7 +11,7 @@
 #include "settings/json_text.hpp"
 #include "settings/sse.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 
 using settings::SseEvent;
 using settings::SseReader;
@@ -27,4 +27,4 @@
 std::optional<EndpointUpdate> read_endpoint_update(std::string json);
 std::optional<EndpointUpdate> read_endpoint_update(const rapidjson::Value& event);
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/src/feed/feed.cpp
+++ b/src/discovery/endpoint_watcher.cpp
@@ -1,4 +1,4 @@
-#include "feed/feed.hpp"
+#include "discovery/endpoint_watcher.hpp"
 
 #include <algorithm>
 #include <sstream>
@@ -6,7 +6,7 @@
 
 #include "net/log.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 namespace {
 
 using std::chrono::milliseconds;
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-Feed::Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
-           OnUpdate on_update)
+EndpointWatcher::EndpointWatcher(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel,
+                                 std::uint64_t last, OnUpdate on_update)
     : loop_(loop),
       counters_(counters),
       channel_(std::move(channel)),
@@ -30,7 +30,7 @@
   connect();
 }
 
-void Feed::connect() {
+void EndpointWatcher::connect() {
   if (std::exchange(connected_before_, true)) ++counters_.endpoint_watch_restarts;
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
@@ -41,7 +41,7 @@
   stream_->connect(channel_, kConnectLimit);
 }
 
-void Feed::again(const char* why) {
+void EndpointWatcher::again(const char* why) {
   net::log::info("command channel ", why, ", resuming after ", last_);
   loop_.wheel.cancel(std::exchange(silence_, 0));
   if (stream_) stream_->close();
@@ -52,7 +52,7 @@
   });
 }
 
-void Feed::move_to(const asio::ip::tcp::endpoint& channel) {
+void EndpointWatcher::move_to(const asio::ip::tcp::endpoint& channel) {
   if (channel == channel_) return;
   net::log::info("command channel moves from ", channel_, " to ", channel, ", resuming after ", last_);
   channel_ = channel;
@@ -63,7 +63,7 @@
   connect();
 }
 
-void Feed::watch() {
+void EndpointWatcher::watch() {
   loop_.wheel.cancel(silence_);
   silence_ = loop_.after(kSilence, [this] {
     silence_ = 0;
@@ -71,7 +71,7 @@
   });
 }
 
-void Feed::on_open(net::TcpConnection& stream) {
+void EndpointWatcher::on_open(net::TcpConnection& stream) {
   std::ostringstream head;
   head << "GET /cmd/next HTTP/1.1\r\nHost: " << channel_ << "\r\nAccept: text/event-stream\r\n"
        << "Last-Event-ID: " << last_ << "\r\n\r\n";
@@ -79,7 +79,7 @@
   watch();
 }
 
-std::size_t Feed::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
+std::size_t EndpointWatcher::on_bytes(net::TcpConnection& stream, std::span<char> bytes) {
   watch();
   static const http_parser_settings settings = [] {
     http_parser_settings made;
@@ -101,29 +101,29 @@
   return bytes.size();
 }
 
-void Feed::on_closed(net::TcpConnection& /*stream*/, net::CloseReason why) {
+void EndpointWatcher::on_closed(net::TcpConnection& /*stream*/, net::CloseReason why) {
   again(name(why));
 }
 
-int Feed::on_head(http_parser* parser) {
+int EndpointWatcher::on_head(http_parser* parser) {
   if (parser->status_code == 200) return 0;
   net::log::warn("command channel answers ", parser->status_code);
   return -1;
 }
 
-int Feed::on_body(http_parser* parser, const char* at, std::size_t size) {
-  auto* self = static_cast<Feed*>(parser->data);
+int EndpointWatcher::on_body(http_parser* parser, const char* at, std::size_t size) {
+  auto* self = static_cast<EndpointWatcher*>(parser->data);
   const bool readable =
       self->reader_.feed({at, size}, [self](const SseEvent& event) { self->on_event(event); });
   return readable && !self->torn_ ? 0 : -1;
 }
 
-int Feed::on_end(http_parser* parser) {
-  static_cast<Feed*>(parser->data)->ended_ = true;
+int EndpointWatcher::on_end(http_parser* parser) {
+  static_cast<EndpointWatcher*>(parser->data)->ended_ = true;
   return 0;
 }
 
-void Feed::on_event(const SseEvent& event) {
+void EndpointWatcher::on_event(const SseEvent& event) {
   if (torn_) return;
   auto news = read_endpoint_update(event.data);
   const auto id = settings::number_of(event.id);
@@ -146,11 +146,11 @@
   learn(*news);
 }
 
-void Feed::learn(const EndpointUpdate& news) {
+void EndpointWatcher::learn(const EndpointUpdate& news) {
   if (news.cursor <= last_) return;
   last_ = news.cursor;
   ++counters_.endpoint_events;
   on_update_(news);
 }
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/src/feed/feed.hpp
+++ b/src/discovery/endpoint_watcher.hpp
@@ -9,17 +9,17 @@
 #include <string>
 
 #include "core/counters.hpp"
-#include "feed/parse.hpp"
+#include "discovery/endpoint_update.hpp"
 #include "net/stream.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 
-class Feed : public net::TcpConnection::Owner {
+class EndpointWatcher : public net::TcpConnection::Owner {
  public:
   using OnUpdate = std::function<void(const EndpointUpdate&)>;
 
-  Feed(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel, std::uint64_t last,
-       OnUpdate on_update);
+  EndpointWatcher(net::Loop& loop, core::Counters& counters, asio::ip::tcp::endpoint channel,
+                  std::uint64_t last, OnUpdate on_update);
 
   [[nodiscard]] std::uint64_t last() const { return last_; }
   /// The channel has another address from now on; the numbers of its events go on.
@@ -55,4 +55,4 @@
   core::TimerWheel::Handle retry_ = 0;
 };
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/src/feed/peers.cpp
+++ b/src/discovery/gossip_transport.cpp
@@ -1,4 +1,4 @@
-#include "feed/peers.hpp"
+#include "discovery/gossip_transport.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -6,15 +6,15 @@
 #include "net/listen.hpp"
 #include "net/log.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 
 namespace {
 constexpr std::size_t kMaxBytes = 256;
 }
 
-Peers::Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen,
-             std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
-             OnMessage on_message)
+GossipTransport::GossipTransport(net::Loop& loop, const asio::ip::udp::endpoint& listen,
+                                 std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
+                                 OnMessage on_message)
     : socket_(net::shared_datagrams(loop.io, listen)),
       peers_(std::move(peers)),
       everyone_(std::move(everyone)),
@@ -23,7 +23,7 @@
   read();
 }
 
-void Peers::broadcast(const std::vector<std::uint8_t>& bytes) {
+void GossipTransport::broadcast(const std::vector<std::uint8_t>& bytes) {
   if (bytes.size() > kMaxBytes) {
     net::log::error("message to the siblings dropped: ", bytes.size(), " bytes");
     return;
@@ -32,7 +32,7 @@
   socket_.send_to(asio::buffer(bytes), everyone_, 0, error);
 }
 
-void Peers::read() {
+void GossipTransport::read() {
   socket_.async_receive_from(asio::buffer(in_), from_,
                              [this](const asio::error_code& error, std::size_t got) {
                                if (error == asio::error::operation_aborted) return;
@@ -45,4 +45,4 @@
                              });
 }
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/src/feed/peers.hpp
+++ b/src/discovery/gossip_transport.hpp
@@ -10,14 +10,15 @@
 
 #include "net/loop.hpp"
 
-namespace amberknot::feed {
+namespace amberknot::discovery {
 
-class Peers {
+class GossipTransport {
  public:
   using OnMessage = std::function<void(std::uint32_t from, std::vector<std::uint8_t> bytes)>;
 
-  Peers(net::Loop& loop, const asio::ip::udp::endpoint& listen, std::vector<asio::ip::udp::endpoint> peers,
-        asio::ip::udp::endpoint everyone, OnMessage on_message);
+  GossipTransport(net::Loop& loop, const asio::ip::udp::endpoint& listen,
+                  std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
+                  OnMessage on_message);
   void move_to(std::vector<asio::ip::udp::endpoint> peers, const asio::ip::udp::endpoint& everyone) {
     peers_ = std::move(peers);
     everyone_ = everyone;
@@ -34,4 +35,4 @@
   asio::ip::udp::endpoint from_;
 };
 
-}  // namespace amberknot::feed
+}  // namespace amberknot::discovery
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -100,9 +100,9 @@
   std::vector<std::unique_ptr<End>> ends;
 };
 
-feed::EndpointUpdate news_of(const std::string& name, const std::string& address,
-                             EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
-  feed::EndpointUpdate news;
+discovery::EndpointUpdate news_of(const std::string& name, const std::string& address,
+                                  EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
+  discovery::EndpointUpdate news;
   news.has_servers = true;
   news.changes.push_back({name, address, 0, state, started});
   return news;
--- a/tests/net_bench.hpp
+++ b/tests/net_bench.hpp
@@ -149,7 +149,7 @@
   }
   void list(EndpointState state = EndpointState::kReady, std::int64_t started = 0,
             const std::string& name = "s1") {
-    feed::EndpointUpdate news;
+    discovery::EndpointUpdate news;
     news.has_servers = true;
     news.changes.push_back({name, server.address, 0, state, started});
     router->apply(news);
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -5,7 +5,7 @@
 #include "app/config.hpp"
 #include "app/operator_file.hpp"
 #include "core/timer_wheel.hpp"
-#include "feed/parse.hpp"
+#include "discovery/endpoint_update.hpp"
 #include "jsonl/codec.hpp"
 #include "net/bounds.hpp"
 #include "settings/json_text.hpp"
@@ -13,7 +13,7 @@
 
 using namespace amberknot;
 using namespace amberknot::app;
-using namespace amberknot::feed;
+using namespace amberknot::discovery;
 using namespace amberknot::jsonl;
 using namespace amberknot::sip;
 
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -72,8 +72,8 @@
   int status_ = 0;
 };
 
-feed::EndpointUpdate news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
-  feed::EndpointUpdate news;
+discovery::EndpointUpdate news_of(std::uint64_t cursor, const std::string& name, const std::string& address) {
+  discovery::EndpointUpdate news;
   news.cursor = cursor;
   news.has_servers = true;
   news.changes.push_back({name, address, 0, EndpointState::kReady, 0});
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -111,7 +111,7 @@
   explicit SessionBench(const app::OperatorFile& file = setup()) : Bench(file, config_with_tenants()) {}
   void list_session(SessionServer& server, const std::string& name,
                     EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
-    feed::EndpointUpdate news;
+    discovery::EndpointUpdate news;
     news.has_servers = true;
     news.changes.push_back({name, server.http2.address(), 0, state, started});
     router->apply(news);
--- a/tests/stuck_connection_test.cpp
+++ b/tests/stuck_connection_test.cpp
@@ -44,7 +44,7 @@
 struct StuckConnectionFixture {
   StuckConnectionFixture() : acceptor(bench.loop.io, {asio::ip::make_address("127.0.0.1"), 0}) {
     accept();
-    feed::EndpointUpdate news;
+    discovery::EndpointUpdate news;
     news.has_servers = true;
     const auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     news.changes.push_back({"s1", address, 0, EndpointState::kReady, 0});
--- a/tests/wire_format_session_api_test.cpp
+++ b/tests/wire_format_session_api_test.cpp
@@ -68,7 +68,7 @@
 struct SessionApiBench : Bench {
   explicit SessionApiBench(const std::string& version)
       : Bench(session_api_setup(version)), session_server(loop, R"({"versions":[1,2],"process":"p1"})") {
-    feed::EndpointUpdate news;
+    discovery::EndpointUpdate news;
     news.has_servers = true;
     news.changes.push_back({"s1", session_server.http2.address(), 0, EndpointState::kReady, 0});
     router->apply(news);
