--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -124,9 +124,9 @@
   const auto& events = need(known, "cmds");
   if (!events.IsArray()) throw ConfigError("config: known.cmds is not a list");
   for (const auto& event : events.GetArray()) {
-    auto news = discovery::read_endpoint_update(event);
-    if (!news) throw ConfigError("config: an event in known.cmds cannot be read");
-    config.known.push_back(std::move(*news));
+    auto update = discovery::parse_endpoint_update(event);
+    if (!update) throw ConfigError("config: an event in known.cmds cannot be read");
+    config.known.push_back(std::move(*update));
   }
   const auto& settings = need(document, "settings");
   std::string pairs;
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -293,7 +293,7 @@
   if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) reject("limits");
   if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
     if (gossip_ && fresh.peers_all) {
-      gossip_->move_to(fresh.peers, *fresh.peers_all);
+      gossip_->set_peers(fresh.peers, *fresh.peers_all);
       config_.peers = fresh.peers;
       config_.peers_all = fresh.peers_all;
       net::log::info("reload: ", fresh.peers.size(), " siblings");
@@ -301,8 +301,8 @@
       reject("peers");
     }
   }
-  for (const auto& news : fresh.known) endpoint_watcher_->learn(news);
-  endpoint_watcher_->move_to(fresh.channel);
+  for (const auto& update : fresh.known) endpoint_watcher_->apply_update(update);
+  endpoint_watcher_->reconnect_to(fresh.channel);
   config_.channel = fresh.channel;
   net::log::info("reload: done");
 }
--- a/src/discovery/endpoint_update.cpp
+++ b/src/discovery/endpoint_update.cpp
@@ -1,47 +1,64 @@
 #include "discovery/endpoint_update.hpp"
 
+#include <string_view>
+#include <utility>
+
 namespace amberknot::discovery {
+namespace {
+
+/// Above every pool's number; a group that is not below it counts as pool 0.
+constexpr double kPoolLimit = 4e9;
+
+std::optional<EndpointState> parse_state(std::string_view text) {
+  if (text == "ready") return EndpointState::kReady;
+  if (text == "draining") return EndpointState::kDraining;
+  if (text == "gone") return EndpointState::kRemoved;
+  return std::nullopt;
+}
+
+std::uint32_t parse_pool(const rapidjson::Value& endpoint) {
+  const auto pool = settings::number_of(settings::text_in(endpoint, "group")).value_or(0);
+  return pool >= 0 && pool < kPoolLimit ? static_cast<std::uint32_t>(pool) : 0;
+}
+
+/// Empty: the entry has no name or an unknown state.
+std::optional<core::EndpointChange> parse_change(const rapidjson::Value& endpoint) {
+  const auto state = parse_state(settings::text_in(endpoint, "status"));
+  core::EndpointChange change;
+  change.name = settings::text_in(endpoint, "name");
+  if (!state || change.name.empty()) return std::nullopt;
+  change.address = settings::text_in(endpoint, "address");
+  change.pool = parse_pool(endpoint);
+  change.state = *state;
+  change.started_unix_ms =
+      static_cast<std::int64_t>(settings::number_of(settings::text_in(endpoint, "since_ms")).value_or(0));
+  return change;
+}
+
+}  // namespace
 
-std::optional<EndpointUpdate> read_endpoint_update(std::string json) {
+std::optional<EndpointUpdate> parse_endpoint_update(std::string json) {
   rapidjson::Document document;
   if (!settings::parse_in_place(json, document) || !document.IsObject()) return std::nullopt;
-  return read_endpoint_update(document);
+  return parse_endpoint_update(document);
 }
 
-std::optional<EndpointUpdate> read_endpoint_update(const rapidjson::Value& event) {
-  EndpointUpdate news;
+std::optional<EndpointUpdate> parse_endpoint_update(const rapidjson::Value& event) {
+  EndpointUpdate update;
   const auto cursor = settings::number_of(settings::text_in(event, "cursor"));
   if (!cursor || *cursor < 0) return std::nullopt;
-  news.cursor = static_cast<std::uint64_t>(*cursor);
+  update.cursor = static_cast<std::uint64_t>(*cursor);
   const auto* nodes = settings::member(event, "nodes");
-  if (nodes == nullptr) return news;  // an event of another kind
+  if (nodes == nullptr) return update;  // an event of another kind
   const auto* snapshot = settings::member(*nodes, "snapshot");
-  news.whole_list = snapshot != nullptr && snapshot->IsTrue();
+  update.whole_list = snapshot != nullptr && snapshot->IsTrue();
   const auto* endpoints = settings::member(*nodes, "endpoints");
   if (endpoints == nullptr || !endpoints->IsArray()) return std::nullopt;
-  news.has_servers = true;
-  for (const auto& entry : endpoints->GetArray()) {
-    core::EndpointChange change;
-    change.name = settings::text_in(entry, "name");
-    change.address = settings::text_in(entry, "address");
-    const auto pool = settings::number_of(settings::text_in(entry, "group")).value_or(0);
-    change.pool = pool >= 0 && pool < 4e9 ? static_cast<std::uint32_t>(pool) : 0;
-    change.started_unix_ms =
-        static_cast<std::int64_t>(settings::number_of(settings::text_in(entry, "since_ms")).value_or(0));
-    const auto state = settings::text_in(entry, "status");
-    if (change.name.empty()) continue;
-    if (state == "ready") {
-      change.state = EndpointState::kReady;
-    } else if (state == "draining") {
-      change.state = EndpointState::kDraining;
-    } else if (state == "gone") {
-      change.state = EndpointState::kRemoved;
-    } else {
-      continue;
-    }
-    news.changes.push_back(std::move(change));
+  update.has_servers = true;
+  for (const auto& endpoint : endpoints->GetArray()) {
+    if (auto change = parse_change(endpoint)) update.changes.push_back(std::move(*change));
   }
-  return news;
+  return update;
 }
 
 }  // namespace amberknot::discovery
--- a/src/discovery/gossip_transport.cpp
+++ b/src/discovery/gossip_transport.cpp
@@ -8,10 +8,6 @@
 
 namespace amberknot::discovery {
 
-namespace {
-constexpr std::size_t kMaxBytes = 256;
-}
-
 GossipTransport::GossipTransport(net::Loop& loop, const asio::ip::udp::endpoint& listen,
                                  std::vector<asio::ip::udp::endpoint> peers, asio::ip::udp::endpoint everyone,
                                  OnMessage on_message)
@@ -20,29 +16,38 @@
       everyone_(std::move(everyone)),
       on_message_(std::move(on_message)) {
   socket_.non_blocking(true);
-  read();
+  receive();
+}
+
+void GossipTransport::set_peers(std::vector<asio::ip::udp::endpoint> peers,
+                                const asio::ip::udp::endpoint& everyone) {
+  peers_ = std::move(peers);
+  everyone_ = everyone;
 }
 
 void GossipTransport::broadcast(const std::vector<std::uint8_t>& bytes) {
-  if (bytes.size() > kMaxBytes) {
+  if (bytes.size() > kMaxMessageBytes) {
     net::log::error("message to the siblings dropped: ", bytes.size(), " bytes");
     return;
   }
-  asio::error_code error;  // such a message may be lost anyway
-  socket_.send_to(asio::buffer(bytes), everyone_, 0, error);
+  asio::error_code ignored;  // such a message may be lost anyway
+  socket_.send_to(asio::buffer(bytes), everyone_, 0, ignored);
 }
 
-void GossipTransport::read() {
-  socket_.async_receive_from(asio::buffer(in_), from_,
-                             [this](const asio::error_code& error, std::size_t got) {
+void GossipTransport::receive() {
+  socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                             [this](const asio::error_code& error, std::size_t size) {
                                if (error == asio::error::operation_aborted) return;
-                               const auto at = std::find(peers_.begin(), peers_.end(), from_);
-                               if (!error && at != peers_.end() && got <= kMaxBytes) {
-                                 on_message_(static_cast<std::uint32_t>(at - peers_.begin()),
-                                             {in_.begin(), in_.begin() + static_cast<std::ptrdiff_t>(got)});
-                               }
-                               read();
+                               if (!error) on_datagram(size);
+                               receive();
                              });
 }
 
+void GossipTransport::on_datagram(std::size_t size) {
+  const auto peer = std::find(peers_.begin(), peers_.end(), sender_);
+  if (peer == peers_.end() || size > kMaxMessageBytes) return;
+  on_message_(static_cast<std::uint32_t>(peer - peers_.begin()),
+              {buffer_.begin(), buffer_.begin() + static_cast<std::ptrdiff_t>(size)});
+}
+
 }  // namespace amberknot::discovery
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -9,6 +9,7 @@
 #include "jsonl/codec.hpp"
 #include "net/bounds.hpp"
 #include "settings/json_text.hpp"
+#include "settings/sse.hpp"
 #include "sip/codec.hpp"
 
 using namespace amberknot;
@@ -16,6 +17,8 @@
 using namespace amberknot::discovery;
 using namespace amberknot::jsonl;
 using namespace amberknot::sip;
+using amberknot::settings::SseEvent;
+using amberknot::settings::SseReader;
 
 TEST_CASE("half of a surrogate pair is no text") {
   JsonLineReader reader;
@@ -213,7 +216,7 @@
 }
 
 TEST_CASE("news of the list: states, starts and what cannot be read") {
-  const auto news = read_endpoint_update(
+  const auto news = parse_endpoint_update(
       R"({"cursor":41,"nodes":{"snapshot":true,"endpoints":[)"
       R"({"name":"a","address":"10.1.0.9:5070","group":2,"status":"draining","since_ms":1700000000123},)"
       R"({"name":"b","address":"x","group":0,"status":"odd"},{"address":"x","status":"ready"}]}})");
@@ -224,10 +227,10 @@
   CHECK(news->changes[0].state == EndpointState::kDraining);
   CHECK(news->changes[0].pool == 2);
   CHECK(news->changes[0].started_unix_ms == 1700000000123);
-  CHECK(read_endpoint_update(R"({"cursor":1})")->has_servers == false);
+  CHECK(parse_endpoint_update(R"({"cursor":1})")->has_servers == false);
   for (const char* bad : {"", "{", "[]", R"({"nodes":{}})", R"({"cursor":1,"nodes":{"endpoints":3}})"}) {
     CAPTURE(bad);
-    CHECK_FALSE(read_endpoint_update(std::string(bad)));
+    CHECK_FALSE(parse_endpoint_update(std::string(bad)));
   }
 }
 
