--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -90,8 +90,8 @@
   config.listen = endpoint(listen.empty() ? settings::text_in(document, "listen") : listen, "listen");
   if (!control.empty()) {
     config.control = endpoint(control, "control");
-  } else if (const auto* door = settings::member(document, "control")) {
-    config.control = endpoint(settings::text_of(*door), "control");
+  } else if (const auto* admin_address = settings::member(document, "control")) {
+    config.control = endpoint(settings::text_of(*admin_address), "control");
   }
   const auto seed = settings::text_of(need(document, "seed"));
   const auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
@@ -124,9 +124,9 @@
   const auto& events = need(known, "cmds");
   if (!events.IsArray()) throw ConfigError("config: known.cmds is not a list");
   for (const auto& event : events.GetArray()) {
-    auto news = feed::read_endpoint_update(event);
-    if (!news) throw ConfigError("config: an event in known.cmds cannot be read");
-    config.known.push_back(std::move(*news));
+    auto update = discovery::parse_endpoint_update(event);
+    if (!update) throw ConfigError("config: an event in known.cmds cannot be read");
+    config.known.push_back(std::move(*update));
   }
   const auto& settings = need(document, "settings");
   std::string pairs;
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -11,7 +11,7 @@
 
 #include "amberknot/admission.hpp"
 #include "core/names.hpp"
-#include "feed/parse.hpp"
+#include "discovery/endpoint_update.hpp"
 
 namespace amberknot::app {
 
@@ -24,7 +24,7 @@
 struct Config {
   std::string name;
   asio::ip::tcp::endpoint listen;
-  std::optional<asio::ip::tcp::endpoint> control;  ///< the operators' door; none: not open
+  std::optional<asio::ip::tcp::endpoint> control;  ///< the admin server's address; none: not started
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 64;
@@ -33,7 +33,7 @@
   std::vector<asio::ip::udp::endpoint> peers;
   std::optional<asio::ip::udp::endpoint> peers_all;
   std::uint64_t cursor = 0;
-  std::vector<feed::EndpointUpdate> known;
+  std::vector<discovery::EndpointUpdate> known;
   Settings settings;
   std::string settings_text;  ///< as path=value lines, to tell whether they were changed
   core::Names names;
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "control/figures.hpp"
+#include "admin/metrics.hpp"
 #include "core/reload_plan.hpp"
 #include "net/log.hpp"
 #include "store/handover.hpp"
@@ -46,10 +46,11 @@
   loop.outgoing.most = bounds_.queued;
   loop.outgoing.max_on_one = bounds_.queued_on_one;
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
-    gossip_ = std::make_unique<feed::Peers>(loop, *config.peer_listen, config.peers, *config.peers_all,
-                                            [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
-                                              table_.on_gossip(from, std::move(bytes));
-                                            });
+    gossip_ = std::make_unique<discovery::GossipTransport>(
+        loop, *config.peer_listen, config.peers, *config.peers_all,
+        [this](std::uint32_t from, std::vector<std::uint8_t> bytes) {
+          table_.on_gossip(from, std::move(bytes));
+        });
   }
   table_.connect(
       [this](const std::vector<std::uint8_t>& bytes) {
@@ -62,15 +63,17 @@
   for (const auto& kind : frontend_kinds()) frontends_.push_back(kind.make(site_));
   for (const auto& news : config.known) apply(news);
   config_.known.clear();  // told; a reload brings its own
-  endpoint_watcher_ = std::make_unique<feed::Feed>(loop, counters_, config.channel, config.cursor,
-                                                   [this](const feed::EndpointUpdate& news) { apply(news); });
+  endpoint_watcher_ = std::make_unique<discovery::EndpointWatcher>(
+      loop, counters_, config.channel, config.cursor,
+      [this](const discovery::EndpointUpdate& news) { apply(news); });
   schedule_forgetting();
   if (config.control) {
-    // Its own places, beside the callers' and the servers': a sixteenth of the descriptors, at least eight.
-    const std::size_t most = std::max<std::size_t>(8, config.sockets / 16);
-    admin_server_ = std::make_unique<control::Door>(
-        loop, *config.control, most, [this](control::Command command) { return answer(command); });
-    net::log::info("control: the operators' door is at ", net::text_of(admin_server_->where()));
+    // Its own connection limit, beside the callers' and the servers': a sixteenth of the descriptors, at
+    // least eight.
+    const std::size_t max_connections = std::max<std::size_t>(8, config.sockets / 16);
+    admin_server_ = std::make_unique<admin::AdminServer>(
+        loop, *config.control, max_connections, [this](admin::Command command) { return answer(command); });
+    net::log::info("control: the operators' door is at ", net::text_of(admin_server_->local_endpoint()));
   }
 }
 
@@ -82,27 +85,27 @@
   }
 }
 
-std::string Router::answer(control::Command command) {
+std::string Router::answer(admin::Command command) {
   switch (command) {
-    case control::Command::kStatus:
+    case admin::Command::kStatus:
       if (ready()) return "+OK yes";
       return on_exit_ ? "-ERR no: stopping" : "-ERR no: standby";
-    case control::Command::kStats: {
-      control::Gauges gauges;
+    case admin::Command::kStats: {
+      admin::Gauges gauges;
       gauges.open_requests = table_.unanswered() + table_.established();
       for (const auto& [id, server] : servers_.all()) {
         if (server.state == EndpointState::kRemoved) continue;
         ++gauges.registry_entries;
         if (server.state != EndpointState::kReady || !server.port->is_available(id)) ++gauges.out_of_rotation;
       }
-      auto lines = control::statsd_lines(counters_, names_.classes, gauges);
-      lines.pop_back();  // the door ends the reply
+      auto lines = admin::statsd_lines(counters_, names_.classes, gauges);
+      lines.pop_back();  // the admin server ends the reply
       return "+OK\n" + lines;
     }
-    case control::Command::kStandby:
+    case admin::Command::kStandby:
       standby(true);
       return "+OK standby";
-    case control::Command::kActive:
+    case admin::Command::kActive:
       standby(false);
       return "+OK active";
   }
@@ -187,7 +190,7 @@
   return facts;
 }
 
-void Router::apply(const feed::EndpointUpdate& news) {
+void Router::apply(const discovery::EndpointUpdate& news) {
   if (!news.has_servers) return;
   std::set<std::string> listed;
   std::vector<core::EndpointChange> changes = news.changes;
@@ -290,7 +293,7 @@
   if (fresh.sockets != config_.sockets || fresh.memory_mb != config_.memory_mb) reject("limits");
   if (fresh.peers != config_.peers || fresh.peers_all != config_.peers_all) {
     if (gossip_ && fresh.peers_all) {
-      gossip_->move_to(fresh.peers, *fresh.peers_all);
+      gossip_->set_peers(fresh.peers, *fresh.peers_all);
       config_.peers = fresh.peers;
       config_.peers_all = fresh.peers_all;
       net::log::info("reload: ", fresh.peers.size(), " siblings");
@@ -298,8 +301,8 @@
       reject("peers");
     }
   }
-  for (const auto& news : fresh.known) endpoint_watcher_->learn(news);
-  endpoint_watcher_->move_to(fresh.channel);
+  for (const auto& update : fresh.known) endpoint_watcher_->apply_update(update);
+  endpoint_watcher_->reconnect_to(fresh.channel);
   config_.channel = fresh.channel;
   net::log::info("reload: done");
 }
@@ -358,7 +361,7 @@
 void Router::shut_down(std::function<void()> done) {
   if (on_exit_) return;
   on_exit_ = std::move(done);
-  // The door says no from now on. Where nobody has taken over, the callers' connections stay and what comes
+  // `status` says no from now on. Where nobody has taken over, the callers' connections stay and what comes
   // is answered; else callers are to go to the other process at once.
   const bool replaced = is_replaced();
   shutdown_plan_ = core::GracefulShutdown::plan(net::Loop::now(), dispatcher_.longest_deadline(), replaced);
