Give endpoint updates a class of their own, out of the router

Router held composition, reload, shutdown, hot restart and the application of endpoint updates in one class; apply() alone was a function of 60 lines. app/endpoint_updates applies updates to the registry, the pools and the call table in the same order as before, one step a function, and forgets removed servers. router.cpp 408 lines before, 308 after.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -1,7 +1,6 @@
 #include "app/router.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "admin/metrics.hpp"
@@ -18,9 +17,7 @@
 // s.
 constexpr Duration kStoredReleasesInterval = milliseconds{50};
 constexpr Duration kExitCheckInterval = milliseconds{20};
-// What has gone is remembered for a while, since some of its calls may still want their release.
-constexpr Duration kRemovedRetention = std::chrono::seconds{20};
-constexpr Duration kForgetEvery = std::chrono::seconds{5};
+constexpr Duration kForgetInterval = std::chrono::seconds{5};
 
 }  // namespace
 
@@ -42,7 +39,10 @@
             names_,
             dispatcher_.settings(),
             [this](std::string_view user) { return tenant_of(user); },
-            [this](ServerId id, bool started_anew) { on_availability_changed(id, started_anew); }} {
+            [this](ServerId id, bool started_anew) {
+              endpoint_updates_.on_availability_changed(id, started_anew);
+            }},
+      endpoint_updates_(site_, upstream_pools_) {
   loop.outgoing.most = bounds_.queued;
   loop.outgoing.max_on_one = bounds_.queued_on_one;
   if (config.settings.limits.peers && config.peer_listen && config.peers_all) {
@@ -138,25 +138,6 @@
       });
 }
 
-void Router::on_availability_changed(ServerId id, bool started_anew) {
-  auto& server = *servers_.find(id);
-  if (started_anew) server.started = net::Loop::now();
-  table_.on_endpoints_changed(false, {facts_of(server)});
-}
-
-void Router::assign_upstream_pool(core::Endpoint& server) const {
-  const auto kinds = upstream_pool_kinds();
-  for (std::size_t i = 0; i < kinds.size(); ++i) {
-    if (!upstream_pools_[i] || !kinds[i].speaks(setup_, server.name)) continue;
-    server.port = upstream_pools_[i].get();
-    if (!site_.translator) return;
-    const auto dialect = kinds[i].dialect;
-    server.version =
-        dialect.empty() ? core::kNotKnown : site_.translator->server_no(dialect).value_or(core::kNotKnown);
-    return;
-  }
-}
-
 std::size_t Router::callers() const {
   std::size_t open = 0;
   for (const auto& frontend : frontends_) open += frontend ? frontend->connections() : 0;
@@ -180,95 +161,9 @@
   return std::string(user);  // the tenant's own name
 }
 
-core::ServerFacts Router::facts_of(const core::Endpoint& server) const {
-  core::ServerFacts facts{server.id, server.pool, server.state, server.started, server.version};
-  // A server whose links cannot take anything new now, as a Diameter peer that is not up or whose watchdog is
-  // silent; what is out there may finish. To the module that is a server that drains.
-  if (facts.state == EndpointState::kReady && !server.port->is_available(server.id)) {
-    facts.state = EndpointState::kDraining;
-  }
-  return facts;
-}
-
-void Router::apply(const discovery::EndpointUpdate& news) {
-  if (!news.has_servers) return;
-  std::set<std::string> listed;
-  std::vector<core::EndpointChange> changes = news.changes;
-  for (const auto& change : changes) listed.insert(change.name);
-  if (news.whole_list) {
-    // What a whole list does not name is gone.
-    for (const auto& [id, server] : servers_.all()) {
-      if (server.state == EndpointState::kRemoved || listed.contains(server.name)) continue;
-      changes.push_back({server.name, server.address, static_cast<std::uint32_t>(server.pool),
-                         EndpointState::kRemoved, server.started_unix_ms});
-    }
-  }
-  std::vector<core::ServerFacts> facts;
-  std::vector<ServerId> removed;
-  std::vector<std::pair<ServerId, Instant>> anew;
-  for (const auto& change : changes) {
-    auto& server = servers_.of(change.name);
-    const bool known = server.port != nullptr;
-    const bool started = change.started_unix_ms > server.started_unix_ms;
-    if (change.state == EndpointState::kRemoved && server.state != EndpointState::kRemoved)
-      removed.push_back(server.id);
-    server.address = change.address;
-    server.pool = PoolId{change.pool};
-    server.state = change.state;
-    if (change.state != EndpointState::kRemoved) {
-      server.removed_at.reset();
-    } else if (!server.removed_at) {
-      server.removed_at = net::Loop::now();
-    }
-    if (!known) assign_upstream_pool(server);
-    if (started) {
-      // Read once for each start: the module takes a later moment for another start.
-      server.started_unix_ms = change.started_unix_ms;
-      server.started = net::Loop::now() -
-                       milliseconds{std::max<std::int64_t>(0, net::Loop::unix_ms() - change.started_unix_ms)};
-    }
-    net::log::info("server ", server.name, " at ", server.address,
-                   change.state == EndpointState::kReady      ? " ready"
-                   : change.state == EndpointState::kDraining ? " draining"
-                                                              : " gone",
-                   started && known ? ", started anew" : "");
-    if (started && known) anew.emplace_back(server.id, *server.started);
-    // Links to what is new come first, so that the module's sends find them.
-    if (server.state == EndpointState::kReady) server.port->on_endpoint_changed(server);
-    facts.push_back(facts_of(server));
-  }
-  table_.on_endpoints_changed(news.whole_list, facts);
-  // The module hears of a drain before the links take set-ups back: those are placed anew at once, and must
-  // not go there again.
-  for (const auto& change : changes) {
-    if (change.state == EndpointState::kReady) continue;
-    const auto& server = servers_.of(change.name);
-    server.port->on_endpoint_changed(server);
-  }
-  // A process that is no more took its calls along; some may still want their release. Last, when the module
-  // has heard all of the news: each end lets it place what is held, and that must not go to what has gone.
-  for (const auto id : removed) table_.abort_all(id, "server gone");
-  for (const auto& [id, started] : anew) table_.abort_sent_before(id, started, "server started anew");
-}
-
-// Servers come and go under new names all day: one that has gone is forgotten once nothing refers to it.
-void Router::forget_removed(Instant now) {
-  std::vector<ServerId> over;
-  for (const auto& [id, server] : servers_.all()) {
-    if (server.removed_at && now - *server.removed_at > kRemovedRetention && !table_.has_calls_at(id))
-      over.push_back(id);
-  }
-  for (const auto id : over) {
-    for (const auto& pool : upstream_pools_) {
-      if (pool) pool->forget_server(id);
-    }
-    servers_.forget(id);
-  }
-}
-
 void Router::schedule_forgetting() {
-  loop_.after(kForgetEvery, [this] {
-    forget_removed(net::Loop::now());
+  loop_.after(kForgetInterval, [this] {
+    endpoint_updates_.forget_removed(net::Loop::now());
     schedule_forgetting();
   });
 }
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -7,6 +7,7 @@
 
 #include "admin/admin_server.hpp"
 #include "app/config.hpp"
+#include "app/endpoint_updates.hpp"
 #include "app/kinds.hpp"
 #include "app/operator_file.hpp"
 #include "core/call_table.hpp"
@@ -39,7 +40,7 @@
   /// A new configuration could not be read: the one in force stays.
   void reload_failed(std::string_view why);
   /// Forgets the servers that had been gone for long by then and that nothing refers to.
-  void forget_removed(Instant now);
+  void forget_removed(Instant now) { endpoint_updates_.forget_removed(now); }
   /// Standby sends callers away, active takes them again, as the admin server's commands say.
   void standby(bool on);
   /// Whether this process takes clients: it has started, and is neither in standby nor stopping.
@@ -50,7 +51,7 @@
     return admin_server_ ? std::optional(admin_server_->local_endpoint()) : std::nullopt;
   }
   /// News of the servers, as from the command channel.
-  void apply(const discovery::EndpointUpdate& news);
+  void apply(const discovery::EndpointUpdate& update) { endpoint_updates_.apply(update); }
 
   [[nodiscard]] const core::Counters& counters() const { return counters_; }
   [[nodiscard]] const core::CallTable& table() const { return table_; }
@@ -67,9 +68,6 @@
 
  private:
   void follow_directory();
-  void on_availability_changed(ServerId id, bool started_anew);
-  void assign_upstream_pool(core::Endpoint& server) const;
-  [[nodiscard]] core::ServerFacts facts_of(const core::Endpoint& server) const;
   void check_exit();
   void exit_when_closed(Instant by);
   [[nodiscard]] bool is_replaced() const;
@@ -87,9 +85,10 @@
   core::CallTable table_;
   OperatorFile setup_;
   Site site_;
-  std::vector<std::unique_ptr<core::UpstreamPool>>
-      upstream_pools_;                                      ///< in the order of the table; null: not set up
-  std::vector<std::unique_ptr<core::Frontend>> frontends_;  ///< the same
+  UpstreamPools upstream_pools_;
+  EndpointUpdates endpoint_updates_;
+  std::vector<std::unique_ptr<core::Frontend>>
+      frontends_;  ///< in the order of frontend_kinds(); null: not set up
   directory::TenantMap directory_;
   std::unique_ptr<directory::Refresher> refresher_;
   std::unique_ptr<discovery::GossipTransport> gossip_;
--- a/tests/core_state_test.cpp
+++ b/tests/core_state_test.cpp
@@ -95,7 +95,8 @@
   const Placement excluded_from_the_start(set_of(kOld));
   CHECK(answer(excluded_from_the_start, set_of(kOld)).reason == Reason::kNoCompatibleServer);
   CHECK(answer(excluded_from_the_start, listed).reason == Reason::kCongestion);
-  CHECK(answer(excluded_from_the_start, 0).reason == Reason::kCongestion);  // none has reported its version yet
+  CHECK(answer(excluded_from_the_start, 0).reason ==
+        Reason::kCongestion);  // none has reported its version yet
 }
 
 }  // namespace amberknot::core
