Rename src/store to src/hot_restart: presence is instance_lock, handover undelivered_releases

Stored files keep names and bytes: wire_format_stored_files_test.cpp compares both, and reads a file of today's form from a literal, unchanged but for identifiers.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -6,8 +6,8 @@
 
 #include "admin/metrics.hpp"
 #include "core/retune.hpp"
+#include "hot_restart/undelivered_releases.hpp"
 #include "net/log.hpp"
-#include "store/handover.hpp"
 
 namespace amberknot::app {
 namespace {
@@ -314,7 +314,7 @@
 
 void Router::declare(const std::string& folder) {
   std::string error;
-  auto made = store::InstanceLock::declare(
+  auto made = hot_restart::InstanceLock::declare(
       folder, {config_.name, net::text_of(callers_at()), net::Loop::unix_us()}, error);
   if (!made) {
     net::log::info("a replacement will not be noticed: ", error);
@@ -339,7 +339,7 @@
   std::size_t unreadable = 0;
   const bool more = core::replaces_any(instance_lock_->self(), instance_lock_->others(unreadable));
   unreadable = 0;
-  const auto releases = store::take_releases(shared_folder_, instance_lock_->self(), unreadable);
+  const auto releases = hot_restart::load_releases(shared_folder_, instance_lock_->self(), unreadable);
   if (unreadable > 0) net::log::warn("releases of a replaced process not readable: ", unreadable, " files");
   for (const auto& release : releases) {
     for (const auto& frontend : frontends_) {
@@ -352,7 +352,7 @@
 void Router::store_undelivered_releases() {
   if (undelivered_releases_.empty()) return;
   std::string error;
-  if (!store::leave_releases(shared_folder_, instance_lock_->self(), undelivered_releases_, error)) {
+  if (!hot_restart::store_releases(shared_folder_, instance_lock_->self(), undelivered_releases_, error)) {
     // What is left is kept, and tried again at the next look: a full folder may have room by then.
     net::log::warn(store_failures_log_, "releases not left for the other process: ", error);
   }
--- a/src/app/router.hpp
+++ b/src/app/router.hpp
@@ -18,9 +18,9 @@
 #include "directory/tenants.hpp"
 #include "discovery/endpoint_watcher.hpp"
 #include "discovery/gossip_transport.hpp"
+#include "hot_restart/instance_lock.hpp"
 #include "net/log.hpp"
 #include "net/loop.hpp"
-#include "store/presence.hpp"
 
 namespace amberknot::app {
 
@@ -98,7 +98,7 @@
   bool standby_ = false;
   std::function<void()> on_exit_;
   core::GracefulShutdown shutdown_plan_;
-  std::optional<store::InstanceLock> instance_lock_;
+  std::optional<hot_restart::InstanceLock> instance_lock_;
   std::string shared_folder_;
   net::log::RateLimiter store_failures_log_;
   std::vector<core::UndeliveredRelease> undelivered_releases_;  ///< for the process that replaces this one
--- a/src/store/presence.cpp
+++ b/src/hot_restart/instance_lock.cpp
@@ -1,4 +1,4 @@
-#include "store/presence.hpp"
+#include "hot_restart/instance_lock.hpp"
 
 #include <fcntl.h>
 #include <rapidjson/document.h>
@@ -13,9 +13,9 @@
 #include <filesystem>
 #include <utility>
 
-#include "store/record_head.hpp"
+#include "hot_restart/record_head.hpp"
 
-namespace amberknot::store {
+namespace amberknot::hot_restart {
 namespace {
 
 constexpr std::string_view kPrefix = "amberknot-serving-";
@@ -123,4 +123,4 @@
   return found;
 }
 
-}  // namespace amberknot::store
+}  // namespace amberknot::hot_restart
--- a/src/store/presence.hpp
+++ b/src/hot_restart/instance_lock.hpp
@@ -9,7 +9,7 @@
 
 #include "core/leaving.hpp"
 
-namespace amberknot::store {
+namespace amberknot::hot_restart {
 
 /// The file's text, and back; nothing where it is of another version, cut short or not ours.
 std::string text_of(const core::InstanceRecord& record);
@@ -37,4 +37,4 @@
   core::InstanceRecord self_;
 };
 
-}  // namespace amberknot::store
+}  // namespace amberknot::hot_restart
--- a/src/store/record_head.hpp
+++ b/src/hot_restart/record_head.hpp
@@ -7,7 +7,7 @@
 
 #include "core/leaving.hpp"
 
-namespace amberknot::store {
+namespace amberknot::hot_restart {
 
 inline constexpr int kRecordVersion = 1;
 
@@ -35,4 +35,4 @@
   return core::InstanceRecord{name->value.GetString(), listen->value.GetString(), 0};
 }
 
-}  // namespace amberknot::store
+}  // namespace amberknot::hot_restart
--- a/src/store/handover.cpp
+++ b/src/hot_restart/undelivered_releases.cpp
@@ -1,4 +1,4 @@
-#include "store/handover.hpp"
+#include "hot_restart/undelivered_releases.hpp"
 
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
@@ -12,9 +12,9 @@
 #include <fstream>
 #include <iterator>
 
-#include "store/record_head.hpp"
+#include "hot_restart/record_head.hpp"
 
-namespace amberknot::store {
+namespace amberknot::hot_restart {
 namespace {
 
 constexpr std::string_view kPrefix = "amberknot-releases-";
@@ -76,7 +76,7 @@
   return releases;
 }
 
-bool leave_releases(const std::string& folder, const core::InstanceRecord& self,
+bool store_releases(const std::string& folder, const core::InstanceRecord& self,
                     std::vector<core::UndeliveredRelease>& releases, std::string& error) {
   while (!releases.empty()) {
     const auto end = releases.begin() + static_cast<std::ptrdiff_t>(std::min(releases.size(), kMaxInOne));
@@ -95,7 +95,7 @@
   return true;
 }
 
-std::vector<core::UndeliveredRelease> take_releases(const std::string& folder,
+std::vector<core::UndeliveredRelease> load_releases(const std::string& folder,
                                                     const core::InstanceRecord& self,
                                                     std::size_t& unreadable) {
   std::vector<std::filesystem::path> files;
@@ -123,4 +123,4 @@
   return all;
 }
 
-}  // namespace amberknot::store
+}  // namespace amberknot::hot_restart
--- a/src/store/handover.hpp
+++ b/src/hot_restart/undelivered_releases.hpp
@@ -10,7 +10,7 @@
 
 #include "core/leaving.hpp"
 
-namespace amberknot::store {
+namespace amberknot::hot_restart {
 
 /// What one file holds; nothing where it is of another version, another router's, cut short or not ours.
 std::string text_of(const core::InstanceRecord& self, const std::vector<core::UndeliveredRelease>& releases);
@@ -19,12 +19,12 @@
 
 /// Takes out what was left there, in as many files as it needs. False: the rest could not be left, and
 /// `error` says why.
-bool leave_releases(const std::string& folder, const core::InstanceRecord& self,
+bool store_releases(const std::string& folder, const core::InstanceRecord& self,
                     std::vector<core::UndeliveredRelease>& releases, std::string& error);
 /// All that was left there for this router, in the order in which it was left; the files are removed.
 /// `unreadable` counts those that could not be taken, which are removed too.
-std::vector<core::UndeliveredRelease> take_releases(const std::string& folder,
+std::vector<core::UndeliveredRelease> load_releases(const std::string& folder,
                                                     const core::InstanceRecord& self,
                                                     std::size_t& unreadable);
 
-}  // namespace amberknot::store
+}  // namespace amberknot::hot_restart
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -12,9 +12,9 @@
 #include <fstream>
 #include <numeric>
 
+#include "hot_restart/instance_lock.hpp"
+#include "hot_restart/undelivered_releases.hpp"
 #include "net_bench.hpp"
-#include "store/handover.hpp"
-#include "store/presence.hpp"
 
 namespace amberknot::tests {
 namespace {
@@ -39,9 +39,9 @@
   std::string path;
 };
 
-store::InstanceLock declare(const Folder& folder, const InstanceRecord& self) {
+hot_restart::InstanceLock declare(const Folder& folder, const InstanceRecord& self) {
   std::string error;
-  auto made = store::InstanceLock::declare(folder.path, self, error);
+  auto made = hot_restart::InstanceLock::declare(folder.path, self, error);
   REQUIRE_MESSAGE(made, error);
   return std::move(*made);
 }
@@ -100,15 +100,15 @@
 
 TEST_CASE("a record is read back as written, and nothing is made of a bad one") {
   const InstanceRecord record{"n1", "127.0.0.1:5070", 1764633600000000};
-  const auto text = store::text_of(record);
-  CHECK(store::read_record(text) == record);
+  const auto text = hot_restart::text_of(record);
+  CHECK(hot_restart::read_record(text) == record);
   for (std::size_t cut = 0; cut + 2 < text.size(); ++cut)
-    CHECK_FALSE(store::read_record(text.substr(0, cut)));
+    CHECK_FALSE(hot_restart::read_record(text.substr(0, cut)));
   for (const char* bad : {R"({"version":2,"name":"n","listen":"l","started_unix_us":1})", "[1]", "null",
                           R"({"version":1,"name":7,"listen":"l","started_unix_us":1})",
                           R"({"version":1,"name":"n","started_unix_us":1})",
                           R"({"version":1,"name":"n","listen":"l","started_unix_us":"1"})"}) {
-    CHECK_FALSE(store::read_record(bad));
+    CHECK_FALSE(hot_restart::read_record(bad));
   }
 }
 
@@ -126,7 +126,8 @@
   }
   CHECK(first.others(unreadable).empty());
   // A file that its process left behind when it was killed: nobody holds its lock.
-  std::ofstream(folder.path + "/amberknot-serving-dead00") << store::text_of({"n1", "127.0.0.1:5070", 9});
+  std::ofstream(folder.path + "/amberknot-serving-dead00")
+      << hot_restart::text_of({"n1", "127.0.0.1:5070", 9});
   CHECK(first.others(unreadable).empty());
   CHECK(folder.files() == 1);
   CHECK(unreadable == 0);
@@ -138,8 +139,8 @@
   CHECK(unreadable == 1);
   ::close(held);
   std::string error;
-  CHECK_FALSE(store::InstanceLock::declare("", first.self(), error));
-  CHECK_FALSE(store::InstanceLock::declare(folder.path + "/none", first.self(), error));
+  CHECK_FALSE(hot_restart::InstanceLock::declare("", first.self(), error));
+  CHECK_FALSE(hot_restart::InstanceLock::declare(folder.path + "/none", first.self(), error));
   CHECK(error.find("No such file") != std::string::npos);
 }
 
@@ -149,37 +150,37 @@
   const InstanceRecord self{"n1", "127.0.0.1:5070", 1};
   std::string error;
   std::size_t unreadable = 0;
-  CHECK(store::take_releases(folder.path, self, unreadable).empty());
+  CHECK(hot_restart::load_releases(folder.path, self, unreadable).empty());
   std::vector<core::UndeliveredRelease> all;
   for (int i = 0; i < 20; ++i) {
     std::vector<core::UndeliveredRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
     all.insert(all.end(), some.begin(), some.end());
-    REQUIRE(store::leave_releases(folder.path, self, some, error));
+    REQUIRE(hot_restart::store_releases(folder.path, self, some, error));
     CHECK(some.empty());
   }
   // The other process has another start: it is the same router.
-  CHECK(store::take_releases(folder.path, {"n1", "127.0.0.1:5070", 2}, unreadable) == all);
+  CHECK(hot_restart::load_releases(folder.path, {"n1", "127.0.0.1:5070", 2}, unreadable) == all);
   CHECK(unreadable == 0);
   CHECK(folder.files() == 0);
   const auto had = all.size();
-  CHECK_FALSE(store::leave_releases(folder.path + "/none", self, all, error));
+  CHECK_FALSE(hot_restart::store_releases(folder.path + "/none", self, all, error));
   CHECK(all.size() == had);
   CHECK(error.find("No such file") != std::string::npos);
-  const auto good = store::text_of(self, {{"127.0.0.1", kA, 16}});
+  const auto good = hot_restart::text_of(self, {{"127.0.0.1", kA, 16}});
   const std::string bad[] = {
       "",
       good.substr(0, good.size() - 1),
-      store::text_of({"n2", "127.0.0.1:5070", 1}, {}),
-      store::text_of({"n1", "127.0.0.1:5071", 1}, {}),
+      hot_restart::text_of({"n2", "127.0.0.1:5070", 1}, {}),
+      hot_restart::text_of({"n1", "127.0.0.1:5071", 1}, {}),
       R"({"version":2,"name":"n1","listen":"127.0.0.1:5070","releases":[]})",
       R"({"version":1,"name":"n1","listen":"127.0.0.1:5070","releases":[7]})",
       R"({"version":1,"name":"n1","listen":"127.0.0.1:5070","releases":[{"caller":"a"}]})",
       std::string(2 * 1024 * 1024, ' ')};
   for (const auto& text : bad) {
-    CHECK_FALSE(store::read_releases(text, self));
+    CHECK_FALSE(hot_restart::read_releases(text, self));
     std::ofstream(folder.path + "/amberknot-releases-x") << text;
     unreadable = 0;
-    CHECK(store::take_releases(folder.path, self, unreadable).empty());
+    CHECK(hot_restart::load_releases(folder.path, self, unreadable).empty());
     CHECK(unreadable == 1);
     CHECK(folder.files() == 0);
   }
@@ -192,9 +193,9 @@
   for (int i = 0; i < 20'000; ++i) all.push_back({"127.100.100.100", kA, i});
   auto left = all;
   std::string error;
-  REQUIRE(store::leave_releases(folder.path, self, left, error));
+  REQUIRE(hot_restart::store_releases(folder.path, self, left, error));
   std::size_t unreadable = 0;
-  CHECK(store::take_releases(folder.path, self, unreadable) == all);
+  CHECK(hot_restart::load_releases(folder.path, self, unreadable) == all);
   CHECK(unreadable == 0);
 }
 
@@ -300,9 +301,9 @@
     config.listen = bench.router->callers_at();
     // The new process, as far as the old one sees it. Killed: its file stays, and nobody holds its lock.
     const InstanceRecord younger{"n0", net::text_of(config.listen), Loop::unix_us() + 1};
-    std::optional<store::InstanceLock> next;
+    std::optional<hot_restart::InstanceLock> next;
     if (before) {
-      std::ofstream(folder.path + "/amberknot-serving-dead00") << store::text_of(younger);
+      std::ofstream(folder.path + "/amberknot-serving-dead00") << hot_restart::text_of(younger);
     } else {
       next.emplace(declare(folder, younger));
     }
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -3,8 +3,8 @@
 #include <cstdlib>
 #include <filesystem>
 
+#include "hot_restart/instance_lock.hpp"
 #include "net_bench.hpp"
-#include "store/presence.hpp"
 
 namespace amberknot::tests {
 namespace {
--- a/tests/wire_format_stored_files_test.cpp
+++ b/tests/wire_format_stored_files_test.cpp
@@ -6,8 +6,8 @@
 #include <fstream>
 #include <iterator>
 
-#include "store/handover.hpp"
-#include "store/presence.hpp"
+#include "hot_restart/instance_lock.hpp"
+#include "hot_restart/undelivered_releases.hpp"
 
 namespace amberknot::tests {
 namespace {
@@ -51,7 +51,7 @@
 TEST_CASE("stored file bytes: the instance record") {
   const TemporaryFolder folder;
   std::string error;
-  const auto presence = store::InstanceLock::declare(folder.path, kInstance, error);
+  const auto presence = hot_restart::InstanceLock::declare(folder.path, kInstance, error);
   REQUIRE(presence);
   CHECK(folder.file().filename().string().starts_with("amberknot-serving-"));
   CHECK(content_of(folder.file()) == kInstanceText);
@@ -61,23 +61,23 @@
   const TemporaryFolder folder;
   std::string error;
   auto releases = two_releases();
-  REQUIRE(store::leave_releases(folder.path, kInstance, releases, error));
+  REQUIRE(hot_restart::store_releases(folder.path, kInstance, releases, error));
   CHECK(folder.file().filename().string().starts_with("amberknot-releases-"));
   CHECK(content_of(folder.file()) == kReleasesText);
 }
 
 TEST_CASE("stored file bytes: files of this form are read") {
-  CHECK(store::read_record(kInstanceText) == kInstance);
-  CHECK(store::read_releases(kReleasesText, kInstance) == two_releases());
+  CHECK(hot_restart::read_record(kInstanceText) == kInstance);
+  CHECK(hot_restart::read_releases(kReleasesText, kInstance) == two_releases());
   const TemporaryFolder folder;
   std::ofstream(folder.path + "/amberknot-releases-1790000000123456-1", std::ios::binary) << kReleasesText;
   std::size_t unreadable = 0;
-  CHECK(store::take_releases(folder.path, kInstance, unreadable) == two_releases());
+  CHECK(hot_restart::load_releases(folder.path, kInstance, unreadable) == two_releases());
   CHECK(unreadable == 0);
 }
 
 TEST_CASE("stored file bytes: no releases") {
-  CHECK(store::text_of(kInstance, {}) ==
+  CHECK(hot_restart::text_of(kInstance, {}) ==
         R"({"version":1,"name":"n\"0","listen":"127.0.0.1:5070","releases":[]})");
 }
 
