Return typed storage errors and results from src/hot_restart in place of out-parameters

`InstanceLock::acquire` returns the lock or a StorageError with its fault and message, `store_releases` a StorageError where it failed, the other two a struct with the count of unreadable files. Storing and loading are parted into functions for one file each; public items say units, errors and blocking. The tests keep every assertion in the new form and check the fault too. File names, bytes and log lines stay: wire_format_stored_files_test.cpp compares and reads back the same literals.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -313,35 +313,35 @@
 }
 
 void Router::declare(const std::string& folder) {
-  std::string error;
-  auto made = hot_restart::InstanceLock::declare(
-      folder, {config_.name, net::text_of(callers_at()), net::Loop::unix_us()}, error);
-  if (!made) {
-    net::log::info("a replacement will not be noticed: ", error);
+  auto acquired = hot_restart::InstanceLock::acquire(
+      folder, {config_.name, net::text_of(callers_at()), net::Loop::unix_us()});
+  if (const auto* error = std::get_if<hot_restart::StorageError>(&acquired)) {
+    net::log::info("a replacement will not be noticed: ", error->message);
     return;
   }
-  instance_lock_.emplace(std::move(*made));
+  instance_lock_.emplace(std::get<hot_restart::InstanceLock>(std::move(acquired)));
   shared_folder_ = folder;
   deliver_stored_releases();
 }
 
 bool Router::is_replaced() const {
   if (!instance_lock_) return false;
-  std::size_t unreadable = 0;
-  const auto others = instance_lock_->others(unreadable);
-  if (unreadable > 0) net::log::warn("files of other processes in TMPDIR not readable: ", unreadable);
-  return core::is_replaced_by_any(instance_lock_->self(), others);
+  const auto others = instance_lock_->others();
+  if (others.unreadable_files > 0) {
+    net::log::warn("files of other processes in TMPDIR not readable: ", others.unreadable_files);
+  }
+  return core::is_replaced_by_any(instance_lock_->self(), others.records);
 }
 
 // As long as the process that this one replaces lives, and once more after it: it may have left some at its
 // end.
 void Router::deliver_stored_releases() {
-  std::size_t unreadable = 0;
-  const bool more = core::replaces_any(instance_lock_->self(), instance_lock_->others(unreadable));
-  unreadable = 0;
-  const auto releases = hot_restart::load_releases(shared_folder_, instance_lock_->self(), unreadable);
-  if (unreadable > 0) net::log::warn("releases of a replaced process not readable: ", unreadable, " files");
-  for (const auto& release : releases) {
+  const bool more = core::replaces_any(instance_lock_->self(), instance_lock_->others().records);
+  const auto loaded = hot_restart::load_releases(shared_folder_, instance_lock_->self());
+  if (loaded.unreadable_files > 0) {
+    net::log::warn("releases of a replaced process not readable: ", loaded.unreadable_files, " files");
+  }
+  for (const auto& release : loaded.releases) {
     for (const auto& frontend : frontends_) {
       if (frontend) frontend->take_over(release);
     }
@@ -351,10 +351,10 @@
 
 void Router::store_undelivered_releases() {
   if (undelivered_releases_.empty()) return;
-  std::string error;
-  if (!hot_restart::store_releases(shared_folder_, instance_lock_->self(), undelivered_releases_, error)) {
+  if (const auto error =
+          hot_restart::store_releases(shared_folder_, instance_lock_->self(), undelivered_releases_)) {
     // What is left is kept, and tried again at the next look: a full folder may have room by then.
-    net::log::warn(store_failures_log_, "releases not left for the other process: ", error);
+    net::log::warn(store_failures_log_, "releases not left for the other process: ", error->message);
   }
 }
 
--- a/src/hot_restart/instance_lock.cpp
+++ b/src/hot_restart/instance_lock.cpp
@@ -18,9 +18,11 @@
 namespace amberknot::hot_restart {
 namespace {
 
-constexpr std::string_view kPrefix = "amberknot-serving-";
-constexpr std::size_t kMaxText = 1024;
+constexpr std::string_view kFilePrefix = "amberknot-serving-";
+/// A record has a name, an address and a time: far below this.
+constexpr std::size_t kMaxFileBytes = 1024;
 
+/// Owns a file descriptor.
 class Descriptor {
  public:
   explicit Descriptor(int number) : number_(number) {}
@@ -30,59 +32,65 @@
     if (number_ >= 0) ::close(number_);
   }
   [[nodiscard]] int get() const { return number_; }
-  int keep() { return std::exchange(number_, -1); }
+  /// Gives the descriptor to the caller.
+  int release() { return std::exchange(number_, -1); }
 
  private:
   int number_;
 };
 
-std::string read_some(int descriptor) {
-  std::array<char, kMaxText> text{};
-  const auto got = ::pread(descriptor, text.data(), text.size(), 0);
-  return got > 0 ? std::string(text.data(), static_cast<std::size_t>(got)) : std::string();
+/// The first bytes of a file; empty where it has none or cannot be read.
+std::string read_file(const Descriptor& file) {
+  std::array<char, kMaxFileBytes> buffer{};
+  const auto size = ::pread(file.get(), buffer.data(), buffer.size(), 0);
+  return size > 0 ? std::string(buffer.data(), static_cast<std::size_t>(size)) : std::string();
+}
+
+bool write_file(const Descriptor& file, const std::string& text) {
+  return ::pwrite(file.get(), text.data(), text.size(), 0) == static_cast<ssize_t>(text.size());
+}
+
+bool is_locked_by_another(const Descriptor& file) {
+  return ::flock(file.get(), LOCK_SH | LOCK_NB) != 0;
 }
 
 }  // namespace
 
-std::string text_of(const core::InstanceRecord& record) {
+std::string serialize(const core::InstanceRecord& record) {
   rapidjson::StringBuffer text;
-  rapidjson::Writer<rapidjson::StringBuffer> to(text);
-  to.StartObject();
-  write_head(to, record);
-  to.Key("started_unix_us");
-  to.Int64(record.started_unix_us);
-  to.EndObject();
+  rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+  writer.StartObject();
+  write_head(writer, record);
+  writer.Key("started_unix_us");
+  writer.Int64(record.started_unix_us);
+  writer.EndObject();
   return std::string(text.GetString(), text.GetSize()) + "\n";
 }
 
-std::optional<core::InstanceRecord> read_record(std::string_view text) {
-  rapidjson::Document read;
-  if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
-  auto record = read_head(read);
+std::optional<core::InstanceRecord> parse_instance_record(std::string_view text) {
+  rapidjson::Document document;
+  if (document.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
+  auto record = parse_head(document);
   if (!record) return std::nullopt;
-  const auto started = read.FindMember("started_unix_us");
-  if (started == read.MemberEnd() || !started->value.IsInt64()) return std::nullopt;
+  const auto started = document.FindMember("started_unix_us");
+  if (started == document.MemberEnd() || !started->value.IsInt64()) return std::nullopt;
   record->started_unix_us = started->value.GetInt64();
   return record;
 }
 
-std::optional<InstanceLock> InstanceLock::declare(const std::string& folder, const core::InstanceRecord& self,
-                                                  std::string& error) {
-  if (folder.empty()) {
-    error = "no folder is given in TMPDIR";
-    return std::nullopt;
-  }
-  std::string file = folder + "/" + std::string(kPrefix) + "XXXXXX";
-  Descriptor made(::mkostemp(file.data(), O_CLOEXEC));
-  const auto text = text_of(self);
-  // Locked before it holds anything: who sees it unlocked may take it for a dead process's and remove it.
-  if (made.get() < 0 || ::flock(made.get(), LOCK_EX) != 0 ||
-      ::pwrite(made.get(), text.data(), text.size(), 0) != static_cast<ssize_t>(text.size())) {
-    error = folder + ": " + std::strerror(errno);
-    if (made.get() >= 0) ::unlink(file.c_str());
-    return std::nullopt;
+std::variant<InstanceLock, StorageError> InstanceLock::acquire(const std::string& folder,
+                                                               const core::InstanceRecord& self) {
+  if (folder.empty()) return StorageError{StorageFault::kNoFolder, "no folder is given in TMPDIR"};
+  std::string path = folder + "/" + std::string(kFilePrefix) + "XXXXXX";
+  Descriptor created(::mkostemp(path.data(), O_CLOEXEC));
+  // Locked before it is written: whoever sees a written file without a lock may take it for a dead process's
+  // and remove it.
+  if (created.get() < 0 || ::flock(created.get(), LOCK_EX) != 0 || !write_file(created, serialize(self))) {
+    StorageError error{StorageFault::kWriteFailed, folder + ": " + std::strerror(errno)};
+    if (created.get() >= 0) ::unlink(path.c_str());
+    return error;
   }
-  return InstanceLock(folder, std::move(file), made.keep(), self);
+  return InstanceLock(folder, std::move(path), created.release(), self);
 }
 
 InstanceLock::InstanceLock(std::string folder, std::string file, int descriptor, core::InstanceRecord self)
@@ -100,27 +108,27 @@
   ::close(descriptor_);
 }
 
-std::vector<core::InstanceRecord> InstanceLock::others(std::size_t& unreadable) const {
-  std::vector<core::InstanceRecord> found;
+OtherInstances InstanceLock::others() const {
+  OtherInstances others;
   std::error_code failed;
-  for (std::filesystem::directory_iterator at(folder_, failed), end; !failed && at != end;
-       at.increment(failed)) {
-    const auto path = at->path().string();
-    if (!at->path().filename().string().starts_with(kPrefix) || path == file_) continue;
-    const Descriptor open(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
-    if (open.get() < 0) continue;
-    if (::flock(open.get(), LOCK_SH | LOCK_NB) == 0) {
-      // Written and never locked, or its process has died. A file that is being made holds nothing yet.
-      if (!read_some(open.get()).empty()) ::unlink(path.c_str());
+  for (std::filesystem::directory_iterator entry(folder_, failed), end; !failed && entry != end;
+       entry.increment(failed)) {
+    const auto path = entry->path().string();
+    if (!entry->path().filename().string().starts_with(kFilePrefix) || path == file_) continue;
+    const Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+    if (file.get() < 0) continue;
+    if (!is_locked_by_another(file)) {
+      // Its process has died. An empty file is one that is being made: it is left alone.
+      if (!read_file(file).empty()) ::unlink(path.c_str());
       continue;
     }
-    if (auto record = read_record(read_some(open.get()))) {
-      found.push_back(std::move(*record));
+    if (auto record = parse_instance_record(read_file(file))) {
+      others.records.push_back(std::move(*record));
     } else {
-      ++unreadable;
+      ++others.unreadable_files;
     }
   }
-  return found;
+  return others;
 }
 
 }  // namespace amberknot::hot_restart
--- a/src/hot_restart/record_head.hpp
+++ b/src/hot_restart/record_head.hpp
@@ -1,4 +1,4 @@
-// What every file in the shared folder begins with: the version of its form, and whose it is.
+// The members that every file in the shared folder begins with: the version of its form and whose it is.
 #pragma once
 
 #include <rapidjson/document.h>
@@ -9,20 +9,22 @@
 
 namespace amberknot::hot_restart {
 
+/// Files of another version are not read.
 inline constexpr int kRecordVersion = 1;
 
+/// Writes the head into an object that `writer` has begun.
 template <typename Writer>
-void write_head(Writer& to, const core::InstanceRecord& whose) {
-  to.Key("version");
-  to.Int(kRecordVersion);
-  to.Key("name");
-  to.String(whose.name.c_str());
-  to.Key("listen");
-  to.String(whose.listen.c_str());
+void write_head(Writer& writer, const core::InstanceRecord& instance) {
+  writer.Key("version");
+  writer.Int(kRecordVersion);
+  writer.Key("name");
+  writer.String(instance.name.c_str());
+  writer.Key("listen");
+  writer.String(instance.listen.c_str());
 }
 
-/// The name and address; nothing where it is no such record, or of another version.
-inline std::optional<core::InstanceRecord> read_head(const rapidjson::Value& record) {
+/// The name and address, with no start time; empty: it is no such record, or of another version.
+inline std::optional<core::InstanceRecord> parse_head(const rapidjson::Value& record) {
   if (!record.IsObject()) return std::nullopt;
   const auto version = record.FindMember("version");
   const auto name = record.FindMember("name");
@@ -32,7 +34,8 @@
       name == none || !name->value.IsString() || listen == none || !listen->value.IsString()) {
     return std::nullopt;
   }
-  return core::InstanceRecord{name->value.GetString(), listen->value.GetString(), 0};
+  return core::InstanceRecord{
+      .name = name->value.GetString(), .listen = listen->value.GetString(), .started_unix_us = 0};
 }
 
 }  // namespace amberknot::hot_restart
--- a/src/hot_restart/undelivered_releases.cpp
+++ b/src/hot_restart/undelivered_releases.cpp
@@ -17,110 +17,139 @@
 namespace amberknot::hot_restart {
 namespace {
 
-constexpr std::string_view kPrefix = "amberknot-releases-";
-constexpr std::uintmax_t kMaxText = 1024 * 1024;
-// More go into several files, so that each can be read: an id and a caller's address, quoted, are far below
-// 200 bytes.
-constexpr std::size_t kMaxInOne = kMaxText / 256;
-
-/// Names sort in the order of their making.
-std::string next_name() {
+constexpr std::string_view kFilePrefix = "amberknot-releases-";
+/// A file under construction; the prefix keeps it from being loaded.
+constexpr std::string_view kDraftPrefix = ".draft-";
+constexpr std::uintmax_t kMaxFileBytes = 1024 * 1024;
+/// More go into several files, so that each can be loaded: an id and a caller's address, quoted, are far
+/// below 200 bytes.
+constexpr std::size_t kMaxReleasesInFile = kMaxFileBytes / 256;
+
+/// A file name; names sort in the order of their making.
+std::string next_file_name() {
   static std::uint64_t made = 0;
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  auto name = std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(now).count()) + "-" +
-              std::to_string(++made);
-  return std::string(kPrefix) + name;
+  const auto now_us = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  return std::string(kFilePrefix) + std::to_string(now_us) + "-" + std::to_string(++made);
+}
+
+/// Writes a file and puts it in place whole.
+std::optional<StorageError> store_file(const std::string& folder, const std::string& text) {
+  const auto name = next_file_name();
+  const auto path = folder + "/" + name;
+  const auto draft = folder + "/" + std::string(kDraftPrefix) + name;
+  std::ofstream file(draft, std::ios::binary);
+  file << text;
+  file.close();
+  if (file && std::rename(draft.c_str(), path.c_str()) == 0) return std::nullopt;
+  StorageError error{StorageFault::kWriteFailed, draft + ": " + std::strerror(errno)};
+  std::remove(draft.c_str());
+  return error;
+}
+
+/// The paths of all files of releases, oldest first.
+std::vector<std::filesystem::path> release_files(const std::string& folder) {
+  std::vector<std::filesystem::path> files;
+  std::error_code failed;
+  for (std::filesystem::directory_iterator entry(folder, failed), end; !failed && entry != end;
+       entry.increment(failed)) {
+    if (entry->path().filename().string().starts_with(kFilePrefix)) files.push_back(entry->path());
+  }
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+std::optional<std::vector<core::UndeliveredRelease>> load_file(const std::filesystem::path& path,
+                                                               const core::InstanceRecord& self) {
+  std::error_code failed;
+  const auto size = std::filesystem::file_size(path, failed);
+  if (failed || size > kMaxFileBytes) return std::nullopt;
+  std::ifstream file(path, std::ios::binary);
+  return parse_releases(std::string(std::istreambuf_iterator<char>(file), {}), self);
+}
+
+void write_release(rapidjson::Writer<rapidjson::StringBuffer>& writer,
+                   const core::UndeliveredRelease& release) {
+  writer.StartObject();
+  writer.Key("caller");
+  writer.String(release.caller.c_str());
+  writer.Key("id");
+  writer.String(release.id.c_str());
+  writer.Key("cause");
+  writer.Int(release.cause);
+  writer.EndObject();
+}
+
+std::optional<core::UndeliveredRelease> parse_release(const rapidjson::Value& item) {
+  if (!item.IsObject()) return std::nullopt;
+  const auto caller = item.FindMember("caller");
+  const auto id = item.FindMember("id");
+  const auto cause = item.FindMember("cause");
+  const auto none = item.MemberEnd();
+  if (caller == none || !caller->value.IsString()) return std::nullopt;
+  if (id == none || !id->value.IsString()) return std::nullopt;
+  if (cause == none || !cause->value.IsInt()) return std::nullopt;
+  return core::UndeliveredRelease{
+      .caller = caller->value.GetString(), .id = id->value.GetString(), .cause = cause->value.GetInt()};
 }
 
 }  // namespace
 
-std::string text_of(const core::InstanceRecord& self, const std::vector<core::UndeliveredRelease>& releases) {
+std::string serialize(const core::InstanceRecord& self,
+                      const std::vector<core::UndeliveredRelease>& releases) {
   rapidjson::StringBuffer text;
-  rapidjson::Writer<rapidjson::StringBuffer> to(text);
-  to.StartObject();
-  write_head(to, self);
-  to.Key("releases");
-  to.StartArray();
-  for (const auto& one : releases) {
-    to.StartObject();
-    to.Key("caller");
-    to.String(one.caller.c_str());
-    to.Key("id");
-    to.String(one.id.c_str());
-    to.Key("cause");
-    to.Int(one.cause);
-    to.EndObject();
-  }
-  to.EndArray();
-  to.EndObject();
+  rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+  writer.StartObject();
+  write_head(writer, self);
+  writer.Key("releases");
+  writer.StartArray();
+  for (const auto& release : releases) write_release(writer, release);
+  writer.EndArray();
+  writer.EndObject();
   return {text.GetString(), text.GetSize()};
 }
 
-std::optional<std::vector<core::UndeliveredRelease>> read_releases(std::string_view text,
-                                                                   const core::InstanceRecord& self) {
-  rapidjson::Document read;
-  if (read.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
-  const auto head = read_head(read);
+std::optional<std::vector<core::UndeliveredRelease>> parse_releases(std::string_view text,
+                                                                    const core::InstanceRecord& self) {
+  rapidjson::Document document;
+  if (document.Parse(text.data(), text.size()).HasParseError()) return std::nullopt;
+  const auto head = parse_head(document);
   if (!head || head->name != self.name || head->listen != self.listen) return std::nullopt;
-  const auto list = read.FindMember("releases");
-  if (list == read.MemberEnd() || !list->value.IsArray()) return std::nullopt;
+  const auto list = document.FindMember("releases");
+  if (list == document.MemberEnd() || !list->value.IsArray()) return std::nullopt;
   std::vector<core::UndeliveredRelease> releases;
   for (const auto& item : list->value.GetArray()) {
-    if (!item.IsObject() || !item.HasMember("caller") || !item["caller"].IsString() ||
-        !item.HasMember("id") || !item["id"].IsString() || !item.HasMember("cause") ||
-        !item["cause"].IsInt()) {
-      return std::nullopt;
-    }
-    releases.push_back({item["caller"].GetString(), item["id"].GetString(), item["cause"].GetInt()});
+    auto release = parse_release(item);
+    if (!release) return std::nullopt;
+    releases.push_back(std::move(*release));
   }
   return releases;
 }
 
-bool store_releases(const std::string& folder, const core::InstanceRecord& self,
-                    std::vector<core::UndeliveredRelease>& releases, std::string& error) {
+std::optional<StorageError> store_releases(const std::string& folder, const core::InstanceRecord& self,
+                                           std::vector<core::UndeliveredRelease>& releases) {
   while (!releases.empty()) {
-    const auto end = releases.begin() + static_cast<std::ptrdiff_t>(std::min(releases.size(), kMaxInOne));
-    const auto place = folder + "/" + next_name();
-    const auto draft = folder + "/.draft-" + place.substr(folder.size() + 1);
-    std::ofstream file(draft, std::ios::binary);
-    file << text_of(self, {releases.begin(), end});
-    file.close();
-    if (!file || std::rename(draft.c_str(), place.c_str()) != 0) {
-      error = draft + ": " + std::strerror(errno);
-      std::remove(draft.c_str());
-      return false;
-    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(releases.size(), kMaxReleasesInFile));
+    const auto end = releases.begin() + count;
+    if (auto error = store_file(folder, serialize(self, {releases.begin(), end}))) return error;
     releases.erase(releases.begin(), end);
   }
-  return true;
+  return std::nullopt;
 }
 
-std::vector<core::UndeliveredRelease> load_releases(const std::string& folder,
-                                                    const core::InstanceRecord& self,
-                                                    std::size_t& unreadable) {
-  std::vector<std::filesystem::path> files;
-  std::error_code failed;
-  for (std::filesystem::directory_iterator at(folder, failed), end; !failed && at != end;
-       at.increment(failed)) {
-    if (at->path().filename().string().starts_with(kPrefix)) files.push_back(at->path());
-  }
-  std::sort(files.begin(), files.end());
-  std::vector<core::UndeliveredRelease> all;
-  for (const auto& path : files) {
-    const auto size = std::filesystem::file_size(path, failed);
-    std::optional<std::vector<core::UndeliveredRelease>> read;
-    if (!failed && size <= kMaxText) {
-      std::ifstream file(path, std::ios::binary);
-      read = read_releases(std::string(std::istreambuf_iterator<char>(file), {}), self);
-    }
-    std::filesystem::remove(path, failed);
-    if (read) {
-      all.insert(all.end(), std::make_move_iterator(read->begin()), std::make_move_iterator(read->end()));
-    } else {
-      ++unreadable;
+LoadedReleases load_releases(const std::string& folder, const core::InstanceRecord& self) {
+  LoadedReleases loaded;
+  for (const auto& path : release_files(folder)) {
+    auto releases = load_file(path, self);
+    std::error_code ignored;  // a file that stays is loaded again
+    std::filesystem::remove(path, ignored);
+    if (!releases) {
+      ++loaded.unreadable_files;
+      continue;
     }
+    std::move(releases->begin(), releases->end(), std::back_inserter(loaded.releases));
   }
-  return all;
+  return loaded;
 }
 
 }  // namespace amberknot::hot_restart
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -21,6 +21,8 @@
 
 using core::GracefulShutdown;
 using core::InstanceRecord;
+using hot_restart::StorageError;
+using hot_restart::StorageFault;
 using std::chrono::seconds;
 
 const std::string kA = "00000000000000a1";
@@ -39,11 +41,11 @@
   std::string path;
 };
 
-hot_restart::InstanceLock declare(const Folder& folder, const InstanceRecord& self) {
-  std::string error;
-  auto made = hot_restart::InstanceLock::declare(folder.path, self, error);
-  REQUIRE_MESSAGE(made, error);
-  return std::move(*made);
+hot_restart::InstanceLock acquire(const Folder& folder, const InstanceRecord& self) {
+  auto acquired = hot_restart::InstanceLock::acquire(folder.path, self);
+  if (const auto* error = std::get_if<hot_restart::StorageError>(&acquired)) FAIL(error->message);
+  REQUIRE(std::holds_alternative<hot_restart::InstanceLock>(acquired));
+  return std::get<hot_restart::InstanceLock>(std::move(acquired));
 }
 
 /// A second process beside the bench's router, at the same address, and the folder that the two share.
@@ -100,88 +102,94 @@
 
 TEST_CASE("a record is read back as written, and nothing is made of a bad one") {
   const InstanceRecord record{"n1", "127.0.0.1:5070", 1764633600000000};
-  const auto text = hot_restart::text_of(record);
-  CHECK(hot_restart::read_record(text) == record);
+  const auto text = hot_restart::serialize(record);
+  CHECK(hot_restart::parse_instance_record(text) == record);
   for (std::size_t cut = 0; cut + 2 < text.size(); ++cut)
-    CHECK_FALSE(hot_restart::read_record(text.substr(0, cut)));
+    CHECK_FALSE(hot_restart::parse_instance_record(text.substr(0, cut)));
   for (const char* bad : {R"({"version":2,"name":"n","listen":"l","started_unix_us":1})", "[1]", "null",
                           R"({"version":1,"name":7,"listen":"l","started_unix_us":1})",
                           R"({"version":1,"name":"n","started_unix_us":1})",
                           R"({"version":1,"name":"n","listen":"l","started_unix_us":"1"})"}) {
-    CHECK_FALSE(hot_restart::read_record(bad));
+    CHECK_FALSE(hot_restart::parse_instance_record(bad));
   }
 }
 
 TEST_CASE("the living are seen in the shared folder, the dead are cleared away, the unreadable are counted") {
   const Folder folder;
-  std::size_t unreadable = 0;
-  const auto first = declare(folder, {"n1", "127.0.0.1:5070", 1});
+  const auto first = acquire(folder, {"n1", "127.0.0.1:5070", 1});
   {
-    const auto second = declare(folder, {"n1", "127.0.0.1:5070", 2});
-    const auto others = first.others(unreadable);
-    REQUIRE(others.size() == 1);
-    CHECK(others.front() == second.self());
-    CHECK(core::is_replaced_by_any(first.self(), others));
-    CHECK_FALSE(core::is_replaced_by_any(second.self(), second.others(unreadable)));
+    const auto second = acquire(folder, {"n1", "127.0.0.1:5070", 2});
+    const auto others = first.others();
+    REQUIRE(others.records.size() == 1);
+    CHECK(others.records.front() == second.self());
+    CHECK(others.unreadable_files == 0);
+    CHECK(core::is_replaced_by_any(first.self(), others.records));
+    CHECK_FALSE(core::is_replaced_by_any(second.self(), second.others().records));
   }
-  CHECK(first.others(unreadable).empty());
+  CHECK(first.others().records.empty());
   // A file that its process left behind when it was killed: nobody holds its lock.
   std::ofstream(folder.path + "/amberknot-serving-dead00")
-      << hot_restart::text_of({"n1", "127.0.0.1:5070", 9});
-  CHECK(first.others(unreadable).empty());
+      << hot_restart::serialize({"n1", "127.0.0.1:5070", 9});
+  const auto after_crash = first.others();
+  CHECK(after_crash.records.empty());
   CHECK(folder.files() == 1);
-  CHECK(unreadable == 0);
+  CHECK(after_crash.unreadable_files == 0);
   const auto torn = folder.path + "/amberknot-serving-torn00";
   std::ofstream(torn) << R"({"version":1,"na)";
   const int held = ::open(torn.c_str(), O_RDONLY | O_CLOEXEC);
   REQUIRE(::flock(held, LOCK_EX) == 0);
-  CHECK(first.others(unreadable).empty());
-  CHECK(unreadable == 1);
+  const auto with_unreadable = first.others();
+  CHECK(with_unreadable.records.empty());
+  CHECK(with_unreadable.unreadable_files == 1);
   ::close(held);
-  std::string error;
-  CHECK_FALSE(hot_restart::InstanceLock::declare("", first.self(), error));
-  CHECK_FALSE(hot_restart::InstanceLock::declare(folder.path + "/none", first.self(), error));
-  CHECK(error.find("No such file") != std::string::npos);
+  const auto without_folder = hot_restart::InstanceLock::acquire("", first.self());
+  REQUIRE(std::holds_alternative<StorageError>(without_folder));
+  CHECK(std::get<StorageError>(without_folder).fault == StorageFault::kNoFolder);
+  const auto in_missing_folder = hot_restart::InstanceLock::acquire(folder.path + "/none", first.self());
+  REQUIRE(std::holds_alternative<StorageError>(in_missing_folder));
+  CHECK(std::get<StorageError>(in_missing_folder).fault == StorageFault::kWriteFailed);
+  CHECK(std::get<StorageError>(in_missing_folder).message.find("No such file") != std::string::npos);
 }
 
 TEST_CASE(
     "releases are left in the shared folder and taken once, in order; what is bad is removed and counted") {
   const Folder folder;
   const InstanceRecord self{"n1", "127.0.0.1:5070", 1};
-  std::string error;
-  std::size_t unreadable = 0;
-  CHECK(hot_restart::load_releases(folder.path, self, unreadable).empty());
+  CHECK(hot_restart::load_releases(folder.path, self).releases.empty());
   std::vector<core::UndeliveredRelease> all;
   for (int i = 0; i < 20; ++i) {
     std::vector<core::UndeliveredRelease> some = {{"127.0.0.1", kA, i}, {"10.1.2.3", kB, 16}};
     all.insert(all.end(), some.begin(), some.end());
-    REQUIRE(hot_restart::store_releases(folder.path, self, some, error));
+    REQUIRE_FALSE(hot_restart::store_releases(folder.path, self, some));
     CHECK(some.empty());
   }
   // The other process has another start: it is the same router.
-  CHECK(hot_restart::load_releases(folder.path, {"n1", "127.0.0.1:5070", 2}, unreadable) == all);
-  CHECK(unreadable == 0);
+  const auto loaded = hot_restart::load_releases(folder.path, {"n1", "127.0.0.1:5070", 2});
+  CHECK(loaded.releases == all);
+  CHECK(loaded.unreadable_files == 0);
   CHECK(folder.files() == 0);
   const auto had = all.size();
-  CHECK_FALSE(hot_restart::store_releases(folder.path + "/none", self, all, error));
+  const auto error = hot_restart::store_releases(folder.path + "/none", self, all);
+  REQUIRE(error);
+  CHECK(error->fault == StorageFault::kWriteFailed);
   CHECK(all.size() == had);
-  CHECK(error.find("No such file") != std::string::npos);
-  const auto good = hot_restart::text_of(self, {{"127.0.0.1", kA, 16}});
+  CHECK(error->message.find("No such file") != std::string::npos);
+  const auto good = hot_restart::serialize(self, {{"127.0.0.1", kA, 16}});
   const std::string bad[] = {
       "",
       good.substr(0, good.size() - 1),
-      hot_restart::text_of({"n2", "127.0.0.1:5070", 1}, {}),
-      hot_restart::text_of({"n1", "127.0.0.1:5071", 1}, {}),
+      hot_restart::serialize({"n2", "127.0.0.1:5070", 1}, {}),
+      hot_restart::serialize({"n1", "127.0.0.1:5071", 1}, {}),
       R"({"version":2,"name":"n1","listen":"127.0.0.1:5070","releases":[]})",
       R"({"version":1,"name":"n1","listen":"127.0.0.1:5070","releases":[7]})",
       R"({"version":1,"name":"n1","listen":"127.0.0.1:5070","releases":[{"caller":"a"}]})",
       std::string(2 * 1024 * 1024, ' ')};
   for (const auto& text : bad) {
-    CHECK_FALSE(hot_restart::read_releases(text, self));
+    CHECK_FALSE(hot_restart::parse_releases(text, self));
     std::ofstream(folder.path + "/amberknot-releases-x") << text;
-    unreadable = 0;
-    CHECK(hot_restart::load_releases(folder.path, self, unreadable).empty());
-    CHECK(unreadable == 1);
+    const auto none = hot_restart::load_releases(folder.path, self);
+    CHECK(none.releases.empty());
+    CHECK(none.unreadable_files == 1);
     CHECK(folder.files() == 0);
   }
 }
@@ -192,11 +200,10 @@
   std::vector<core::UndeliveredRelease> all;
   for (int i = 0; i < 20'000; ++i) all.push_back({"127.100.100.100", kA, i});
   auto left = all;
-  std::string error;
-  REQUIRE(hot_restart::store_releases(folder.path, self, left, error));
-  std::size_t unreadable = 0;
-  CHECK(hot_restart::load_releases(folder.path, self, unreadable) == all);
-  CHECK(unreadable == 0);
+  REQUIRE_FALSE(hot_restart::store_releases(folder.path, self, left));
+  const auto loaded = hot_restart::load_releases(folder.path, self);
+  CHECK(loaded.releases == all);
+  CHECK(loaded.unreadable_files == 0);
 }
 
 TEST_CASE(
@@ -303,9 +310,9 @@
     const InstanceRecord younger{"n0", net::text_of(config.listen), Loop::unix_us() + 1};
     std::optional<hot_restart::InstanceLock> next;
     if (before) {
-      std::ofstream(folder.path + "/amberknot-serving-dead00") << hot_restart::text_of(younger);
+      std::ofstream(folder.path + "/amberknot-serving-dead00") << hot_restart::serialize(younger);
     } else {
-      next.emplace(declare(folder, younger));
+      next.emplace(acquire(folder, younger));
     }
     bench.router->shut_down([] {});
     next.reset();
@@ -339,7 +346,7 @@
   plain.connect(bench.router->callers_at());
   const Folder folder;
   bench.router->declare(folder.path);
-  const auto next = declare(folder, {"n0", net::text_of(bench.router->callers_at()), Loop::unix_us() + 1});
+  const auto next = acquire(folder, {"n0", net::text_of(bench.router->callers_at()), Loop::unix_us() + 1});
   bench.router->shut_down([] {});
   const std::string probe = "{\"msg\":\"probe\",\"sid\":\"" + kA + "\",\"attrs\":{},\"code\":0}\n";
   asio::write(plain, asio::buffer(probe));
--- a/tests/wire_format_stored_files_test.cpp
+++ b/tests/wire_format_stored_files_test.cpp
@@ -50,34 +50,32 @@
 
 TEST_CASE("stored file bytes: the instance record") {
   const TemporaryFolder folder;
-  std::string error;
-  const auto presence = hot_restart::InstanceLock::declare(folder.path, kInstance, error);
-  REQUIRE(presence);
+  const auto lock = hot_restart::InstanceLock::acquire(folder.path, kInstance);
+  REQUIRE(std::holds_alternative<hot_restart::InstanceLock>(lock));
   CHECK(folder.file().filename().string().starts_with("amberknot-serving-"));
   CHECK(content_of(folder.file()) == kInstanceText);
 }
 
 TEST_CASE("stored file bytes: undelivered releases") {
   const TemporaryFolder folder;
-  std::string error;
   auto releases = two_releases();
-  REQUIRE(hot_restart::store_releases(folder.path, kInstance, releases, error));
+  REQUIRE_FALSE(hot_restart::store_releases(folder.path, kInstance, releases));
   CHECK(folder.file().filename().string().starts_with("amberknot-releases-"));
   CHECK(content_of(folder.file()) == kReleasesText);
 }
 
 TEST_CASE("stored file bytes: files of this form are read") {
-  CHECK(hot_restart::read_record(kInstanceText) == kInstance);
-  CHECK(hot_restart::read_releases(kReleasesText, kInstance) == two_releases());
+  CHECK(hot_restart::parse_instance_record(kInstanceText) == kInstance);
+  CHECK(hot_restart::parse_releases(kReleasesText, kInstance) == two_releases());
   const TemporaryFolder folder;
   std::ofstream(folder.path + "/amberknot-releases-1790000000123456-1", std::ios::binary) << kReleasesText;
-  std::size_t unreadable = 0;
-  CHECK(hot_restart::load_releases(folder.path, kInstance, unreadable) == two_releases());
-  CHECK(unreadable == 0);
+  const auto loaded = hot_restart::load_releases(folder.path, kInstance);
+  CHECK(loaded.releases == two_releases());
+  CHECK(loaded.unreadable_files == 0);
 }
 
 TEST_CASE("stored file bytes: no releases") {
-  CHECK(hot_restart::text_of(kInstance, {}) ==
+  CHECK(hot_restart::serialize(kInstance, {}) ==
         R"({"version":1,"name":"n\"0","listen":"127.0.0.1:5070","releases":[]})");
 }
 
