Log times, failed connects, the ids of aborted calls, and a trace of each call at debug level

Change: each line begins with the UTC time in milliseconds; connects that fail or time out are info lines (they were debug, so a server that vanished left no trace); a closed connection says how many set-ups and established calls it carried; an abort names the server and the first calls; at RELAY_LOG=debug each call is traced from set-up to release by its id, with attempt, outcome, reason or cause.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -57,6 +57,9 @@
         if (gossip_) gossip_->broadcast(bytes);
       },
       [](const std::string& text) { net::log::info(text); });
+  if (net::log::level() >= net::log::Level::kDebug) {
+    table_.set_event_sink([](const core::CallEvent& event) { net::log::debug(core::to_text(event)); });
+  }
   init_shared_parts(context_);
   for (const auto& kind : upstream_pool_kinds()) upstream_pools_.push_back(kind.make(context_));
   if (operator_file_.ldap) start_directory_refresh();
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -8,6 +8,8 @@
 
 // Calls are ended this long before their callers stop waiting, so that the final answer arrives in time.
 constexpr Duration kAnswerMargin = 2 * TimerWheel::kTick;
+// How many ids of aborted calls a log line names.
+constexpr std::size_t kMaxLoggedIds = 8;
 
 CallTable::CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
                      Clock clock)
@@ -38,6 +40,7 @@
   call.history = AttemptHistory(call.set_up.request.excluded_versions);
   set_timer(id, call, call.set_up.request.expires);
   ++counters_.received;
+  trace(call, {.kind = CallEventKind::kReceived});
   return id;
 }
 
@@ -49,6 +52,7 @@
   const auto* call = find(id);
   if (call == nullptr || call->state == CallState::kEstablished) return;
   ++counters_.abandoned;
+  trace(*call, {.kind = CallEventKind::kAbandoned});
   const bool is_in_flight = call->state == CallState::kInFlight;
   const auto attempt = latest_attempt(id, *call);
   const Duration elapsed = clock_() - call->sent_at;
@@ -76,6 +80,7 @@
   const auto attempt = latest_attempt(id, *call);
   const Duration elapsed = clock_() - call->sent_at;
   ++counters_.released;
+  trace(*call, {.kind = CallEventKind::kReleased, .cause = cause});
   forget(id);
   if (auto* upstream_pool = server_port(attempt.server)) upstream_pool->release(attempt, cause);
   execute(
@@ -112,6 +117,7 @@
   }
   ++counters_.established;
   ++counters_.of_class(call->set_up.request.call_class).fulfilled;
+  trace(*call, {.kind = CallEventKind::kEstablished});
   execute(dispatcher_.report_established(clock_(), attempt.call, attempt.server, attempt.attempt, elapsed));
   return true;
 }
@@ -119,6 +125,7 @@
 void CallTable::fail_established(const AttemptId& attempt, Call& call, Duration elapsed) {
   ++counters_.failed;
   ++counters_.of_class(call.set_up.request.call_class).faulted;
+  trace(call, {.kind = CallEventKind::kFailed, .reason = Reason::kFieldRejected});
   call.client->fail(attempt.call, Reason::kFieldRejected);
   forget(attempt.call);
   execute(
@@ -136,8 +143,7 @@
     const bool is_established_there = call.state == CallState::kEstablished && call.server == server;
     if (is_established_there && call.sent_at < cutoff) aborted.push_back(id);
   }
-  if (!aborted.empty())
-    log_("call table: aborted " + std::to_string(aborted.size()) + " established calls: " + why);
+  if (!aborted.empty()) log_aborted(aborted, server, why);
   for (const CallId id : aborted) {
     const auto* call = find(id);
     if (call == nullptr) continue;
@@ -146,6 +152,17 @@
   }
 }
 
+void CallTable::log_aborted(const std::vector<CallId>& aborted, ServerId server, const char* why) {
+  std::string text = "call table: aborted " + std::to_string(aborted.size()) + " established calls";
+  if (const auto* entry = servers_.find(server)) text += " at " + entry->name;
+  text += ": ";
+  text += why;
+  text += aborted.size() > kMaxLoggedIds ? "; the first ones:" : ";";
+  for (std::size_t i = 0; i < std::min(aborted.size(), kMaxLoggedIds); ++i)
+    text += " " + calls_.at(aborted[i]).set_up.id;
+  log_(text);
+}
+
 void CallTable::on_health_check_result(ServerId server, Outcome outcome, Duration elapsed,
                                        const LoadReport& load) {
   ++counters_.load_reports;
@@ -179,6 +196,7 @@
   for (const CallId id : established) {
     auto& call = calls_.at(id);
     const auto attempt = latest_attempt(id, call);
+    trace(call, {.kind = CallEventKind::kReleased, .cause = Cause::kTemporaryFailure});
     call.client->release(id, Cause::kTemporaryFailure);
     if (auto* upstream_pool = server_port(attempt.server))
       upstream_pool->release(attempt, Cause::kTemporaryFailure);
@@ -242,6 +260,7 @@
   ++call.attempts;
   ++counters_.attempts;
   ++counters_.of_class(call.set_up.request.call_class).relayed;
+  trace(call, {.kind = CallEventKind::kForwarded});
   auto* upstream_pool = server_port(decision.server);
   if (upstream_pool == nullptr) {
     end_attempt(decision.call, {.outcome = Outcome::kNotSent, .cause = Cause::kOutOfOrder});
@@ -278,6 +297,7 @@
     release_to_client(id, call, end);
   } else {
     counters_.count_attempt_end(report.outcome, call.set_up.request.call_class);
+    trace(call, {.kind = CallEventKind::kAttemptEnded, .outcome = report.outcome});
     change_state(call, CallState::kQueued);
   }
   execute(dispatcher_.report_attempt_ended(clock_(), id, attempt.server, attempt.attempt, report));
@@ -308,6 +328,7 @@
   change_state(call, CallState::kReleasing);
   ++counters_.released;
   if (end.outcome != Outcome::kOk) ++counters_.aborted;
+  trace(call, {.kind = CallEventKind::kReleased, .cause = end.cause});
   call.client->release(id, end.cause);
   forget(id);
 }
@@ -327,10 +348,12 @@
   if (answer.is_rejection()) {
     ++counters_.rejected;
     ++class_counts.throttled;
+    trace(call, {.kind = CallEventKind::kRejected, .reason = answer.reason});
     call.client->reject(id, answer.reason, answer.retry_after);
   } else {
     ++counters_.failed;
     ++class_counts.faulted;
+    trace(call, {.kind = CallEventKind::kFailed, .reason = answer.reason});
     call.client->fail(id, answer.reason);
   }
   forget(id);
@@ -395,6 +418,15 @@
 
 // ---- state changes and look-ups -------------------------------------------------------------------------
 
+void CallTable::trace(const Call& call, CallEvent event) const {
+  if (!events_) return;
+  event.call = call.set_up.id;
+  event.attempt = call.attempts;
+  const auto* server = call.attempts > 0 ? servers_.find(call.server) : nullptr;
+  if (server != nullptr) event.server = server->name;
+  events_(event);
+}
+
 void CallTable::change_state(Call& call, CallState next_state) {
   assert(is_transition(call.state, next_state));
   if (call.state == CallState::kEstablished) --established_;
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/call.hpp"
+#include "core/call_event.hpp"
 #include "core/counters.hpp"
 #include "core/decision_queue.hpp"
 #include "core/dispatcher.hpp"
@@ -29,12 +30,15 @@
   using Clock = std::function<Instant()>;
   using BroadcastSink = std::function<void(const std::vector<std::uint8_t>&)>;
   using LogSink = std::function<void(const std::string&)>;
+  using EventSink = std::function<void(const CallEvent&)>;
 
   CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
             Clock clock);
 
   /// Sets where the module's messages to its peers and its log lines go.
   void set_sinks(BroadcastSink broadcast, LogSink log);
+  /// Sets where the events of each call go; an empty sink, the default, gets none.
+  void set_event_sink(EventSink events) { events_ = std::move(events); }
 
   // Events from callers.
   /// Adds a call. The frontend stores its id before it calls route().
@@ -90,6 +94,8 @@
   void forward(const Decision& decision);
   void cancel(const Decision& decision);
 
+  void log_aborted(const std::vector<CallId>& aborted, ServerId server, const char* why);
+
   // Ends of attempts and calls.
   void end_attempt(CallId id, const AttemptEnd& end);
   [[nodiscard]] AttemptReport report_of_end(Call& call, const AttemptEnd& end) const;
@@ -117,6 +123,8 @@
   /// Arms the timer for the module's next tick.
   void arm_tick();
 
+  /// Passes an event of the call to the event sink, with the call's id and its latest attempt.
+  void trace(const Call& call, CallEvent event) const;
   /// Applies a transition of core/call.hpp.
   void change_state(Call& call, CallState next_state);
   [[nodiscard]] Call* find(CallId id);
@@ -135,6 +143,7 @@
   Clock clock_;
   BroadcastSink broadcast_;
   LogSink log_;
+  EventSink events_;
   DecisionQueue decisions_;
   std::unordered_map<CallId, Call> calls_;
   std::size_t established_ = 0;
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,8 +1,12 @@
-// Writes log lines with a level to standard error. A line that is not written costs one comparison.
+// Writes log lines with the time and a level to standard error. A line that is not written costs one
+// comparison.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <cstdio>
+#include <ctime>
 #include <iostream>
 #include <string_view>
 
@@ -25,12 +29,26 @@
   if (name == "debug") level() = Level::kDebug;
 }
 
-/// Writes a line that consists of the level and all parts, if its level is enabled.
+/// A time as text, in UTC with milliseconds: `2026-12-04T04:13:52.259Z`.
+inline std::array<char, 40> time_text(std::chrono::system_clock::time_point time) {
+  const auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch());
+  const std::time_t seconds = since_epoch.count() / 1000;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::array<char, 40> text{};
+  const auto size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+  std::snprintf(text.data() + size, text.size() - size, ".%03dZ",
+                static_cast<int>(since_epoch.count() % 1000));
+  return text;
+}
+
+/// Writes a line that consists of the time, the level and all parts, if its level is enabled.
 template <typename... Parts>
 void line(Level line_level, const Parts&... parts) {
   static constexpr const char* kNames[] = {"error ", "warn ", "info ", "debug "};
   if (line_level > level()) return;
-  std::clog << kNames[static_cast<int>(line_level)];
+  std::clog << time_text(std::chrono::system_clock::now()).data() << ' '
+            << kNames[static_cast<int>(line_level)];
   (std::clog << ... << parts) << std::endl;
 }
 
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -357,8 +357,8 @@
 void ConnectionPool::on_connect_timeout(Connection& connection) {
   auto& server = connection.server;
   const auto keep_alive = connection.shared_from_this();
-  net::log::debug("sip: connect timed out, still waiting for the connection: ",
-                  servers_.find(server.id)->name);
+  net::log::info(connect_log_limit_, "sip: connect timed out, still waiting for the connection: ",
+                 servers_.find(server.id)->name);
   connection.is_late = true;
   connection.unanswered_since.reset();  // nothing was sent on it
   move_unsent_set_ups(connection, true);
@@ -395,9 +395,11 @@
   const bool was_open = connection.connected_at != Instant{};
   if (was_open) {
     net::log::info(connection_log_limit_, "sip: connection closed: ", servers_.find(server.id)->name, ": ",
-                   close_reason_name(reason));
+                   close_reason_name(reason), "; ", connection.in_flight.size(), " set-ups in flight, ",
+                   connection.established, " calls established on it");
   } else {
-    net::log::debug("sip: connect failed: ", servers_.find(server.id)->name, ": ", close_reason_name(reason));
+    net::log::info(connect_log_limit_, "sip: connect failed: ", servers_.find(server.id)->name, ": ",
+                   close_reason_name(reason));
   }
   server.consecutive_refusals =
       reason == net::CloseReason::kConnectionRefused ? server.consecutive_refusals + 1 : 0;
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -140,7 +140,8 @@
   std::unordered_map<std::string, PendingHealthCheck> pending_health_checks_;
   std::uint64_t next_health_check_id_ = 1;
   std::size_t connection_count_ = 0;  ///< connecting, open and half-closed, to all servers
-  net::log::RateLimiter late_answer_log_limit_, malformed_log_limit_, connection_log_limit_;
+  net::log::RateLimiter late_answer_log_limit_, malformed_log_limit_, connection_log_limit_,
+      connect_log_limit_;
 };
 
 }  // namespace amberknot::sip
--- a/tests/core_state_test.cpp
+++ b/tests/core_state_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/call.hpp"
+#include "core/call_event.hpp"
 #include "core/decision_queue.hpp"
 #include "core/final_answer.hpp"
 
@@ -41,6 +42,32 @@
   }
 }
 
+TEST_CASE("the trace line of each event names the call and what decides about it") {
+  const struct {
+    CallEvent event;
+    const char* text;
+  } rows[] = {
+      {{.kind = CallEventKind::kReceived, .call = "a1"}, "call a1: received"},
+      {{.kind = CallEventKind::kForwarded, .call = "a1", .server = "s1", .attempt = 2},
+       "call a1: forwarded, server s1, attempt 2"},
+      {{.kind = CallEventKind::kAttemptEnded,
+        .call = "a1",
+        .server = "s1",
+        .attempt = 1,
+        .outcome = Outcome::kConnectFailed},
+       "call a1: attempt ended, server s1, attempt 1, outcome connect failed"},
+      {{.kind = CallEventKind::kRejected, .call = "a1", .reason = Reason::kTimeout},
+       "call a1: rejected, reason timeout"},
+      {{.kind = CallEventKind::kReleased,
+        .call = "a1",
+        .server = "s1",
+        .attempt = 1,
+        .cause = Cause::kNormal},
+       "call a1: released, server s1, attempt 1, cause 16"},
+  };
+  for (const auto& row : rows) CHECK(to_text(row.event) == row.text);
+}
+
 TEST_CASE("decisions made while another one is executed are appended, not nested") {
   std::vector<std::uint32_t> order;
   DecisionQueue* queue_in_handler = nullptr;
