Send the fleet rig's calls to every server: its link faults hit servers without calls

All servers were in pool 0 and all calls named pool 0, so the module sent everything to its first server; drawn faults of s1 and s2, two thirds of them, tested idle servers. The same in the simulation. Change: each server is a pool of its own, and callers and the simulation draw the destination.

--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -83,7 +83,7 @@
                "fleet: a router did not become ready in time");
     start_schedule();
     const Duration end = context_.now() + options_.schedule.length;
-    for (auto& router : routers_) router.callers->call_until(end - options_.caller_timeout);
+    for (auto& router : routers_) router.callers->call_until(end - options_.callers.timeout);
     wait_until([&] { return context_.now() >= end; }, Duration::max(), "");
     stop_all();
     FleetResult result;
@@ -137,7 +137,7 @@
       if (!is_snapshot && !covers(server_patterns, name)) continue;
       text += std::string(text.empty() ? "" : ",") + "{\"name\":\"" + name + "\",\"address\":\"" +
               net::to_text(router.to_servers[i]->listen_endpoint()) +
-              "\",\"zone\":\"z\",\"type\":\"std\",\"group\":0,\"status\":\"" + state +
+              "\",\"zone\":\"z\",\"type\":\"std\",\"group\":" + std::to_string(i) + ",\"status\":\"" + state +
               "\",\"weight\":1,\"since_ms\":0}";
     }
     return std::string("{\"index\":1,\"snapshot\":") + (is_snapshot ? "true" : "false") + ",\"endpoints\":[" +
@@ -157,13 +157,21 @@
     record(router.name, EventKind::kStarted);
     router.process = spawn(router);
     if (!router.callers) {
-      router.callers = std::make_unique<Callers>(loop_, context_, "c" + router.name.substr(1), router.name,
-                                                 router.port->address(), options_.calls_per_s,
-                                                 options_.caller_timeout, options_.schedule.seed);
+      router.callers =
+          std::make_unique<Callers>(loop_, context_, "c" + router.name.substr(1), router.name,
+                                    router.port->address(), caller_traits(), options_.schedule.seed);
     }
     router.callers->request_readiness();
   }
 
+  /// Without a destination of their own for every server, all calls would go to the first one while it has
+  /// room, and faults of the others would hit servers without calls.
+  [[nodiscard]] CallerTraits caller_traits() const {
+    auto traits = options_.callers;
+    traits.destinations = servers_.size();
+    return traits;
+  }
+
   /// Each process has its own log file.
   static std::string log_path(const Router& router) {
     return router.folder + "/log-" + std::to_string(router.start_count);
--- a/lab/fleet/runner.hpp
+++ b/lab/fleet/runner.hpp
@@ -14,8 +14,7 @@
   std::string program;  ///< path of the router's executable
   std::string folder;   ///< receives all files that the run writes
   std::size_t routers = 5, servers = 3;
-  double calls_per_s = 20;                                    ///< at each router
-  Duration caller_timeout = std::chrono::milliseconds{2000};  ///< how long a caller waits for an answer
+  CallerTraits callers;  ///< at each router; `destinations` is set to the number of servers
   ServerTraits traits;
   Schedule schedule;
   RuleLimits limits;
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -322,6 +322,9 @@
     }
   }
 
+  /// Each server is a pool of its own, so that calls go to all of them.
+  static PoolId pool_of(ServerId server) { return PoolId{static_cast<std::uint32_t>(server)}; }
+
   // ---- processes -----------------------------------------------------------------------------------------
   void start_instance(Node& node) {
     ++node.start_count;
@@ -334,7 +337,7 @@
           instance.servers.find_or_create(server.name);  // in order, so that the id of a server is its index
       listed.upstream_pool = &instance.ports;
       listed.state = server.state;
-      facts.push_back({listed.id, PoolId{0}, server.state, std::nullopt, core::kUnknownVersion});
+      facts.push_back({listed.id, pool_of(listed.id), server.state, std::nullopt, core::kUnknownVersion});
     }
     instance.table.on_endpoints_changed(true, facts);
     record(node.name, EventKind::kReady);
@@ -395,8 +398,8 @@
         run_in_router({node.index, node.start_count, {}, ""}, [i, state](RouterInstance& instance) {
           const ServerId id{static_cast<std::uint32_t>(i)};
           instance.servers.find(id)->state = state;
-          instance.table.on_endpoints_changed(false,
-                                              {{id, PoolId{0}, state, std::nullopt, core::kUnknownVersion}});
+          instance.table.on_endpoints_changed(
+              false, {{id, pool_of(id), state, std::nullopt, core::kUnknownVersion}});
         });
       }
     }
@@ -426,18 +429,20 @@
     record({now_, node.caller, EventKind::kSetUp, id, node.name, timeout_ms, ""});
     const Instant expires = instant() + options_.caller_timeout;
     node.pending[id] = CallId{};
-    run_in_router({node.index, node.start_count, {}, id}, [&node, id, expires](RouterInstance& instance) {
-      core::SetUpRequest set_up;
-      set_up.id = id;
-      set_up.call_class = "till";
-      set_up.number = id;
-      set_up.request.expires = expires;
-      set_up.request.preferred_pool = PoolId{0};
-      const CallId call = instance.table.add_call(instance.ports, std::move(set_up));
-      instance.ids[call] = id;
-      node.pending[id] = call;
-      instance.table.route(call);
-    });
+    const PoolId destination{static_cast<std::uint32_t>(node.random.below(servers_.size()))};
+    run_in_router({node.index, node.start_count, {}, id},
+                  [&node, id, expires, destination](RouterInstance& instance) {
+                    core::SetUpRequest set_up;
+                    set_up.id = id;
+                    set_up.call_class = "till";
+                    set_up.number = id;
+                    set_up.request.expires = expires;
+                    set_up.request.preferred_pool = destination;
+                    const CallId call = instance.table.add_call(instance.ports, std::move(set_up));
+                    instance.ids[call] = id;
+                    node.pending[id] = call;
+                    instance.table.route(call);
+                  });
     schedule_after(options_.caller_timeout, [this, &node, id, start_number = node.start_count] {
       const auto found = node.pending.find(id);
       if (found == node.pending.end() || node.start_count != start_number) return;
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -213,14 +213,13 @@
 // ---- callers --------------------------------------------------------------------------------------------
 
 Callers::Callers(net::Loop& loop, RunContext& context, std::string name, std::string router,
-                 asio::ip::tcp::endpoint to, double calls_per_s, Duration caller_timeout, std::uint64_t seed)
+                 asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed)
     : loop_(loop),
       context_(context),
       name_(std::move(name)),
       router_(std::move(router)),
       to_(std::move(to)),
-      calls_per_s_(calls_per_s),
-      caller_timeout_(caller_timeout),
+      traits_(traits),
       random_(seed, name_) {
   connect();
 }
@@ -262,19 +261,19 @@
 void Callers::call() {
   if (context_.now() >= end_) return;
   // Callers are independent of each other, so the gaps between calls are exponentially distributed.
-  const double gap = -std::log(1.0 - random_.uniform()) / calls_per_s_;
+  const double gap = -std::log(1.0 - random_.uniform()) / traits_.calls_per_s;
   next_call_timer_ = loop_.run_after(Duration{static_cast<std::int64_t>(gap * 1e6)}, [this] { call(); });
   if (!is_open_) return;
   const auto id = random_.call_id();
-  const auto timeout_ms = std::chrono::duration_cast<milliseconds>(caller_timeout_).count();
+  const auto timeout_ms = std::chrono::duration_cast<milliseconds>(traits_.timeout).count();
   record(EventKind::kSetUp, id, timeout_ms);
   auto& set_up = pending_[id];
-  set_up.timer = loop_.run_after(caller_timeout_, [this, id] { give_up(id); });
+  set_up.timer = loop_.run_after(traits_.timeout, [this, id] { give_up(id); });
   set_up.sent_at = context_.now();
   set_up.line = "{\"msg\":\"open\",\"sid\":\"" + id + "\",\"attrs\":{\"class\":\"till\",\"left\":\"" +
                 std::to_string(timeout_ms) + "\",\"tenant\":\"toko\",\"key\":\"" + id +
-                "\",\"extras\":\"dest:0;width:1;via:-1\"},\"text\":\"" + id +
-                "\\r\\nc=IN IP4 127.0.0.1\\r\\n\"}\n";
+                "\",\"extras\":\"dest:" + std::to_string(random_.below(traits_.destinations)) +
+                ";width:1;via:-1\"},\"text\":\"" + id + "\\r\\nc=IN IP4 127.0.0.1\\r\\n\"}\n";
   stream_->send(set_up.line);
 }
 
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -85,11 +85,18 @@
   std::uint64_t answer_count_ = 0;
 };
 
+/// How the callers of a router behave.
+struct CallerTraits {
+  double calls_per_s = 20;
+  Duration timeout = std::chrono::milliseconds{2000};  ///< how long a caller waits for an answer
+  std::size_t destinations = 1;  ///< calls are distributed evenly over pools 0 to `destinations` - 1
+};
+
 /// The callers of one router. They share one connection, which is opened again after it closes.
 class Callers : public net::TcpConnection::EventHandler {
  public:
   Callers(net::Loop& loop, RunContext& context, std::string name, std::string router,
-          asio::ip::tcp::endpoint to, double calls_per_s, Duration caller_timeout, std::uint64_t seed);
+          asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed);
   ~Callers() override;
   /// Makes calls until `end`, the first at once.
   void call_until(Duration end);
@@ -112,8 +119,8 @@
   RunContext& context_;
   std::string name_, router_;
   asio::ip::tcp::endpoint to_;
-  double calls_per_s_;
-  Duration caller_timeout_, end_{};
+  CallerTraits traits_;
+  Duration end_{};
   Random random_;
   std::shared_ptr<net::TcpConnection> stream_;
   bool is_open_ = false, is_ready_ = false, is_probing_ = false;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -51,7 +51,7 @@
   options.program = command_line.program.empty() ? default_router_path(program_path) : command_line.program;
   options.routers = command_line.nodes;
   options.servers = command_line.servers;
-  options.calls_per_s = command_line.calls_per_s;
+  options.callers.calls_per_s = command_line.calls_per_s;
   options.traits = make_server_traits(command_line);
   options.schedule = make_schedule(command_line);
   std::string folder_path = command_line.folder;
@@ -85,7 +85,7 @@
   options.program = command_line.program.empty() ? default_router_path(program_path) : command_line.program;
   options.routers = 1;
   options.servers = 2;
-  options.calls_per_s = command_line.calls_per_s;
+  options.callers.calls_per_s = command_line.calls_per_s;
   options.schedule = {
       command_line.seed, Duration{static_cast<std::int64_t>(command_line.seconds * 1e6)}, {}, {}};
   options.folder = (std::filesystem::temp_directory_path() / "amberknot-day-XXXXXX").string();
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -357,7 +357,7 @@
   const TemporaryFolder folder;
   auto options = options_of(folder.path);
   options.routers = 3;
-  options.calls_per_s = 80;
+  options.callers.calls_per_s = 80;
   // Some set-ups are in progress at nearly every time, so that a process that continues to accept calls never
   // ends. No answer is so late that the router considers a link stalled.
   options.traits.mean_answer_time = milliseconds{50};
@@ -383,7 +383,6 @@
   auto options = options_of(folder.path);
   options.routers = 1;
   options.servers = 1;
-  options.schedule.length = seconds{4};
   auto result = run_on_time(options);
   REQUIRE(result.verdict.has_passed());
   result.history.push_back({seconds{1}, "s0", EventKind::kDrained, "", "", 0, ""});
