Release the calls of a SIP server that falls silent before its callers' 8 s are over

Cause: an established call ended only by BYE, by refused connects or by the endpoint list; silence counted as nothing (sip/connection_pool.cpp: abort_calls_at only after kRefusalsUntilDown; on_connect_timeout ends no established call). Change: core::ServerLiveness (no I/O) judges a server by the time since anything came from it: probed after 3 s, lost after 7 s, the 8 s less 1 s for the release. A silent connection that carries calls is pinged (OPTIONS) and given up as stalled after 2.5 s, so that a lost release is repeated on the next one; without permission to probe, a connection is opened instead. Calls of a lost server are released to callers, and to the server when it can be reached: it may be only cut off. The rig learns `vanish` and `die` of servers, their load report on new connections, and the rule on their calls.

--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -22,7 +22,8 @@
   /// STANDING).
   Duration caller_left_grace_period = std::chrono::milliseconds{300};
   Duration release_timeout = std::chrono::seconds{1};
-  /// Replaces `release_timeout` if a link fault may have kept the release from being sent.
+  /// Replaces `release_timeout` if a link fault may have kept the release from being sent, or if the server
+  /// that had the call could not send one (the operators' page PROTOCOL).
   Duration late_release_timeout = std::chrono::seconds{8};
   /// A run in which the relay itself was later than this proves nothing.
   Duration max_relay_lateness = std::chrono::milliseconds{50};
--- a/lab/fleet/history.hpp
+++ b/lab/fleet/history.hpp
@@ -34,6 +34,10 @@
   kEnded,      ///< the router ended an established call
   kDrained,    ///< the endpoint list reported the server as draining
   kResumed,    ///< the endpoint list reported the server as ready again
+  kVanished,   ///< the server's machine fell silent with all its calls
+  kDied,       ///< the server's process died with all its calls
+  kReturned,   ///< the server serves again, without calls
+  kUnlisted,   ///< the endpoint list reported the server as gone
   // Observed of a process
   kStarted,
   kReady,
@@ -41,7 +45,8 @@
   kFrozen,
   kThawed,
   kStopping,
-  kExited,  ///< `number`: the exit status, or the negative number of the signal
+  kOverdue,  ///< killed because it had not ended by the earliest SIGKILL after its SIGTERM
+  kExited,   ///< `number`: the exit status, or the negative number of the signal
   // Observed by the relay
   kFaultOn,  ///< a fault began; `text`: its kind; `who` and `peer`: the link
   kFaultOff,
--- a/lab/fleet/relay.hpp
+++ b/lab/fleet/relay.hpp
@@ -37,6 +37,13 @@
 /// Datagrams held for one link at which the relay drops further ones.
 inline constexpr std::size_t kMaxHeldDatagrams = 1024;
 
+/// Whether the target of a link can be reached, apart from the faults of the link.
+enum class TargetState : std::uint8_t {
+  kUp,
+  kDead,    ///< its process has died: connections are reset, new ones refused
+  kSilent,  ///< its machine is gone: connections stay open without a byte, new ones never come up
+};
+
 /// One TCP link. Accepts connections at listen_endpoint() and forwards each to the target.
 class StreamRelay {
  public:
@@ -48,6 +55,9 @@
 
   /// Returns the address on which the relay listens.
   [[nodiscard]] asio::ip::tcp::endpoint listen_endpoint() const { return listen_endpoint_; }
+  /// Changes the state of the target. Connections from before the target was lost are reset when it is up
+  /// again, because the new process does not know them.
+  void set_target_state(TargetState state);
   /// Replaces the schedule. The faults of a fleet begin only when all of its routers are ready.
   void set_schedule(const Schedule& schedule, const std::string& from, const std::string& to);
 
@@ -55,6 +65,11 @@
   class RelayedConnection;
   void accept();
   void on_accepted(asio::ip::tcp::socket socket);
+  void close_all_connections();
+  /// Opens the listening socket again at the same address.
+  void listen();
+  /// Makes the kernel ignore connection requests: the accept queue is full, and nothing is accepted.
+  void fill_accept_queue();
   /// Closes the open connections that a fault affects now.
   void close_affected_connections();
   /// Sets a timer for the start of each fault that closes connections.
@@ -65,6 +80,9 @@
   asio::ip::tcp::endpoint target_;
   RelayCounts& counts_;
   std::uint64_t connection_count_ = 0;
+  TargetState target_state_ = TargetState::kUp;
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>>
+      queue_fillers_;  ///< connections that fill the accept queue
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::endpoint listen_endpoint_;
   std::list<std::shared_ptr<RelayedConnection>> relayed_connections_;
--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -53,6 +53,11 @@
   kStop,     ///< sends SIGTERM
   kReplace,  ///< starts a second process, and sends SIGTERM to the first once the second serves
   kDrain,    ///< reports a server as draining in the endpoint list, and as ready after `back_after`
+  /// A server's machine falls silent: its connections stay open, new ones never come up, its calls end. It
+  /// restarts after `back_after`.
+  kVanish,
+  kDie,  ///< a server's process dies: its connections are reset, new ones refused. Restarts after
+         ///< `back_after`
 };
 /// Returns the name of the kind in a schedule file.
 std::string_view name_of(NodeFaultKind kind);
@@ -63,6 +68,8 @@
   std::vector<std::string> nodes;
   Duration at{};
   std::optional<Duration> back_after;  ///< time until the node is restored; nullopt if it is not
+  /// Time until the endpoint list reports a lost server as gone; nullopt if it does not.
+  std::optional<Duration> listed_after = {};
 };
 
 /// The faults of a run.
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -73,6 +73,7 @@
           auto stream = std::make_shared<net::TcpConnection>(loop_, *this);
           connections_[stream.get()] = {stream, router};
           stream->start_accepted(std::move(socket));
+          stream->send(load_report());
           // Releases that the router has not confirmed are sent again on its next connection (the
           // operators' page PROTOCOL).
           std::erase_if(unconfirmed_releases_, [this](const Release& release) {
@@ -86,6 +87,24 @@
       });
 }
 
+std::string SipServer::load_report() const {
+  // More lines than any run uses: only the processor limits these servers.
+  constexpr std::size_t kLines = 10000;
+  return "NOTIFY sip:router@net SIP/2.0\r\nVia: SIP/2.0/TCP " + name_ + "\r\nCall-ID: " + name_ +
+         "\r\nCSeq: 1 NOTIFY\r\nX-Occupancy: idle:" + std::to_string(kLines - calls_.size()) +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+void SipServer::lose_calls() {
+  for (auto& [id, call] : calls_) {
+    loop_.timers.cancel(call.timer);
+    if (call.description.empty()) record(EventKind::kBroken, id, call.router);
+  }
+  calls_.clear();
+  unconfirmed_releases_.clear();
+  set_ups_in_progress_ = 0;
+}
+
 void SipServer::send_release(const Release& release, const std::shared_ptr<net::TcpConnection>& preferred) {
   auto found = connections_.find(preferred.get());
   if (found == connections_.end()) {
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -36,6 +36,9 @@
   /// Opens a listening address for one router, which identifies the router's connections, and returns it.
   asio::ip::tcp::endpoint listen_for(const std::string& router);
   [[nodiscard]] const std::string& name() const { return name_; }
+  /// Forgets all calls and releases without a message, as a process that has died. The caller of this
+  /// function closes the connections.
+  void lose_calls();
 
  private:
   struct Call {
@@ -57,6 +60,8 @@
     Duration since{};
   };
   void accept(asio::ip::tcp::acceptor& acceptor, const std::string& router);
+  /// The state of the group, which is the first message on each connection (the operators' page PROTOCOL).
+  [[nodiscard]] std::string load_report() const;
   /// Sends the release on `preferred` if it is open, otherwise on any other connection of the same router.
   void send_release(const Release& release, const std::shared_ptr<net::TcpConnection>& preferred);
   std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -44,7 +44,7 @@
 
 std::unique_ptr<core::UpstreamPool> make_sip_pool(RouterContext& context) {
   return std::make_unique<sip::ConnectionPool>(context.loop, context.table, context.servers, context.counters,
-                                               context.resource_limits, context.config.name,
+                                               context.resource_limits, context.settings, context.config.name,
                                                context.config.connect_timeout);
 }
 
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -137,7 +137,7 @@
   if (find(attempt) != nullptr) end_attempt(attempt.call, end);
 }
 
-void CallTable::abort_calls_sent_before(ServerId server, Instant cutoff, const char* why) {
+void CallTable::abort_calls(ServerId server, Instant cutoff, const char* why, LostServer state) {
   std::vector<CallId> aborted;
   for (const auto& [id, call] : calls_) {
     const bool is_established_there = call.state == CallState::kEstablished && call.server == server;
@@ -147,7 +147,12 @@
   for (const CallId id : aborted) {
     const auto* call = find(id);
     if (call == nullptr) continue;
-    if (auto* upstream_pool = server_port(server)) upstream_pool->forget_attempt(latest_attempt(id, *call));
+    const auto attempt = latest_attempt(id, *call);
+    auto* upstream_pool = server_port(server);
+    if (upstream_pool != nullptr && state == LostServer::kProcessEnded)
+      upstream_pool->forget_attempt(attempt);
+    if (upstream_pool != nullptr && state == LostServer::kUnreachable)
+      upstream_pool->release(attempt, Cause::kTemporaryFailure);
     end_attempt(id, {.outcome = Outcome::kReset, .cause = Cause::kTemporaryFailure});
   }
 }
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -69,7 +69,15 @@
   }
   /// Ends the established calls at a server that were forwarded before `cutoff`, because the process that had
   /// them has died; `why` is logged.
-  void abort_calls_sent_before(ServerId server, Instant cutoff, const char* why);
+  void abort_calls_sent_before(ServerId server, Instant cutoff, const char* why) {
+    abort_calls(server, cutoff, why, LostServer::kProcessEnded);
+  }
+  /// Ends all established calls at a server that has fallen silent. It may still have them, so they are
+  /// released there as well, as soon as it can be reached; `why` is logged.
+  void abort_calls_at_silent_server(ServerId server, const char* why) {
+    ++counters_.silent_servers;
+    abort_calls(server, Instant::max(), why, LostServer::kUnreachable);
+  }
 
   // Events from service discovery and peers.
   /// Handles new entries of the endpoint list; `is_full_list` says that servers missing from it are removed.
@@ -94,6 +102,9 @@
   void forward(const Decision& decision);
   void cancel(const Decision& decision);
 
+  /// What is known of the process that had the calls.
+  enum class LostServer { kProcessEnded, kUnreachable };
+  void abort_calls(ServerId server, Instant cutoff, const char* why, LostServer state);
   void log_aborted(const std::vector<CallId>& aborted, ServerId server, const char* why);
 
   // Ends of attempts and calls.
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -13,11 +13,11 @@
       << " reloads=" << reloads << " reloads_failed=" << reloads_failed << "; sent: sent=" << attempts
       << " cancels=" << cancels << " probes=" << health_checks << " taken_back=" << withdrawn_set_ups
       << " moved=" << moved_set_ups << " stuck_links=" << stalled_connections
-      << " late_links=" << late_connections << " spoilt_answers=" << malformed_answers
-      << " late_answers=" << late_answers << " second_answers=" << second_answers
-      << "; answered: stood=" << established << " refused=" << rejected << " failed=" << failed
-      << " released=" << released << " unheard=" << undelivered_answers << " cut=" << aborted
-      << "; attempts ended:";
+      << " silent_servers=" << silent_servers << " late_links=" << late_connections
+      << " spoilt_answers=" << malformed_answers << " late_answers=" << late_answers
+      << " second_answers=" << second_answers << "; answered: stood=" << established
+      << " refused=" << rejected << " failed=" << failed << " released=" << released
+      << " unheard=" << undelivered_answers << " cut=" << aborted << "; attempts ended:";
   static constexpr const char* kOutcomeNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                                   "reset", "cancelled", "moot"};
   for (std::size_t i = 0; i < kOutcomeCount; ++i) out << ' ' << kOutcomeNames[i] << '=' << attempt_ends[i];
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -71,6 +71,8 @@
   std::uint64_t moved_set_ups = 0;
   /// Connections to servers that were abandoned as stalled: still open, but unusable.
   std::uint64_t stalled_connections = 0;
+  /// Servers whose established calls were aborted because nothing was received from them for too long.
+  std::uint64_t silent_servers = 0;
   /// Connections to servers that were established after their connect timeout and kept.
   std::uint64_t late_connections = 0;
   /// Answers with a malformed description.
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -38,6 +38,11 @@
 // until then, other connections are preferred.
 constexpr Duration kStallSuspicionTimeout = seconds{3};
 constexpr Duration kCheckInterval = milliseconds{20};
+// A connection that carries established calls and was silent for core::ServerLiveness::kProbeDelay is pinged.
+// It is stalled if nothing is received for this long after that: releases sent on it would be lost. The time
+// is above the queueing delay of an overloaded server, and leaves some seconds to receive the releases on
+// another connection.
+constexpr Duration kPingTimeout = milliseconds{2500};
 // This many refused connects in a row, with no connection left, mean that no process listens at the address.
 constexpr int kRefusalsUntilDown = 2;
 // A second answer to an attempt arrives within milliseconds of the first; ended attempts are remembered this
@@ -104,6 +109,9 @@
   std::optional<Instant> half_closed_at;  ///< when the router stopped sending on it
   /// When it was noticed that later set-ups were answered on other connections.
   std::optional<Instant> stall_suspected_at;
+  Instant last_received_at{};
+  std::optional<Instant>
+      pinged_at;  ///< when an OPTIONS was sent because of silence; empty if it was answered
 
   [[nodiscard]] bool is_usable() const { return stream->is_open() && !partial_message_since; }
   /// Whether it may be stalled, so that other connections are preferred.
@@ -118,6 +126,8 @@
   ServerId id;
   std::string address;
   bool is_listed = false;
+  core::ServerLiveness liveness;
+  std::size_t established = 0;                           // established calls
   std::vector<std::shared_ptr<Connection>> connections;  // connecting or open
   HalfClosed half_closed;
   std::size_t next_connection = 0;
@@ -148,12 +158,13 @@
 
 ConnectionPool::ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
                                core::Counters& counters, const net::ResourceLimits& limits,
-                               std::string own_name, Duration connect_timeout)
+                               const Settings& settings, std::string own_name, Duration connect_timeout)
     : loop_(loop),
       table_(table),
       servers_(servers),
       counters_(counters),
       limits_(limits),
+      settings_(settings),
       own_name_(std::move(own_name)),
       connect_timeout_(connect_timeout) {
   schedule_check();
@@ -308,7 +319,7 @@
 
 void ConnectionPool::on_connection_open(Connection& connection) {
   auto& server = connection.server;
-  connection.connected_at = net::Loop::now();
+  connection.connected_at = connection.last_received_at = net::Loop::now();
   if (std::exchange(connection.is_late, false)) ++counters_.late_connections;
   server.consecutive_refusals = 0;
   server.releases_maybe_lost_since.reset();
@@ -416,7 +427,7 @@
   if (server.consecutive_refusals >= kRefusalsUntilDown && server.open_connections() == 0) {
     table_.abort_calls_at(server.id, "connection refused");
   }
-  const bool has_established = has_established_calls_at(server.id);
+  const bool has_established = server.established > 0;
   if (was_open && reason != net::CloseReason::kClosedByPeer && has_established)
     server.releases_maybe_lost_since = now;
   if (!has_established ||
@@ -466,7 +477,7 @@
   --connection_count_;
   // The server closed it too, so everything it sent on that connection has arrived. A reset, however, may
   // have destroyed messages in transit.
-  if (reason == net::CloseReason::kClosedByPeer || !has_established_calls_at(server.id)) return;
+  if (reason == net::CloseReason::kClosedByPeer || server.established == 0) return;
   server.releases_maybe_lost_since = net::Loop::now();
   loop_.timers.cancel(std::exchange(server.retry_timer, 0));
   server.backoff = kMinBackoff;
@@ -528,10 +539,19 @@
   half_close(*connection, net::CloseReason::kClosedByPeer);
 }
 
-bool ConnectionPool::has_established_calls_at(ServerId server) const {
-  return std::any_of(attempts_.begin(), attempts_.end(), [server](const auto& item) {
-    return item.first.first == server && item.second.established;
-  });
+std::string ConnectionPool::new_health_check_id() {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next_health_check_id_++));
+  return text;
+}
+
+void ConnectionPool::ping_silent_connection(Connection& connection, Instant now) {
+  const bool is_silent = now - connection.last_received_at >= core::ServerLiveness::kProbeDelay;
+  if (!is_silent || connection.established == 0 || connection.pinged_at || !connection.is_usable()) return;
+  connection.pinged_at = now;
+  ++counters_.health_checks;
+  // The id is not among the pending health checks: any bytes prove that the connection works.
+  connection.stream->send(options_head(new_health_check_id(), own_name_));
 }
 
 void ConnectionPool::end_attempts_on(Connection& connection, Outcome outcome) {
@@ -570,6 +590,7 @@
     return true;
   if (connection.partial_message_since)
     return now - *connection.partial_message_since > kPartialMessageTimeout;
+  if (connection.pinged_at && now - *connection.pinged_at > kPingTimeout) return true;
   if (!connection.stream->is_open() || !connection.stall_suspected_at) return false;
   if (now - *connection.stall_suspected_at > kStallSuspicionTimeout) return true;
   return !connection.in_flight.empty() && now - connection.server.last_answered_at > kStallConfirmationTime;
@@ -589,14 +610,21 @@
     const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Connection>> stalled;
     std::vector<Server*> to_reopen;
+    std::vector<Server*> lost;
     for (const auto& [id, server] : servers_by_id_) {
       close_expired_half_closed(*server, now);
       if (should_reopen(*server, now)) to_reopen.push_back(server.get());
+      const auto verdict = server->liveness.check(now, server->established > 0);
+      if (verdict == core::ServerLiveness::Verdict::kLost) lost.push_back(server.get());
+      // Every new connection begins with a load report, which shows that the server is alive.
+      if (verdict == core::ServerLiveness::Verdict::kProbe && !settings_.limits.may_check_health)
+        to_reopen.push_back(server.get());
       for (const auto& connection : server->connections) {
         update_stall_detection(*connection, now);
         if (connection->partially_written &&
             !connection->stream->is_unsent(connection->partially_written->first))
           connection->partially_written.reset();
+        if (settings_.limits.may_check_health) ping_silent_connection(*connection, now);
         if (is_stalled(*connection, now)) stalled.push_back(connection);
         while (!connection->pending_releases.empty() &&
                now - connection->pending_releases.front().sent_at > kReleaseConfirmationTimeout)
@@ -613,6 +641,7 @@
       half_close(*connection, net::CloseReason::kReset);
     }
     for (auto* server : to_reopen) open_connection_for_releases(*server);
+    for (auto* server : lost) table_.abort_calls_at_silent_server(server->id, "server silent");
     schedule_check();
   });
 }
@@ -697,12 +726,10 @@
 void ConnectionPool::check_health(ServerId id) {
   auto& server = find_or_create_server(id);
   const auto connection = pick_connection(server);
-  char id_text[17];
-  std::snprintf(id_text, sizeof id_text, "%016llx", static_cast<unsigned long long>(next_health_check_id_++));
+  const auto id_text = new_health_check_id();
   PendingHealthCheck health_check{id, connection, net::Loop::now(), 0};
-  health_check.timeout_timer = loop_.run_after(kHealthCheckTimeout, [this, key = std::string(id_text)] {
-    end_health_check(key, Outcome::kTimeout, {});
-  });
+  health_check.timeout_timer = loop_.run_after(
+      kHealthCheckTimeout, [this, key = id_text] { end_health_check(key, Outcome::kTimeout, {}); });
   pending_health_checks_.emplace(id_text, std::move(health_check));
   if (connection) connection->stream->send(options_head(id_text, own_name_));
 }
@@ -722,6 +749,10 @@
     std::erase_if(connection->in_flight, [&](const auto& ref) { return ref.call == at->second.ref.call; });
   }
   if (const auto connection = at->second.established_on.lock()) --connection->established;
+  if (at->second.established) {
+    if (const auto server = servers_by_id_.find(at->second.ref.server); server != servers_by_id_.end())
+      --server->second->established;
+  }
   keys_by_call_.erase(at->second.ref.call);
   attempts_.erase(at);
 }
@@ -743,6 +774,9 @@
   const auto keep_alive = connection.shared_from_this();
   connection.unanswered_since.reset();
   connection.stall_suspected_at.reset();
+  connection.pinged_at.reset();
+  connection.last_received_at = net::Loop::now();
+  connection.server.liveness.on_received(connection.last_received_at);
   std::size_t taken = 0;
   while (taken < bytes.size()) {
     const auto read = parse_sip_message({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessageBytes);
@@ -822,6 +856,7 @@
     if (is_current && is_valid) {
       const auto ref = found->second.ref;
       found->second.established = true;
+      ++server.established;
       if (const auto connection_of_call = std::exchange(found->second.connection, nullptr)) {
         ++connection_of_call->established;
         found->second.established_on = connection_of_call;
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -12,6 +12,7 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
+#include "core/server_liveness.hpp"
 #include "net/log.hpp"
 #include "net/stream.hpp"
 #include "sip/codec.hpp"
@@ -23,9 +24,10 @@
 class ConnectionPool : public core::UpstreamPool {
  public:
   /// `own_name` goes into the Via header; a connection not open after `connect_timeout` takes no set-ups.
+  /// `settings` say whether servers may be sent health checks.
   ConnectionPool(net::Loop& loop, core::CallTable& table, core::EndpointRegistry& servers,
-                 core::Counters& counters, const net::ResourceLimits& limits, std::string own_name,
-                 Duration connect_timeout);
+                 core::Counters& counters, const net::ResourceLimits& limits, const Settings& settings,
+                 std::string own_name, Duration connect_timeout);
   ~ConnectionPool() override;
 
   void on_endpoint_changed(const core::Endpoint& server) override;
@@ -101,6 +103,9 @@
   /// Whether a half-closed connection with established calls has been left open by the server for a long
   /// time.
   static bool should_reopen(const Server& server, Instant now);
+  /// Sends an OPTIONS on a connection that has been silent for long while calls established on it are active.
+  void ping_silent_connection(Connection& connection, Instant now);
+  [[nodiscard]] std::string new_health_check_id();
   /// Opens another connection, on which the server repeats its unconfirmed releases.
   void open_connection_for_releases(Server& server);
   std::size_t on_connection_bytes(Connection& connection, std::span<char> bytes);
@@ -108,7 +113,6 @@
   void on_invite_answer(Connection& connection, const SipParseResult& read);
   void on_bye(Connection& connection, const SipHead& head);
   void send_release(Server& server, std::string id, std::string release);
-  [[nodiscard]] bool has_established_calls_at(ServerId server) const;
   void end_attempts_on(Connection& connection, Outcome outcome);
   void end_health_check(const std::string& id, Outcome outcome, const LoadReport& load);
   void schedule_check();
@@ -125,6 +129,7 @@
   core::EndpointRegistry& servers_;
   core::Counters& counters_;
   net::ResourceLimits limits_;
+  const Settings& settings_;
   std::string own_name_;
   Duration connect_timeout_;
   std::map<ServerId, std::unique_ptr<Server>> servers_by_id_;
--- a/tests/core_state_test.cpp
+++ b/tests/core_state_test.cpp
@@ -9,6 +9,7 @@
 #include "core/call_event.hpp"
 #include "core/decision_queue.hpp"
 #include "core/final_answer.hpp"
+#include "core/server_liveness.hpp"
 
 namespace amberknot::core {
 namespace {
@@ -42,6 +43,26 @@
   }
 }
 
+// A server that vanishes sends nothing that could end its calls.
+TEST_CASE("a silent server with established calls is probed, and lost in time for the releases") {
+  using Verdict = ServerLiveness::Verdict;
+  ServerLiveness server;
+  const Instant heard{std::chrono::seconds{100}};
+  const auto at = [&](int ms) { return server.check(heard + milliseconds{ms}, true); };
+  server.on_received(heard);
+  server.on_received(heard - milliseconds{50});  // an older report of another connection changes nothing
+  CHECK(at(2999) == Verdict::kAlive);
+  CHECK(server.check(heard + milliseconds{60'000}, false) == Verdict::kAlive);
+  CHECK(at(3000) == Verdict::kProbe);
+  CHECK(at(3020) == Verdict::kAlive);
+  CHECK(at(4000) == Verdict::kProbe);
+  CHECK(at(6999) == Verdict::kProbe);
+  CHECK(at(7000) == Verdict::kLost);
+  CHECK(at(7020) == Verdict::kLost);
+  server.on_received(heard + milliseconds{7030});
+  CHECK(at(7040) == Verdict::kAlive);
+}
+
 TEST_CASE("the trace line of each event names the call and what decides about it") {
   const struct {
     CallEvent event;
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -351,6 +351,32 @@
   CHECK(answers_after_restart > 50);
 }
 
+// A server that vanishes sends no release, and the endpoint list reports it later than the callers must know.
+TEST_CASE("the calls of a server that falls silent are released before the endpoint list reports it") {
+  const TemporaryFolder folder;
+  auto options = options_of(folder.path);
+  options.routers = 4;
+  options.callers.calls_per_s = 10;
+  options.traits.mean_call_time = seconds{6};
+  options.schedule.length = seconds{17};
+  SUBCASE("vanished") {
+    options.schedule.nodes.push_back({.kind = NodeFaultKind::kVanish,
+                                      .nodes = {"s1"},
+                                      .at = seconds{4},
+                                      .back_after = milliseconds{12500},
+                                      .listed_after = seconds{12}});
+  }
+  SUBCASE("cut off: its connections hang and new ones come up without a byte") {
+    options.schedule.links.push_back(
+        {LinkFaultKind::kPartition, {"n*"}, {"s1"}, true, seconds{4}, seconds{16}, 1, {}, {}});
+  }
+  const auto result = run_on_time(options);
+  CHECK_MESSAGE(result.verdict.has_passed(), format_verdict(result.verdict));
+  CHECK(std::count_if(result.history.begin(), result.history.end(), [](const Event& event) {
+          return event.kind == EventKind::kReleased && event.number == 41;
+        }) > 20);
+}
+
 // Requests that callers wrote to the old process while it ended were lost when the process did not hand its
 // callers over to the new one.
 TEST_CASE("three router processes are each replaced twice under load, and no request is lost") {
