Release the calls of a Diameter server that falls silent within 8 s, not after its watchdog

The watchdog (Tw 30 s by default, noticed after two) closes the connection and ends no established session, and the next connect may wait 30 s, so a restarted peer was met late. Change: core::ServerLiveness judges Diameter servers too: a watchdog request, or a connect if there is no connection, after 3 s of silence and each second from then on; after 7 s the calls are released to callers and terminated at the peer. Why it works: the limit counts from the last message, which the server sent while it lived.

--- a/src/diameter/connection_pool.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -15,8 +15,9 @@
 constexpr Duration kMinReconnectDelay = milliseconds{100};
 constexpr Duration kMaxReconnectDelay = std::chrono::seconds{30};  // Tc of RFC 6733
 constexpr std::size_t kMaxPendingTerminations = 4096;              // for each server; later ones are dropped
-constexpr std::uint32_t kTerminationCauseLogout = 1;               // DIAMETER_LOGOUT
-constexpr std::uint32_t kSubscriptionIdTypePrivate = 4;            // END_USER_PRIVATE
+constexpr Duration kSilenceCheckInterval = milliseconds{100};
+constexpr std::uint32_t kTerminationCauseLogout = 1;     // DIAMETER_LOGOUT
+constexpr std::uint32_t kSubscriptionIdTypePrivate = 4;  // END_USER_PRIVATE
 
 }  // namespace
 
@@ -74,6 +75,7 @@
   bool is_wanted = false;  ///< listed, so a connection is kept
   bool is_ready = false;   ///< listed as ready for new calls
   std::shared_ptr<Peer> peer;
+  core::ServerLiveness liveness;
   Duration reconnect_delay = kMinReconnectDelay;
   core::TimerWheel::Handle reconnect_timer = 0;
   bool is_health_check_pending = false;  ///< a health check waits for a DWA
@@ -112,9 +114,12 @@
       counters_(counters),
       identity_(identity),
       connect_timeout_(connect_timeout),
-      on_change_(std::move(on_change)) {}
+      on_change_(std::move(on_change)) {
+  schedule_silence_check();
+}
 
 ConnectionPool::~ConnectionPool() {
+  loop_.timers.cancel(silence_timer_);
   for (auto& [id, server] : servers_by_id_) {
     if (server->peer) server->peer->close();
   }
@@ -165,6 +170,44 @@
   }
 }
 
+void ConnectionPool::schedule_silence_check() {
+  silence_timer_ = loop_.run_after(kSilenceCheckInterval, [this] {
+    check_silent_servers();
+    schedule_silence_check();
+  });
+}
+
+void ConnectionPool::check_silent_servers() {
+  const Instant now = net::Loop::now();
+  std::vector<ServerId> lost;
+  for (const auto& [id, server] : servers_by_id_) {
+    if (server->peer) server->liveness.on_received(server->peer->last_received_at());
+    const bool has_established = std::any_of(server->attempts.begin(), server->attempts.end(),
+                                             [](const auto& item) { return item.second.is_established; });
+    switch (server->liveness.check(now, has_established)) {
+      case core::ServerLiveness::Verdict::kAlive:
+        break;
+      case core::ServerLiveness::Verdict::kProbe:
+        probe(*server);
+        break;
+      case core::ServerLiveness::Verdict::kLost:
+        lost.push_back(id);
+        break;
+    }
+  }
+  for (const auto id : lost) table_.abort_calls_at_silent_server(id, "server silent");
+}
+
+// The reconnect delay may be longer than the silence after which the sessions are given up.
+void ConnectionPool::probe(Server& server) {
+  if (server.peer) {
+    server.peer->send_watchdog();
+    return;
+  }
+  loop_.timers.cancel(std::exchange(server.reconnect_timer, 0));
+  connect(server);
+}
+
 void ConnectionPool::connect(Server& server) {
   const auto address = net::parse_endpoint(server.address);
   if (!server.is_wanted || server.peer) return;
--- a/src/diameter/connection_pool.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -12,6 +12,7 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
+#include "core/server_liveness.hpp"
 #include "diameter/peer.hpp"
 
 namespace amberknot::diameter {
@@ -62,6 +63,11 @@
   void end_unanswered(Server& server, Outcome outcome);
   void on_answer(Server& server, const Message& message);
   void on_abort(Server& server, const Message& message);
+  /// Probes servers that are silent while sessions are established there, and gives up those sessions when
+  /// the silence lasts.
+  void check_silent_servers();
+  void probe(Server& server);
+  void schedule_silence_check();
   /// Returns the tag with which an attempt's request is queued, so that it can be withdrawn.
   static net::TcpConnection::Tag tag(const core::AttemptId& attempt) {
     return (static_cast<net::TcpConnection::Tag>(attempt.call) << 8U) + attempt.attempt + 1;
@@ -75,6 +81,7 @@
   Duration connect_timeout_;
   OnChange on_change_;
   std::map<ServerId, std::unique_ptr<Server>> servers_by_id_;
+  core::TimerWheel::Handle silence_timer_ = 0;
 };
 
 }  // namespace amberknot::diameter
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -83,6 +83,8 @@
   /// Origin-Realm of the peer, empty before the capabilities exchange.
   [[nodiscard]] const std::string& realm() const { return realm_; }
   [[nodiscard]] net::TcpConnection& stream() { return *stream_; }
+  /// When the last message was received; zero before the first one.
+  [[nodiscard]] Instant last_received_at() const { return last_received_at_; }
 
  private:
   void on_open(net::TcpConnection& stream) override;
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -428,6 +428,22 @@
   CHECK(fixture.router->counters().aborted == 1);
 }
 
+// The watchdog interval of RFC 3539 is longer than the time in which callers must learn of the end.
+TEST_CASE("Diameter: the calls of a server that falls silent are released to their callers within 8 s") {
+  DiameterFixture fixture(operator_file(true, false));
+  fixture.establish_call(kCallA);
+  fixture.peer().answers_watchdogs = false;
+  const Instant silent_since = Loop::now();
+  const auto previous_requests = fixture.peer().watchdog_requests;
+  fixture.run_until([&] { return fixture.peer().watchdog_requests > previous_requests; });
+  CHECK_FALSE(fixture.caller->has_received("\"close\",\"sid\":\"" + kCallA));
+  fixture.run_until([&] {
+    return fixture.caller->has_received("\"close\",\"sid\":\"" + kCallA + "\",\"attrs\":{},\"code\":41}");
+  });
+  CHECK(Loop::now() - silent_since < std::chrono::seconds{8});
+  fixture.run_until([&] { return fixture.peer().termination_requests().size() == 1; });
+}
+
 TEST_CASE("Diameter: a server that disconnects or drains gets no new calls") {
   DiameterFixture fixture(operator_file(true, false));
   fixture.establish_call(kCallA);
