Release the sessions of a session API server that falls silent within 8 s

Change: core::ServerLiveness judges these servers by the last bytes of any connection; PINGs are its probes. Established sessions are counted per server.

--- a/lab/http2_server.cpp
+++ b/lab/http2_server.cpp
@@ -130,7 +130,7 @@
 }
 
 void Http2Server::Peer::flush_output() {
-  if (closed) return;
+  if (closed || server_.is_hung) return;
   std::string bytes;
   for (;;) {
     const std::uint8_t* data = nullptr;
--- a/lab/http2_server.hpp
+++ b/lab/http2_server.hpp
@@ -101,6 +101,7 @@
   /// Listens again at the same address, as a new process would.
   void restart();
 
+  bool is_hung = false;                      ///< sends nothing any more, not on new connections either
   std::vector<std::unique_ptr<Peer>> peers;  ///< in the order of acceptance; closed ones stay
   Options options;
 
--- a/src/http2/connection.cpp
+++ b/src/http2/connection.cpp
@@ -143,6 +143,7 @@
 
 std::size_t Connection::on_bytes(net::TcpConnection& tcp, std::span<char> bytes) {
   const auto self = shared_from_this();
+  last_received_at_ = net::Loop::now();
   const auto consumed = nghttp2_session_mem_recv(
       session_.get(), reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (consumed < 0) {
--- a/src/http2/connection.hpp
+++ b/src/http2/connection.hpp
@@ -109,6 +109,9 @@
   [[nodiscard]] bool is_closed() const { return tcp_->is_closed(); }
   [[nodiscard]] bool is_going_away() const { return going_away_; }
   [[nodiscard]] bool is_healthy() const { return healthy_; }
+  /// When bytes were last received; zero before the first ones. PINGs are sent all the time, so a live server
+  /// is never silent for long.
+  [[nodiscard]] Instant last_received_at() const { return last_received_at_; }
   [[nodiscard]] std::size_t outstanding_requests() const { return exchanges_by_key_.size(); }
   /// Whether output waits to be written to the socket.
   [[nodiscard]] bool is_blocked() const { return tcp_->queued_bytes() > 0; }
@@ -177,6 +180,7 @@
   bool healthy_ = true;
   bool ping_outstanding_ = false;
   Instant ping_sent_at_{};
+  Instant last_received_at_{};
   Instant connect_started_at_{};
   core::TimerWheel::Handle timer_ = 0;
 };
--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -36,6 +36,7 @@
 constexpr Duration kBlockedDrainTimeout = milliseconds{400};
 // After events were lost, the sessions of the server are checked one by one, 50 a second.
 constexpr Duration kSessionCheckInterval = milliseconds{20};
+constexpr Duration kSilenceCheckInterval = milliseconds{100};
 constexpr Duration kEventStreamRetryInterval = milliseconds{100};
 
 core::AttemptEnd make_end(Outcome outcome, core::Cause cause = core::Cause::kTemporaryFailure) {
@@ -96,6 +97,8 @@
   std::vector<std::shared_ptr<PooledConnection>> connections;
   std::deque<CallId> waiting_set_ups;  // calls whose set-up has not been sent, oldest first
   std::map<std::string, PendingRelease> pending_releases;
+  core::ServerLiveness liveness;
+  std::size_t established = 0;   // established sessions
   Instant sending_resumes_at{};  // no set-ups or releases before this, after ENHANCE_YOUR_CALM
   core::TimerWheel::Handle reconnect_timer = 0;
   core::TimerWheel::Handle pause_timer = 0;
@@ -150,9 +153,12 @@
           ranks.push_back(dialect.name.rfind("session-", 0) == 0 ? dialect.version : 0);
         }
         return ranks;
-      }()) {}
+      }()) {
+  schedule_silence_check();
+}
 
 ConnectionPool::~ConnectionPool() {
+  loop_.timers.cancel(silence_timer_);
   loop_.timers.cancel(version_timer_);
   for (auto& [id, server] : servers_by_id_) {
     cancel_timers(*server);
@@ -333,6 +339,27 @@
   }
 }
 
+void ConnectionPool::schedule_silence_check() {
+  silence_timer_ = loop_.run_after(kSilenceCheckInterval, [this] {
+    check_silent_servers();
+    schedule_silence_check();
+  });
+}
+
+// No probe is needed: connections send PINGs, and a lost connection is opened again after at most
+// kMaxReconnectBackoff.
+void ConnectionPool::check_silent_servers() {
+  const Instant now = net::Loop::now();
+  std::vector<ServerId> lost;
+  for (const auto& [id, server] : servers_by_id_) {
+    for (const auto& pooled : server->connections)
+      server->liveness.on_received(pooled->connection->last_received_at());
+    const auto verdict = server->liveness.check(now, server->established > 0);
+    if (verdict == core::ServerLiveness::Verdict::kLost) lost.push_back(id);
+  }
+  for (const auto id : lost) call_table_.abort_calls_at_silent_server(id, "server silent");
+}
+
 void ConnectionPool::connect(Server& server) {
   const auto remote = net::parse_endpoint(server.address);
   if (!remote) {
@@ -583,6 +610,10 @@
   const auto session = calls_by_session_.find({found->second.ref.server, found->second.id});
   if (session != calls_by_session_.end() && session->second == call) calls_by_session_.erase(session);
   versions_.unpin(call);
+  if (found->second.established) {
+    if (const auto server = servers_by_id_.find(found->second.ref.server); server != servers_by_id_.end())
+      --server->second->established;
+  }
   attempts_.erase(found);
 }
 
@@ -717,6 +748,7 @@
   const auto& client_fields = translator_.client_dialect(attempt.client_dialect).of(MessageKind::kAnswer);
   const std::string description(translated_.text(translate::index_of(client_fields, Meaning::kDescription)));
   attempt.established = true;
+  ++server.established;
   attempt.pooled = nullptr;
   attempt.request_key = 0;
   const auto early_end = attempt.early_end;
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -15,6 +15,7 @@
 
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
+#include "core/server_liveness.hpp"
 #include "http2/body.hpp"
 #include "http2/connection.hpp"
 #include "net/log.hpp"
@@ -121,6 +122,9 @@
   void end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end);
   void apply_version_actions(translate::Versions::Actions actions);
   void schedule_version_tick();
+  /// Gives up the sessions of servers from which nothing has been received for too long.
+  void check_silent_servers();
+  void schedule_silence_check();
   void remove_attempt(CallId call);
   Attempt* find_attempt(const core::AttemptId& ref);
 
@@ -145,6 +149,7 @@
   std::uint64_t next_connection_number_ = 1;
   std::size_t connection_count_ = 0;
   core::TimerWheel::Handle version_timer_ = 0;
+  core::TimerWheel::Handle silence_timer_ = 0;
   net::log::RateLimiter invalid_message_log_, connection_log_;
 };
 
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -189,6 +189,24 @@
   CHECK(fixture.router->table().established() == 0);
 }
 
+// A server that hangs sends no event that could end its sessions, and its connections come up as before.
+TEST_CASE("the sessions of a server that falls silent are released to their callers within 8 s") {
+  SessionApiFixture fixture;
+  SessionServer server(fixture.loop);
+  fixture.list_and_wait(server, "h1");
+  fixture.establish(server, kSessionA);
+  server.http2.is_hung = true;
+  const Instant silent_since = net::Loop::now();
+  fixture.run_until([&] { return net::Loop::now() - silent_since >= seconds{4}; });
+  CHECK_FALSE(fixture.caller_received(kSessionA, "close"));
+  fixture.run_until([&] { return fixture.caller_received(kSessionA, "close"); });
+  CHECK(net::Loop::now() - silent_since < seconds{8});
+  // The server may still have the session.
+  server.http2.is_hung = false;
+  fixture.run_until([&] { return !server.deleted_paths.empty(); });
+  CHECK(server.deleted_paths.front() == "/sessions/" + kSessionA + "?cause=41");
+}
+
 TEST_CASE("a server without /versions gets version 1, without the fields that version 1 does not have") {
   SessionApiFixture fixture;
   SessionServer server(fixture.loop, "");
