--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -18,6 +18,10 @@
   Duration drain_grace_period = std::chrono::milliseconds{500};
   Duration min_retry_delay = std::chrono::milliseconds{500};
   std::size_t max_attempts = 4;
+  Duration class_deadline = std::chrono::seconds{3};
+  /// How long an event of the command channel may be unknown to a router after the channel failed (the
+  /// operators' rules of dense trials).
+  Duration max_notice_delay_after_failure = std::chrono::seconds{6};
   /// How long a router may still send set-ups for a caller that has left (the operators' page
   /// STANDING).
   Duration caller_left_grace_period = std::chrono::milliseconds{300};
@@ -29,6 +33,9 @@
   Duration max_relay_lateness = std::chrono::milliseconds{50};
 };
 
+/// Returns how long after SIGTERM the platform sends SIGKILL at the earliest (the operators' page PROTOCOL).
+Duration earliest_kill_delay(const RuleLimits& limits);
+
 /// One breach of a rule.
 struct Violation {
   std::string description;
--- a/lab/fleet/history.cpp
+++ b/lab/fleet/history.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(EventKind::kCount)> kEventNames = {
-    "set-up",   "answer",   "refused",   "failed",   "gave-up",  "lost",      "released", "invite",
-    "answered", "denied",   "cancelled", "broken",   "hung-up",  "ended",     "drained",  "resumed",
-    "vanished", "died",     "returned",  "unlisted", "started",  "ready",     "killed",   "frozen",
-    "thawed",   "stopping", "overdue",   "exited",   "fault-on", "fault-off", "late"};
+    "set-up",  "answer",   "refused",  "failed",    "gave-up",  "lost",     "released",  "left",
+    "invite",  "answered", "denied",   "cancelled", "broken",   "hung-up",  "ended",     "drained",
+    "resumed", "vanished", "died",     "returned",  "unlisted", "started",  "ready",     "killed",
+    "frozen",  "thawed",   "stopping", "overdue",   "exited",   "fault-on", "fault-off", "late"};
 
 }  // namespace
 
--- a/lab/fleet/history.hpp
+++ b/lab/fleet/history.hpp
@@ -22,6 +22,7 @@
   kGaveUp,    ///< the caller has stopped waiting
   kLost,      ///< the connection closed before the answer
   kReleased,  ///< the router reported the end of an established call
+  kLeft,      ///< the caller ended the established call
   // Observed by a session server
   /// A complete attempt arrived from router `peer`; `number`: the attempt's number within its call,
   /// from 1, or 0 if unknown.
--- a/lab/fleet/relay.cpp
+++ b/lab/fleet/relay.cpp
@@ -114,6 +114,7 @@
     bool is_writing = false;
     bool is_reading_suspended = false;
     bool is_finished = false;
+    bool has_lost_bytes = false;
     std::array<char, 16 * 1024> buffer;
   };
 
@@ -133,7 +134,11 @@
   void on_read(Side& side, std::size_t size, bool is_finished) {
     auto& counts = relay_->counts_;
     const Duration now = relay_->context_.now();
-    const auto action = side.faults.stream_action(now, number_);
+    auto action = side.faults.stream_action(now, number_);
+    // TCP cannot lose bytes and deliver later ones: once some were lost, this direction stays dead.
+    if (side.has_lost_bytes && action.kind != StreamAction::Kind::kReset &&
+        action.kind != StreamAction::Kind::kFinish)
+      action.kind = StreamAction::Kind::kDiscard;
     ++counts.chunks;
     counts.bytes += size;
     Duration due = now + action.delay;
@@ -145,6 +150,7 @@
         return;
       case StreamAction::Kind::kDiscard:
         ++counts.chunks_discarded;
+        side.has_lost_bytes = true;
         // The end of the connection is discarded as well, so that the other side keeps it open.
         if (!is_finished) read(side);
         return;
--- a/lab/fleet/runner.hpp
+++ b/lab/fleet/runner.hpp
@@ -14,7 +14,8 @@
   std::string program;  ///< path of the router's executable
   std::string folder;   ///< receives all files that the run writes
   std::size_t routers = 5, servers = 3;
-  CallerTraits callers;  ///< at each router; `destinations` is set to the number of servers
+  CallerTraits callers;         ///< at each router; `destinations` is set to the number of servers
+  std::size_t connections = 1;  ///< connections of callers to each router, which share the calls
   ServerTraits traits;
   Schedule schedule;
   RuleLimits limits;
@@ -33,6 +34,11 @@
 /// ready, or a port or folder cannot be used.
 FleetResult run_fleet(const FleetOptions& options);
 
+/// Returns the options of a dense trial, without `program` and `folder`: 3 to 5 routers, 3 or 4 servers,
+/// callers of all kinds, and deadlines of 3 s or, for odd seeds, so short that SIGKILL follows SIGTERM
+/// after 1.1 s.
+FleetOptions soak_options(std::uint64_t seed, Duration length);
+
 /// Returns the line of JSON with which a run ends. `more` holds further members as JSON, without braces.
 std::string summary_line(std::uint64_t seed, std::size_t nodes, const History& history,
                          const Verdict& verdict, const std::string& more);
--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -56,8 +56,12 @@
   /// A server's machine falls silent: its connections stay open, new ones never come up, its calls end. It
   /// restarts after `back_after`.
   kVanish,
-  kDie,  ///< a server's process dies: its connections are reset, new ones refused. Restarts after
-         ///< `back_after`
+  kReload,       ///< sends SIGHUP with a configuration that moves the command channel to another address
+  kMute,         ///< a router's command channel says nothing; its connections stay open
+  kChannelDown,  ///< a router's command channel closes its connections and refuses new ones
+  kCrowd,        ///< many callers connect to a router at once, and each sends set-ups at once
+  kDie,          ///< a server's process dies: its connections are reset, new ones refused. Restarts after
+                 ///< `back_after`
 };
 /// Returns the name of the kind in a schedule file.
 std::string_view name_of(NodeFaultKind kind);
@@ -94,4 +98,9 @@
 /// that the fleet has time to recover. The same seed gives the same schedule on every machine.
 Schedule generate_schedule(std::uint64_t seed, std::size_t routers, std::size_t servers, Duration length);
 
+/// Generates a schedule of 10 to 30 overlapping faults of all kinds, up to the end of the run. The same seed
+/// gives the same schedule on every machine.
+Schedule generate_dense_schedule(std::uint64_t seed, std::size_t routers, std::size_t servers,
+                                 Duration length);
+
 }  // namespace amberknot::lab::fleet
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -95,6 +95,9 @@
   double calls_per_s = 20;
   Duration timeout = std::chrono::milliseconds{2000};  ///< how long a caller waits for an answer
   std::size_t destinations = 1;  ///< calls are distributed evenly over pools 0 to `destinations` - 1
+  double give_up_share = 0;      ///< share of the callers that give up early
+  double leave_share = 0;        ///< share of the callers that end their established calls themselves
+  double pieces_share = 0;       ///< share of the set-ups that are written in pieces
 };
 
 /// The callers of one router. They share one connection, which is opened again after it closes.
@@ -105,6 +108,8 @@
   ~Callers() override;
   /// Makes calls until `end`, the first at once.
   void call_until(Duration end);
+  /// Sends this many set-ups at once as soon as the connection is open.
+  void call_at_once(std::size_t count) { calls_at_once_ = count; }
   /// Returns true if the router has reported since the last request_readiness() that it accepts calls.
   [[nodiscard]] bool is_ready() const { return is_ready_; }
   /// Asks the router whether it accepts calls, again and again until it does.
@@ -113,6 +118,12 @@
  private:
   void connect();
   void call();
+  void place_call();
+  /// Writes a line, in pieces or at once; a line that is written in pieces delays the next ones. `on_written`
+  /// is called once the last byte is written.
+  void write_line(std::string line, bool in_pieces, std::function<void()> on_written);
+  void write_next_piece();
+  void schedule_leave(const std::string& id);
   void give_up(const std::string& id);
   void on_line(std::span<char> line);
   void on_open(net::TcpConnection& stream) override;
@@ -137,6 +148,15 @@
   };
   std::map<std::string, PendingSetUp> pending_;  ///< set-ups without an answer, by call id
   std::set<std::string> established_;            ///< ids of established calls
+  std::set<std::string> left_;                   ///< ids of established calls that the caller has ended
+  struct Output {
+    std::string bytes;
+    bool in_pieces = false;
+    std::function<void()> on_written;
+  };
+  std::deque<Output> outputs_;  ///< the first one is being written
+  core::TimerWheel::Handle piece_timer_ = 0;
+  std::size_t calls_at_once_ = 0;
   core::TimerWheel::Handle next_call_timer_ = 0, retry_timer_ = 0;
 };
 
@@ -146,21 +166,31 @@
   CommandChannel(net::Loop& loop, std::string first_event);
   ~CommandChannel() override;
   /// Returns the address on which the channel listens.
-  [[nodiscard]] asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  [[nodiscard]] asio::ip::tcp::endpoint address() const { return address_; }
   /// Sends an event to all subscribers. `nodes` is the endpoint list, as in the example of
   /// the operators' page PROTOCOL.
   void publish(const std::string& nodes);
+  /// While silent, the channel says nothing; its connections stay open and new ones are accepted.
+  void set_silent(bool is_silent);
+  /// While down, the channel has no connections and refuses new ones.
+  void set_down(bool is_down);
+  /// Returns the channel's events, for another channel that replaces this one.
+  [[nodiscard]] const std::vector<std::string>& events() const { return events_; }
+  void set_events(std::vector<std::string> events) { events_ = std::move(events); }
   /// Returns all events so far, as the value of `known` in a configuration.
   [[nodiscard]] std::string known_events() const;
 
  private:
   void accept();
+  void close_connections();
   void send_heartbeat();
   std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
   void on_closed(net::TcpConnection& stream, net::CloseReason reason) override;
   [[nodiscard]] std::string event_json(std::size_t index) const;
   net::Loop& loop_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::endpoint address_;
+  bool is_silent_ = false;
   std::vector<std::string> events_;
   std::unordered_map<net::TcpConnection*, std::shared_ptr<net::TcpConnection>> connections_, subscribers_;
   core::TimerWheel::Handle heartbeat_timer_ = 0;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -19,6 +19,7 @@
 /// The values of the command line.
 struct CommandLine {
   std::uint64_t seed = 1;
+  std::uint64_t last_seed = 0;
   std::size_t nodes = 5, servers = 3;
   double seconds = 10, calls_per_s = 20, work_ms = 20, hold_ms = 800;
   std::string schedule, folder, program, write;
@@ -79,6 +80,38 @@
   return result.verdict.has_passed() ? 0 : 1;
 }
 
+/// Runs dense trials of a few routers, one for each seed, and prints one line of JSON for each. The files of
+/// a trial that did not pass are kept.
+int run_soak(const CommandLine& command_line, const char* program_path) {
+  std::size_t held = 0;
+  std::size_t broken = 0;
+  std::size_t inconclusive = 0;
+  for (std::uint64_t seed = command_line.seed; seed <= std::max(command_line.seed, command_line.last_seed);
+       ++seed) {
+    auto options = soak_options(seed, Duration{static_cast<std::int64_t>(command_line.seconds * 1e6)});
+    options.program = command_line.program.empty() ? default_router_path(program_path) : command_line.program;
+    std::string folder_path = (std::filesystem::temp_directory_path() / "amberknot-soak-XXXXXX").string();
+    if (mkdtemp(folder_path.data()) == nullptr) throw std::runtime_error("cannot create a temporary folder");
+    options.folder = folder_path;
+    std::ofstream(folder_path + "/schedule.json") << to_json(options.schedule) << "\n";
+    const auto result = run_fleet(options);
+    const bool has_passed = result.verdict.has_passed();
+    if (!has_passed) std::cout << format_verdict(result.verdict);
+    std::cout << summary_line(
+                     seed, options.routers, result.history, result.verdict,
+                     "\"faults\":" +
+                         std::to_string(options.schedule.links.size() + options.schedule.nodes.size()) +
+                         ",\"worst_late_us\":" + std::to_string(result.max_lateness.count()) +
+                         ",\"folder\":\"" + (has_passed ? "" : folder_path) + "\"")
+              << std::endl;
+    if (has_passed) std::filesystem::remove_all(folder_path);
+    ++(has_passed ? held : result.verdict.inconclusive_reason.empty() ? broken : inconclusive);
+  }
+  std::cout << "{\"held\":" << held << ",\"broken\":" << broken << ",\"void\":" << inconclusive << "}"
+            << std::endl;
+  return broken + inconclusive == 0 ? 0 : 1;
+}
+
 /// Runs one router without faults and prints a summary in words.
 int run_day(const CommandLine& command_line, const char* program_path) {
   FleetOptions options;
@@ -181,6 +214,18 @@
   add_common_options(simulate_command);
   simulate_command->callback([&] { status = run_simulation(command_line); });
 
+  auto* soak_command = program.add_subcommand(
+      "soak",
+      "run dense trials: a few routers under overlapping faults of all kinds, one trial for each seed");
+  soak_command->add_option("--seed", command_line.seed, "first seed");
+  soak_command->add_option("--last-seed", command_line.last_seed, "last seed; default: the first one");
+  soak_command->add_option("--seconds", command_line.seconds, "length of each trial, in seconds")
+      ->default_val(26)
+      ->check(CLI::Range(5.0, 600.0));
+  soak_command->add_option("--program", command_line.program,
+                           "router executable; default: amberknot_router in the folder of this program");
+  soak_command->callback([&] { status = run_soak(command_line, arguments[0]); });
+
   auto* draw_command = program.add_subcommand("draw", "print the schedule that a seed generates");
   add_common_options(draw_command);
   draw_command->callback([&] { std::cout << to_json(make_schedule(command_line)) << std::endl; });
