Count a new SIP connection as known to its server only when its first report has come

The release was held on a stalled connection; the router opened others so that the server would repeat it, but two of them came up in the network only and the server never saw them. PROTOCOL: a report comes first of all on each new connection. Change: the mark is cleared by the first bytes; a connection without them for 1 s while calls are established there is given up and replaced (only at servers that have sent reports). Of half-closed connections, those without calls go first.

--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -66,6 +66,9 @@
 // interval. A message on the half-closed one may be lost; the server repeats it on the next connection that
 // opens, which may fail the same way. The interval allows several tries within kReleaseRetention.
 constexpr Duration kReopenInterval = seconds{2};
+// A server sends a load report first of all on each new connection. A connection without one after this time
+// was accepted by the server's kernel or the network, and the server itself may not know of it.
+constexpr Duration kFirstReportTimeout = seconds{1};
 // How often a set-up that was never written may move from a lost connection to another one.
 constexpr int kMaxMoves = 3;
 
@@ -109,6 +112,8 @@
   std::optional<Instant> half_closed_at;  ///< when the router stopped sending on it
   /// When it was noticed that later set-ups were answered on other connections.
   std::optional<Instant> stall_suspected_at;
+  bool has_received = false;
+  bool has_reported = false;  ///< a load report was received on it
   Instant last_received_at{};
   std::optional<Instant>
       pinged_at;  ///< when an OPTIONS was sent because of silence; empty if it was answered
@@ -126,6 +131,7 @@
   ServerId id;
   std::string address;
   bool is_listed = false;
+  bool reports_on_connect = false;  ///< it has sent a load report on a connection
   core::ServerLiveness liveness;
   std::size_t established = 0;                           // established calls
   std::vector<std::shared_ptr<Connection>> connections;  // connecting or open
@@ -322,7 +328,7 @@
   connection.connected_at = connection.last_received_at = net::Loop::now();
   if (std::exchange(connection.is_late, false)) ++counters_.late_connections;
   server.consecutive_refusals = 0;
-  server.releases_maybe_lost_since.reset();
+  if (!server.reports_on_connect) server.releases_maybe_lost_since.reset();
   net::log::debug("sip: connection opened: ", servers_.find(server.id)->name);
   for (auto& [id, release] : std::exchange(server.unsent_releases, {}))
     send_release(server, std::move(id), std::move(release));
@@ -463,7 +469,13 @@
     connection.stream->fail(reason);
     return;
   }
-  if (server.half_closed.size() >= kMaxHalfClosed) close_half_closed(server, server.half_closed.begin());
+  if (server.half_closed.size() >= kMaxHalfClosed) {
+    const auto without_calls =
+        std::find_if(server.half_closed.begin(), server.half_closed.end(),
+                     [](const auto& half_closed) { return half_closed->established == 0; });
+    close_half_closed(server,
+                      without_calls != server.half_closed.end() ? without_calls : server.half_closed.begin());
+  }
   std::erase(server.connections, keep_alive);
   server.half_closed.push_back(keep_alive);
   connection.half_closed_at = net::Loop::now();
@@ -590,6 +602,9 @@
     return true;
   if (connection.partial_message_since)
     return now - *connection.partial_message_since > kPartialMessageTimeout;
+  const bool lacks_first_report = connection.stream->is_open() && !connection.has_received &&
+                                  connection.server.reports_on_connect && connection.server.established > 0;
+  if (lacks_first_report && now - connection.connected_at > kFirstReportTimeout) return true;
   if (connection.pinged_at && now - *connection.pinged_at > kPingTimeout) return true;
   if (!connection.stream->is_open() || !connection.stall_suspected_at) return false;
   if (now - *connection.stall_suspected_at > kStallSuspicionTimeout) return true;
@@ -777,6 +792,8 @@
   connection.pinged_at.reset();
   connection.last_received_at = net::Loop::now();
   connection.server.liveness.on_received(connection.last_received_at);
+  // Only now is it certain that the server knows the connection and repeats its releases there.
+  if (!std::exchange(connection.has_received, true)) connection.server.releases_maybe_lost_since.reset();
   std::size_t taken = 0;
   while (taken < bytes.size()) {
     const auto read = parse_sip_message({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessageBytes);
@@ -800,6 +817,10 @@
   return taken;
 }
 
+void ConnectionPool::on_first_report(Connection& connection, const LoadReport& /*report*/) {
+  connection.server.reports_on_connect = true;
+}
+
 void ConnectionPool::on_message(Connection& connection, const SipParseResult& read) {
   const auto& head = read.head;
   if (head.status != 0) {
@@ -817,7 +838,9 @@
   }
   if (head.method == "NOTIFY") {
     if (connection.half_closed_at) return;  // it may be outdated, and newer reports came on other connections
-    table_.on_load_report(connection.server.id, parse_load_report(head.occupancy));
+    const auto report = parse_load_report(head.occupancy);
+    if (!std::exchange(connection.has_reported, true)) on_first_report(connection, report);
+    table_.on_load_report(connection.server.id, report);
   } else if (head.method == "BYE") {
     on_bye(connection, head);
   } else if (head.method != "ACK") {
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -109,6 +109,8 @@
   /// Opens another connection, on which the server repeats its unconfirmed releases.
   void open_connection_for_releases(Server& server);
   std::size_t on_connection_bytes(Connection& connection, std::span<char> bytes);
+  /// Handles the first load report on a connection.
+  void on_first_report(Connection& connection, const LoadReport& report);
   void on_message(Connection& connection, const SipParseResult& read);
   void on_invite_answer(Connection& connection, const SipParseResult& read);
   void on_bye(Connection& connection, const SipHead& head);
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -20,6 +20,25 @@
 };
 }  // namespace
 
+// The kernel or the network accepts a connection that the server does not know of, and the server repeats a
+// release only on connections that it knows.
+TEST_CASE("a connection on which the server's first report does not come is replaced by another") {
+  RouterFixture fixture;
+  fixture.announce_server();
+  fixture.run_until([&] { return fixture.server.connections.size() == 2; });
+  const auto report = RouterFixture::sip_message("NOTIFY sip:router@net SIP/2.0", "s1", "1 NOTIFY",
+                                                 "X-Occupancy: x0:39;x1:40\r\n");
+  for (const auto& end : fixture.server.connections) end->stream->send(report);
+  auto& end = fixture.establish_call("00000000000000a1");
+  const auto count_before = fixture.server.connections.size();
+  end.stream->reset();
+  fixture.run_until([&] { return fixture.server.connections.size() > count_before + 1; });
+  fixture.server.connections.back()->stream->send(
+      report + RouterFixture::sip_message("BYE sip:router@net SIP/2.0", "00000000000000a1", "2 BYE",
+                                          "Reason: Q.850;cause=16\r\n"));
+  fixture.run_until([&] { return fixture.caller->has_received("\"close\",\"sid\":\"00000000000000a1\""); });
+}
+
 // Guards against waiting for the rest of an answer with an invalid Content-Length.
 TEST_CASE("an answer with an invalid length closes its connection at once") {
   for (const char* length : {"-1", "3000000000", "20000", "x", "99999999999999999999"}) {
