Release the calls of a SIP server that was restarted unnoticed

Change: if the first report on a new connection says that all lines are free, calls sent more than 1 s before it opened are over. Why it works: a call takes its line from its set-up to its end, and the report's first two fields are true when it is sent.

--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -69,6 +69,8 @@
 // A server sends a load report first of all on each new connection. A connection without one after this time
 // was accepted by the server's kernel or the network, and the server itself may not know of it.
 constexpr Duration kFirstReportTimeout = seconds{1};
+// A load report may be older than the connection on which it is received by this much.
+constexpr Duration kMaxReportAge = seconds{1};
 // How often a set-up that was never written may move from a lost connection to another one.
 constexpr int kMaxMoves = 3;
 
@@ -817,8 +819,16 @@
   return taken;
 }
 
-void ConnectionPool::on_first_report(Connection& connection, const LoadReport& /*report*/) {
-  connection.server.reports_on_connect = true;
+// A process that was restarted at the same address answers on new connections as the old one did, and does
+// not know its calls. If all lines are free, the calls that were established before have ended.
+void ConnectionPool::on_first_report(Connection& connection, const LoadReport& report) {
+  auto& server = connection.server;
+  server.reports_on_connect = true;
+  const bool has_no_calls = report.free_lines && report.total_lines && *report.total_lines > 0 &&
+                            *report.free_lines >= *report.total_lines;
+  if (!has_no_calls || server.established == 0) return;
+  table_.abort_calls_sent_before(server.id, connection.connected_at - kMaxReportAge,
+                                 "server reports that all its lines are free");
 }
 
 void ConnectionPool::on_message(Connection& connection, const SipParseResult& read) {
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -39,6 +39,37 @@
   fixture.run_until([&] { return fixture.caller->has_received("\"close\",\"sid\":\"00000000000000a1\""); });
 }
 
+// The process that had the calls cannot release them, and its successor answers at the same address.
+TEST_CASE(
+    "the calls of a server that was restarted unnoticed are released when it reports that no line is in "
+    "use") {
+  RouterFixture fixture;
+  fixture.announce_server();
+  auto& end = fixture.establish_call("00000000000000a1");
+  const Instant established_at = Loop::now();
+  // The report may be a second old, so only calls from before that are known to be over.
+  fixture.run_until([&] { return Loop::now() - established_at > milliseconds{1200}; });
+  const auto report = [](const std::string& occupancy) {
+    return RouterFixture::sip_message("NOTIFY sip:router@net SIP/2.0", "s1", "1 NOTIFY",
+                                      "X-Occupancy: " + occupancy + "\r\n");
+  };
+  const auto count_before = fixture.server.connections.size();
+  end.stream->reset();
+  fixture.run_until([&] { return fixture.server.connections.size() > count_before; });
+  SUBCASE("all lines are free") {
+    fixture.server.connections.back()->stream->send(report("x0:40;x1:40"));
+    fixture.run_until([&] {
+      return fixture.caller->has_received("\"close\",\"sid\":\"00000000000000a1\",\"attrs\":{},\"code\":41}");
+    });
+  }
+  SUBCASE("a line is in use") {
+    fixture.server.connections.back()->stream->send(report("x0:39;x1:40"));
+    fixture.run_until([&] { return fixture.router->counters().load_reports == 1; });
+    fixture.wait_for_messages_in_transit();
+    CHECK_FALSE(fixture.caller->has_received("\"close\",\"sid\":\"00000000000000a1\""));
+  }
+}
+
 // Guards against waiting for the rest of an answer with an invalid Content-Length.
 TEST_CASE("an answer with an invalid length closes its connection at once") {
   for (const char* length : {"-1", "3000000000", "20000", "x", "99999999999999999999"}) {
