Judge the silence of the path that a call's release would take, not of the server

Cause: took any byte of a server for proof that nothing was lost; a release goes only by the connection of its set-up and the next one that opens. Change: each connection has its own core::ServerLiveness; what was released before a connection opened that the server has greeted counts as received everywhere; calls of closed connections are judged together. A silent path is pinged or another connection opened, at most one each second; its calls are released after 7 s. The server's other calls stay. The new test of set-ups that arrive until SIGKILL guards what held before.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -137,11 +137,12 @@
   if (find(attempt) != nullptr) end_attempt(attempt.call, end);
 }
 
-void CallTable::abort_calls(ServerId server, Instant cutoff, const char* why, LostServer state) {
+void CallTable::abort_calls(ServerId server, const std::function<bool(const AttemptId&)>& is_affected,
+                            const char* why, LostServer state) {
   std::vector<CallId> aborted;
   for (const auto& [id, call] : calls_) {
     const bool is_established_there = call.state == CallState::kEstablished && call.server == server;
-    if (is_established_there && call.sent_at < cutoff) aborted.push_back(id);
+    if (is_established_there && is_affected(latest_attempt(id, call))) aborted.push_back(id);
   }
   if (!aborted.empty()) log_aborted(aborted, server, why);
   for (const CallId id : aborted) {
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -70,13 +70,21 @@
   /// Ends the established calls at a server that were forwarded before `cutoff`, because the process that had
   /// them has died; `why` is logged.
   void abort_calls_sent_before(ServerId server, Instant cutoff, const char* why) {
-    abort_calls(server, cutoff, why, LostServer::kProcessEnded);
+    const auto was_sent_before = [this, cutoff](const AttemptId& attempt) {
+      return calls_.at(attempt.call).sent_at < cutoff;
+    };
+    abort_calls(server, was_sent_before, why, LostServer::kProcessEnded);
   }
   /// Ends all established calls at a server that has fallen silent. It may still have them, so they are
   /// released there as well, as soon as it can be reached; `why` is logged.
   void abort_calls_at_silent_server(ServerId server, const char* why) {
+    abort_silent_calls(server, why, [](const AttemptId&) { return true; });
+  }
+  /// The same for those of the server's calls that `is_silent` selects.
+  void abort_silent_calls(ServerId server, const char* why,
+                          const std::function<bool(const AttemptId&)>& is_silent) {
     ++counters_.silent_servers;
-    abort_calls(server, Instant::max(), why, LostServer::kUnreachable);
+    abort_calls(server, is_silent, why, LostServer::kUnreachable);
   }
 
   // Events from service discovery and peers.
@@ -104,7 +112,8 @@
 
   /// What is known of the process that had the calls.
   enum class LostServer { kProcessEnded, kUnreachable };
-  void abort_calls(ServerId server, Instant cutoff, const char* why, LostServer state);
+  void abort_calls(ServerId server, const std::function<bool(const AttemptId&)>& is_affected, const char* why,
+                   LostServer state);
   void log_aborted(const std::vector<CallId>& aborted, ServerId server, const char* why);
 
   // Ends of attempts and calls.
--- a/src/core/server_liveness.hpp
+++ b/src/core/server_liveness.hpp
@@ -1,6 +1,6 @@
-// Judges from silence alone whether a server with established calls still exists. A machine that vanishes, or
-// is cut off, sends nothing and refuses nothing; its calls have ended, and only the router can tell their
-// callers. Does no I/O and reads no clock.
+// Judges from silence alone whether established calls may have ended without a release. A machine that
+// vanishes, or is cut off, sends nothing and refuses nothing; its calls have ended, and only the router can
+// tell their callers. Does no I/O and reads no clock.
 #pragma once
 
 #include <algorithm>
@@ -9,15 +9,16 @@
 
 namespace amberknot::core {
 
-/// The silence of one server. An upstream pool reports what it receives and asks from time to time what
-/// follows; between two calls of check() the silence may grow by their interval.
+/// The silence of the path on which a server sends the releases of some calls: a connection, or the server as
+/// a whole. An upstream pool reports up to when it has received what was sent there, and asks from time to
+/// time what follows; between two calls of check() the silence may grow by their interval.
 class ServerLiveness {
  public:
   /// What the pool has to do.
   enum class Verdict {
     kAlive,  ///< nothing
     kProbe,  ///< send something that a live server answers
-    kLost,   ///< release the established calls of the server
+    kLost,   ///< release the calls, whose server cannot
   };
 
   /// A call may have ended just after the server was last heard, and its caller must get a release within 8 s
@@ -28,9 +29,11 @@
   static constexpr Duration kProbeDelay = std::chrono::seconds{3};
   static constexpr Duration kProbeInterval = std::chrono::seconds{1};
 
-  /// The server sent something at `received_at`. Reports may come out of order.
+  /// Everything that the server sent before `received_at` has been received. Reports may come out of order.
   void on_received(Instant received_at) { last_received_at_ = std::max(last_received_at_, received_at); }
 
+  [[nodiscard]] Instant last_received_at() const { return last_received_at_; }
+
   /// Returns what follows from the silence. A server without established calls is never probed or lost.
   Verdict check(Instant now, bool has_established_calls) {
     const Duration silence = now - last_received_at_;
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -114,9 +114,9 @@
   std::optional<Instant> half_closed_at;  ///< when the router stopped sending on it
   /// When it was noticed that later set-ups were answered on other connections.
   std::optional<Instant> stall_suspected_at;
+  core::ServerLiveness liveness;  ///< of the releases of the calls established on it
   bool has_received = false;
   bool has_reported = false;  ///< a load report was received on it
-  Instant last_received_at{};
   std::optional<Instant>
       pinged_at;  ///< when an OPTIONS was sent because of silence; empty if it was answered
 
@@ -134,7 +134,8 @@
   std::string address;
   bool is_listed = false;
   bool reports_on_connect = false;  ///< it has sent a load report on a connection
-  core::ServerLiveness liveness;
+  /// Of the releases of the calls whose connection is closed. Empty if there are no such calls.
+  std::optional<core::ServerLiveness> detached_liveness;
   std::size_t established = 0;                           // established calls
   std::vector<std::shared_ptr<Connection>> connections;  // connecting or open
   HalfClosed half_closed;
@@ -212,8 +213,13 @@
   if (!server.is_listed || has_moved) {
     closed = std::exchange(server.connections, {});
     connection_count_ -= closed.size() + server.half_closed.size();
-    for (const auto& connection : closed) connection->stream->close();
-    for (const auto& connection : std::exchange(server.half_closed, {})) connection->stream->close();
+    auto half_closed = std::exchange(server.half_closed, {});
+    for (const auto* connections : {&closed, &half_closed}) {
+      for (const auto& connection : *connections) {
+        connection->stream->close();
+        detach_calls(server, *connection);
+      }
+    }
   }
   if (!server.is_listed) {
     server.unsent_releases.clear();
@@ -327,7 +333,7 @@
 
 void ConnectionPool::on_connection_open(Connection& connection) {
   auto& server = connection.server;
-  connection.connected_at = connection.last_received_at = net::Loop::now();
+  connection.connected_at = net::Loop::now();
   if (std::exchange(connection.is_late, false)) ++counters_.late_connections;
   server.consecutive_refusals = 0;
   if (!server.reports_on_connect) server.releases_maybe_lost_since.reset();
@@ -405,6 +411,9 @@
   const auto connection = *at;  // keeps the object alive
   server.connections.erase(at);
   --connection_count_;
+  // After an orderly close everything that the server sent has arrived.
+  if (reason == net::CloseReason::kClosedByPeer) connection->liveness.on_received(net::Loop::now());
+  detach_calls(server, *connection);
   on_connection_lost(*connection, reason);
 }
 
@@ -487,8 +496,11 @@
 
 void ConnectionPool::on_half_closed_end(Connection& connection, net::CloseReason reason) {
   auto& server = connection.server;
-  std::erase(server.half_closed, connection.shared_from_this());
+  const auto keep_alive = connection.shared_from_this();
+  std::erase(server.half_closed, keep_alive);
   --connection_count_;
+  if (reason == net::CloseReason::kClosedByPeer) connection.liveness.on_received(net::Loop::now());
+  detach_calls(server, connection);
   // The server closed it too, so everything it sent on that connection has arrived. A reset, however, may
   // have destroyed messages in transit.
   if (reason == net::CloseReason::kClosedByPeer || server.established == 0) return;
@@ -502,6 +514,7 @@
                                                                        HalfClosed::iterator at) {
   (*at)->stream->close();
   --connection_count_;
+  detach_calls(server, **at);
   return server.half_closed.erase(at);
 }
 
@@ -559,9 +572,8 @@
   return text;
 }
 
-void ConnectionPool::ping_silent_connection(Connection& connection, Instant now) {
-  const bool is_silent = now - connection.last_received_at >= core::ServerLiveness::kProbeDelay;
-  if (!is_silent || connection.established == 0 || connection.pinged_at || !connection.is_usable()) return;
+void ConnectionPool::ping(Connection& connection, Instant now) {
+  if (connection.pinged_at || !connection.is_usable()) return;
   connection.pinged_at = now;
   ++counters_.health_checks;
   // The id is not among the pending health checks: any bytes prove that the connection works.
@@ -596,6 +608,57 @@
   }
 }
 
+void ConnectionPool::on_releases_repeated(Server& server, Instant opened_at) {
+  for (const auto* connections : {&server.connections, &server.half_closed}) {
+    for (const auto& connection : *connections) connection->liveness.on_received(opened_at);
+  }
+  if (server.detached_liveness) server.detached_liveness->on_received(opened_at);
+}
+
+void ConnectionPool::detach_calls(Server& server, const Connection& connection) {
+  if (connection.established == 0) return;
+  auto& detached = server.detached_liveness;
+  if (!detached || connection.liveness.last_received_at() < detached->last_received_at())
+    detached = connection.liveness;
+}
+
+// A release is sent on the connection of its set-up and on the next connection that opens. A call may
+// therefore have ended unnoticed if its own connection is silent and no other one has opened, however much
+// the server sends on the others.
+void ConnectionPool::check_silent_paths(Server& server, Instant now) {
+  using Verdict = core::ServerLiveness::Verdict;
+  std::size_t attached = 0;
+  bool needs_connection = false;
+  std::set<const Connection*> lost;
+  for (const auto* connections : {&server.connections, &server.half_closed}) {
+    for (const auto& connection : *connections) {
+      attached += connection->established;
+      const auto verdict = connection->liveness.check(now, connection->established > 0);
+      if (verdict == Verdict::kLost) lost.insert(connection.get());
+      if (verdict != Verdict::kProbe) continue;
+      if (settings_.limits.may_check_health && !connection->half_closed_at) {
+        ping(*connection, now);
+      } else {
+        needs_connection = true;
+      }
+    }
+  }
+  if (server.established == attached) server.detached_liveness.reset();
+  const auto detached =
+      server.detached_liveness ? server.detached_liveness->check(now, true) : Verdict::kAlive;
+  needs_connection = needs_connection || detached == Verdict::kProbe;
+  const bool may_open = server.is_listed && now - server.reopened_at >= core::ServerLiveness::kProbeInterval;
+  if (needs_connection && may_open) open_connection_for_releases(server);
+  if (lost.empty() && detached != Verdict::kLost) return;
+  table_.abort_silent_calls(server.id, "server silent", [&](const core::AttemptId& ref) {
+    const auto attempt = find_attempt(ref);
+    if (attempt == attempts_.end()) return false;
+    const auto connection = attempt->second.established_on.lock();
+    const bool is_attached = connection && !connection->stream->is_closed();
+    return is_attached ? lost.contains(connection.get()) : detached == Verdict::kLost;
+  });
+}
+
 // Detects a connection that is open but unusable: the server has answered set-ups that were sent later on
 // other connections, or a message has begun to arrive and does not end. Set-ups in flight on it are lost, and
 // would otherwise wait until their callers give up.
@@ -627,21 +690,14 @@
     const Instant now = net::Loop::now();
     std::vector<std::shared_ptr<Connection>> stalled;
     std::vector<Server*> to_reopen;
-    std::vector<Server*> lost;
     for (const auto& [id, server] : servers_by_id_) {
       close_expired_half_closed(*server, now);
       if (should_reopen(*server, now)) to_reopen.push_back(server.get());
-      const auto verdict = server->liveness.check(now, server->established > 0);
-      if (verdict == core::ServerLiveness::Verdict::kLost) lost.push_back(server.get());
-      // Every new connection begins with a load report, which shows that the server is alive.
-      if (verdict == core::ServerLiveness::Verdict::kProbe && !settings_.limits.may_check_health)
-        to_reopen.push_back(server.get());
       for (const auto& connection : server->connections) {
         update_stall_detection(*connection, now);
         if (connection->partially_written &&
             !connection->stream->is_unsent(connection->partially_written->first))
           connection->partially_written.reset();
-        if (settings_.limits.may_check_health) ping_silent_connection(*connection, now);
         if (is_stalled(*connection, now)) stalled.push_back(connection);
         while (!connection->pending_releases.empty() &&
                now - connection->pending_releases.front().sent_at > kReleaseConfirmationTimeout)
@@ -658,7 +714,7 @@
       half_close(*connection, net::CloseReason::kReset);
     }
     for (auto* server : to_reopen) open_connection_for_releases(*server);
-    for (auto* server : lost) table_.abort_calls_at_silent_server(server->id, "server silent");
+    for (const auto& [id, server] : servers_by_id_) check_silent_paths(*server, now);
     schedule_check();
   });
 }
@@ -792,10 +848,12 @@
   connection.unanswered_since.reset();
   connection.stall_suspected_at.reset();
   connection.pinged_at.reset();
-  connection.last_received_at = net::Loop::now();
-  connection.server.liveness.on_received(connection.last_received_at);
+  connection.liveness.on_received(net::Loop::now());
   // Only now is it certain that the server knows the connection and repeats its releases there.
-  if (!std::exchange(connection.has_received, true)) connection.server.releases_maybe_lost_since.reset();
+  if (!std::exchange(connection.has_received, true)) {
+    connection.server.releases_maybe_lost_since.reset();
+    on_releases_repeated(connection.server, connection.connected_at);
+  }
   std::size_t taken = 0;
   while (taken < bytes.size()) {
     const auto read = parse_sip_message({bytes.data() + taken, bytes.size() - taken}, net::kMaxMessageBytes);
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -103,8 +104,15 @@
   /// Whether a half-closed connection with established calls has been left open by the server for a long
   /// time.
   static bool should_reopen(const Server& server, Instant now);
+  /// A connection that opened at `opened_at` is known to its server, which repeats unconfirmed releases
+  /// there: whatever was released before that will be received.
+  static void on_releases_repeated(Server& server, Instant opened_at);
+  /// The connection is closed: its established calls depend on the next one that opens.
+  static void detach_calls(Server& server, const Connection& connection);
+  /// Probes paths that are silent while calls depend on them, and releases the calls if the silence lasts.
+  void check_silent_paths(Server& server, Instant now);
   /// Sends an OPTIONS on a connection that has been silent for long while calls established on it are active.
-  void ping_silent_connection(Connection& connection, Instant now);
+  void ping(Connection& connection, Instant now);
   [[nodiscard]] std::string new_health_check_id();
   /// Opens another connection, on which the server repeats its unconfirmed releases.
   void open_connection_for_releases(Server& server);
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -86,6 +86,26 @@
   router.run_until([&] { return router.server.count("CANCEL sip:") == router.in_flight; });
 }
 
+// Callers use their open connections until SIGKILL, so a new set-up may be unanswered at any time.
+TEST_CASE("set-ups that keep arriving do not keep a stopping process from its exit before SIGKILL") {
+  constexpr Duration kShortDeadline = milliseconds{400};
+  constexpr Duration kKillDelay = milliseconds{700} + kShortDeadline;
+  RouterFixture fixture({}, config_with_deadline(kShortDeadline));  // without a server every set-up is queued
+  const Instant began = Loop::now();
+  bool has_exited = false;
+  fixture.router->shut_down([&] { has_exited = true; });
+  std::size_t sent = 0;
+  fixture.run_until([&] {
+    if (!fixture.caller->closed) {
+      const auto number = std::to_string(1'000'000'000'000'000 + ++sent);
+      fixture.send_set_up(number, 400);
+    }
+    return has_exited || Loop::now() - began > kKillDelay;
+  });
+  CHECK(has_exited);
+  CHECK(fixture.router->table().unanswered() == 0);
+}
+
 TEST_CASE("a shutdown after a reload uses the class deadlines of the new configuration") {
   LoadedRouter router(config_with_deadline(seconds{3}));
   auto new_config = router.config;
--- a/tests/stuck_connection_test.cpp
+++ b/tests/stuck_connection_test.cpp
@@ -196,3 +196,31 @@
   router_fixture.run_until(
       [&] { return router_fixture.caller->has_received("\"close\",\"sid\":\"" + kEstablished); });
 }
+
+// Other connections show that the server lives, and none of them brings the releases of this call.
+TEST_CASE("a call on a silent connection is released within 8 s although its server talks on another one") {
+  StalledConnectionFixture fixture;
+  auto& router_fixture = fixture.router_fixture;
+  router_fixture.run_until([&] { return fixture.connections.size() == 2; });
+  const auto report = RouterFixture::sip_message("NOTIFY sip:router@net SIP/2.0", "s1", "1 NOTIFY",
+                                                 "X-Occupancy: x0:39;x1:40\r\n");
+  for (const auto& connection : fixture.connections) connection->say(report);
+  router_fixture.send_set_up(kEstablished);
+  auto& silent = fixture.invited(kEstablished);
+  fixture.establish(kEstablished, silent);
+  auto& talking = *fixture.connections[fixture.connections[0].get() == &silent ? 1 : 0];
+  const Instant silent_since = net::Loop::now();
+  Instant last_report{};
+  const auto is_released = [&] {
+    if (net::Loop::now() - last_report > milliseconds{100}) {
+      talking.say(report);
+      last_report = net::Loop::now();
+    }
+    return router_fixture.caller->has_received("\"close\",\"sid\":\"" + kEstablished);
+  };
+  router_fixture.run_until(
+      [&] { return is_released() || net::Loop::now() - silent_since >= std::chrono::seconds{4}; });
+  CHECK_FALSE(is_released());
+  router_fixture.run_until(is_released);
+  CHECK(net::Loop::now() - silent_since < std::chrono::seconds{8});
+}
