--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -377,6 +377,23 @@
         }) > 20);
 }
 
+// Faults that each hold alone may break a rule together.
+TEST_CASE("routers keep every rule in dense trials of overlapping faults") {
+  const TemporaryFolder folder;
+  FleetOptions options;
+  SUBCASE("seed 2") {
+    options = soak_options(2, seconds{20});
+  }
+  SUBCASE("seed 14") {
+    options = soak_options(14, seconds{20});
+  }
+  options.program = ROUTER_PROGRAM;
+  options.folder = folder.path;
+  const auto result = run_on_time(options);
+  CHECK_MESSAGE(result.verdict.has_passed(), format_verdict(result.verdict));
+  CHECK(result.verdict.rules[0].checked > 400);
+}
+
 // Requests that callers wrote to the old process while it ended were lost when the process did not hand its
 // callers over to the new one.
 TEST_CASE("three router processes are each replaced twice under load, and no request is lost") {
