--- a/src/jsonl/frontend.cpp
+++ b/src/jsonl/frontend.cpp
@@ -34,6 +34,8 @@
 // standby, no connection may be open that is idle or has carried a request in the last 2 s.
 constexpr Duration kIdleCloseInterval = milliseconds{50};
 constexpr Duration kFirstLineGracePeriod = milliseconds{150};
+constexpr Duration kDrainDeadline = seconds{4};
+constexpr Duration kRecentUse = seconds{2};
 // Lines that are read from one connection before other connections get their turn.
 constexpr int kMaxLinesPerTurn = 16;
 // Longest remaining time that a caller may state, as a multiple of the deadline of the call's class.
@@ -117,6 +119,7 @@
   connection.accepted_at = net::Loop::now();
   stream->start_accepted(std::move(socket));
   if (stream->is_closed()) return;
+  net::log::debug("jsonl: connection of caller ", stream->remote(), " accepted");
   const auto caller = stream->remote().address();
   connections_by_caller_[caller].push_back(stream.get());
   // Releases that could not be sent to this caller before are sent on its new connection.
@@ -152,12 +155,13 @@
   }
   if (evicted == nullptr) return false;
   ++counters_.evicted_connections;
-  close_connection(*evicted, false);
+  close_connection(*evicted, false, "to make room for a new connection");
   return true;
 }
 
-void Frontend::close_connection(Connection& connection, bool flush_output) {
+void Frontend::close_connection(Connection& connection, bool flush_output, const char* why) {
   const auto stream = connection.stream;
+  net::log::debug("jsonl: connection of caller ", stream->remote(), " closed by the router: ", why);
   remove_connection(*stream, flush_output);
   if (flush_output) {
     stream->close_after_flush();
@@ -183,7 +187,7 @@
       ++counters_.unreadable_messages;
       net::log::warn(unreadable_log_limit_, "jsonl: cannot parse a line from caller ", stream.remote(),
                      ": connection closed");
-      close_connection(from, true);
+      close_connection(from, true, "unreadable line");
       return bytes.size();
     }
     if (stream.is_closed()) return bytes.size();
@@ -292,7 +296,7 @@
         net::log::info(idle_log_limit_, "jsonl: caller ", key->remote(),
                        " sent no useful message in time: connection closed");
       }
-      close_connection(found->second, true);
+      close_connection(found->second, true, "no useful message, an incomplete line or idle for too long");
     }
     std::erase_if(undelivered_, [&](const auto& item) {
       if (now - item.second.since <= kReleaseRetention) return false;
@@ -307,13 +311,49 @@
 void Frontend::set_standby(bool is_standby) {
   if (is_standby_ == is_standby) return;
   is_standby_ = is_standby;
-  net::log::info(is_standby ? "jsonl: standby: health checks fail, idle connections are closed"
-                            : "jsonl: active: health checks pass, connections are kept");
+  loop_.timers.cancel(std::exchange(drain_deadline_timer_, 0));
+  if (is_standby) {
+    standby_since_ = net::Loop::now();
+    closed_in_standby_ = 0;
+    net::log::info("jsonl: standby: health checks fail, idle connections are closed; ",
+                   describe_connections());
+    drain_deadline_timer_ = loop_.run_after(kDrainDeadline, [this] { log_overdue_drain(); });
+  } else {
+    const auto standby_ms =
+        std::chrono::duration_cast<milliseconds>(net::Loop::now() - standby_since_).count();
+    net::log::info("jsonl: active: health checks pass, connections are kept; in ", standby_ms,
+                   " ms of standby ", closed_in_standby_, " connections were closed; ",
+                   describe_connections());
+  }
   if (is_hot_restarting_) return;
   loop_.timers.cancel(std::exchange(idle_close_timer_, 0));
   if (is_standby) schedule_idle_close();
 }
 
+void Frontend::log_overdue_drain() {
+  drain_deadline_timer_ = 0;
+  if (connections_.empty()) return;
+  net::log::info("jsonl: standby: the time for the drain is over; ", describe_connections());
+}
+
+std::string Frontend::describe_connections() const {
+  std::size_t unanswered = 0;
+  std::size_t established_only = 0;
+  std::size_t with_recent_line = 0;
+  const Instant now = net::Loop::now();
+  for (const auto& [key, connection] : connections_) {
+    if (connection.unanswered > 0) {
+      ++unanswered;
+    } else if (!connection.calls.empty()) {
+      ++established_only;
+    }
+    if (now - connection.stream->used_at() < kRecentUse) ++with_recent_line;
+  }
+  return std::to_string(connections_.size()) + " connections are open: " + std::to_string(unanswered) +
+         " with unanswered set-ups, " + std::to_string(established_only) + " with established calls only, " +
+         std::to_string(with_recent_line) + " used in the last 2 s";
+}
+
 void Frontend::begin_hot_restart(std::function<void(core::UndeliveredRelease)> undelivered) {
   if (std::exchange(is_hot_restarting_, true)) return;
   undelivered_sink_ = std::move(undelivered);
@@ -354,7 +394,7 @@
   acceptor_.close();
   std::vector<net::TcpConnection*> all;
   for (const auto& [key, connection] : connections_) all.push_back(key);
-  for (auto* key : all) close_connection(connections_.at(key), true);
+  for (auto* key : all) close_connection(connections_.at(key), true, "exit of the process");
 }
 
 bool Frontend::is_closed() const {
@@ -377,7 +417,9 @@
   }
   for (auto* key : to_close) {
     const auto found = connections_.find(key);
-    if (found != connections_.end()) close_connection(found->second, true);
+    if (found == connections_.end()) continue;
+    ++closed_in_standby_;
+    close_connection(found->second, true, "drained");
   }
 }
 
--- a/src/jsonl/frontend.hpp
+++ b/src/jsonl/frontend.hpp
@@ -88,7 +88,8 @@
   const char* find_invalid_field(const JsonLine& line, core::SetUpRequest& to) const;
   void on_repeated_id(Connection& from, const std::string& sid, CallId existing);
   void close(Connection& from, const JsonLine& line);
-  void close_connection(Connection& connection, bool flush_output);
+  /// Closes a connection; `why` is logged.
+  void close_connection(Connection& connection, bool flush_output, const char* why);
   /// Removes a connection that is closed. Its unanswered calls are abandoned, and so are calls whose answer
   /// was not written. Releases that were not written are sent on other connections. `was_flushed`: all output
   /// was or will be written.
@@ -113,6 +114,9 @@
   /// In standby and during a hot restart: closes each connection that may_close() allows.
   void close_idle_connections();
   void schedule_idle_close();
+  /// Returns how many connections are open and what keeps them open, for log lines.
+  [[nodiscard]] std::string describe_connections() const;
+  void log_overdue_drain();
 
   net::Loop& loop_;
   core::CallTable& table_;
@@ -140,7 +144,10 @@
   bool is_standby_ = false;
   bool is_hot_restarting_ = false;
   std::function<void(core::UndeliveredRelease)> undelivered_sink_;
+  Instant standby_since_{};
+  std::size_t closed_in_standby_ = 0;  ///< connections closed as idle since the latest `standby`
   core::TimerWheel::Handle idle_close_timer_ = 0;
+  core::TimerWheel::Handle drain_deadline_timer_ = 0;
   net::log::RateLimiter unreadable_log_limit_, malformed_log_limit_, repeated_log_limit_, capacity_log_limit_,
       idle_log_limit_;
 };
