--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <utility>
 
+#include "lab/fleet/drain_rule.hpp"
+
 namespace amberknot::lab::fleet {
 namespace {
 
@@ -451,7 +453,8 @@
                    check_attempt_spacing(index, limits), check_attempt_counts(index, limits),
                    check_drained_servers(index, limits), check_process_exits(index),
                    check_releases(index, limits),        check_departed_callers(index, limits),
-                   check_lost_servers(index, limits)};
+                   check_lost_servers(index, limits),    check_drained_routers(history, limits),
+                   check_admin_commands(history, limits)};
   const auto count = [&](EventKind kind) {
     return std::count_if(history.begin(), history.end(),
                          [kind](const Event& event) { return event.kind == kind; });
--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -29,6 +29,14 @@
   /// Replaces `release_timeout` if a link fault may have kept the release from being sent, or if the server
   /// that had the call could not send one (the operators' page PROTOCOL).
   Duration late_release_timeout = std::chrono::seconds{8};
+  /// How long after `standby` a router may have idle connections of callers and recent requests, and how old
+  /// a request has to be then to count as an earlier one (the operators' page DAYS).
+  Duration drain_time = std::chrono::seconds{4};
+  Duration drain_request_age = std::chrono::seconds{2};
+  /// How long the reply to an admin command may take, and the first passed health check after `active` (the
+  /// operators' page DAYS).
+  Duration admin_reply_time = std::chrono::seconds{1};
+  Duration ready_after_active = std::chrono::seconds{2};
   /// A run in which the relay itself was later than this proves nothing.
   Duration max_relay_lateness = std::chrono::milliseconds{50};
 };
--- a/lab/fleet/dense_schedule.cpp
+++ b/lab/fleet/dense_schedule.cpp
@@ -18,6 +18,9 @@
 // How long the endpoint list takes to report a server that died, and one that fell silent (the deployments'
 // notice_s and silent_notice_s).
 constexpr milliseconds kMinNotice{2100}, kMaxNotice{4700};
+// Operators drain routers for this long, with a pause between two drains.
+constexpr Duration kStandbyTime = seconds{6};
+constexpr Duration kStandbyPause = seconds{2};
 constexpr milliseconds kMinSilentNotice{4300}, kMaxSilentNotice{14000};
 
 /// Draws the faults of one schedule.
@@ -25,6 +28,7 @@
  public:
   DenseSchedule(std::uint64_t seed, std::size_t routers, std::size_t servers, Duration length)
       : random_(seed, "dense schedule"),
+        operators_random_(seed, "operators"),
         routers_(routers),
         servers_(servers),
         schedule_{.seed = seed, .length = length, .links = {}, .nodes = {}} {}
@@ -32,6 +36,7 @@
   Schedule draw() {
     const auto count = kMinFaults + random_.below(kMaxFaults - kMinFaults + 1);
     for (std::uint64_t i = 0; i < count; ++i) draw_fault();
+    draw_standbys();
     return std::move(schedule_);
   }
 
@@ -135,6 +140,18 @@
     }
   }
 
+  /// Operators drain some of the routers, again and again. Drawn from a sequence of their own, so that the
+  /// faults of a seed are the same with and without them.
+  void draw_standbys() {
+    const Duration last = schedule_.length - kStandbyTime;
+    for (Duration at = kCalmStart + seconds{2}; at <= last; at += kStandbyTime + kStandbyPause) {
+      for (std::size_t i = 0; i < routers_; ++i) {
+        if (operators_random_.chance(0.4))
+          add_node(NodeFaultKind::kStandby, {"n" + std::to_string(i)}, at, kStandbyTime);
+      }
+    }
+  }
+
   void add_reload_series(Duration at) {
     const auto router = random_router();
     const auto count = 1 + random_.below(4);
@@ -154,6 +171,7 @@
   }
 
   Random random_;
+  Random operators_random_;
   std::size_t routers_;
   std::size_t servers_;
   Schedule schedule_;
--- a/lab/fleet/history.hpp
+++ b/lab/fleet/history.hpp
@@ -46,8 +46,18 @@
   kFrozen,
   kThawed,
   kStopping,
-  kOverdue,  ///< killed because it had not ended by the earliest SIGKILL after its SIGTERM
-  kExited,   ///< `number`: the exit status, or the negative number of the signal
+  kOverdue,     ///< killed because it had not ended by the earliest SIGKILL after its SIGTERM
+  kExited,      ///< `number`: the exit status, or the negative number of the signal
+  kStandby,     ///< an operator sent the router the command `standby`
+  kActive,      ///< an operator sent the router the command `active`
+  kAdminReply,  ///< the router replied to the latest command; `text`: the reply
+  // Observed by the front, which asks router `peer` again and again whether it takes callers
+  kHealthCheckPassed,  ///< the answer is yes
+  kHealthCheckFailed,  ///< the answer is no
+  // Observed by a caller, of its connection to router `peer`
+  kConnected,
+  kDisconnected,
+  kPartWritten,  ///< wrote a part of a set-up
   // Observed by the relay
   kFaultOn,  ///< a fault began; `text`: its kind; `who` and `peer`: the link
   kFaultOff,
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 
 #include "lab/fleet/config_text.hpp"
+#include "lab/fleet/operator.hpp"
 #include "lab/fleet/process.hpp"
 #include "net/listen.hpp"
 
@@ -36,6 +37,9 @@
 constexpr std::size_t kCrowdConnections = 40;
 constexpr std::size_t kCrowdCallsPerConnection = 3;
 constexpr Duration kPollInterval = milliseconds{10};
+// How long the front sends new connections to a router after a failed health check (the operators' page
+// DAYS).
+constexpr Duration kFrontReactionTime = milliseconds{200};
 
 /// Reserves a port while processes that listen on it start and end. The socket is bound with the port shared,
 /// and never listens.
@@ -61,6 +65,9 @@
   std::vector<std::unique_ptr<Callers>> callers;
   /// Channels that the router has been moved away from. They say nothing new.
   std::vector<std::unique_ptr<CommandChannel>> retired_channels;
+  std::unique_ptr<HealthChecker> front;
+  std::vector<std::unique_ptr<AdminCommand>> admin_commands;
+  bool is_taking_callers = true;  ///< the result of the latest health check
   std::unique_ptr<Process> process;
   std::unique_ptr<Process> replaced_process;  ///< the process that `process` replaces
   std::size_t start_count = 0;
@@ -93,6 +100,7 @@
     wait_until([this] { return are_all_ready(); }, kReadyTimeout,
                "fleet: a router did not become ready in time");
     start_schedule();
+    start_fronts();
     const Duration end = context_.now() + options_.schedule.length;
     for (auto& router : routers_) {
       for (auto& callers : router.callers) callers->call_until(end - options_.callers.timeout);
@@ -213,11 +221,57 @@
         std::map<std::string, std::string>{{"RELAY_NAME", router.name},
                                            {"RELAY_LISTEN", net::to_text(router.port->address())},
                                            {"RELAY_CONFIG", router.folder + "/config.json"},
-                                           {"RELAY_CONTROL", ""},
+                                           {"RELAY_CONTROL", "127.0.0.1:0"},
                                            {"TMPDIR", router.folder + "/tmp"}},
         log_path(router));
   }
 
+  /// Sends health checks to the routers of a schedule with drains by operators, as the front does.
+  void start_fronts() {
+    const auto& faults = options_.schedule.nodes;
+    const bool has_drains = std::any_of(faults.begin(), faults.end(), [](const NodeFault& fault) {
+      return fault.kind == NodeFaultKind::kStandby;
+    });
+    if (!has_drains) return;
+    for (auto& router : routers_) {
+      router.front = std::make_unique<HealthChecker>(
+          loop_, router.port->address(), [this, &router](bool has_passed) { on_health(router, has_passed); });
+    }
+  }
+
+  void on_health(Router& router, bool has_passed) {
+    record({context_.now(), "front",
+            has_passed ? EventKind::kHealthCheckPassed : EventKind::kHealthCheckFailed, "", router.name, 0,
+            ""});
+    if (std::exchange(router.is_taking_callers, has_passed) == has_passed) return;
+    schedule_at(context_.now() + (has_passed ? Duration{} : kFrontReactionTime), [&router] {
+      for (auto& callers : router.callers) callers->set_admitted(router.is_taking_callers);
+    });
+  }
+
+  /// Sends the router an admin command and records it and the reply.
+  void send_admin_command(Router& router, EventKind kind) {
+    const auto address = admin_address(router);
+    const bool is_serving = router.process && !router.is_starting && !router.is_stopping && !router.is_frozen;
+    if (!address || !is_serving) return;
+    record(router.name, kind);
+    router.admin_commands.push_back(std::make_unique<AdminCommand>(
+        loop_, *address, std::string(name_of(kind)), [this, &router](const std::string& reply) {
+          record({context_.now(), router.name, EventKind::kAdminReply, "", "", 0, reply});
+        }));
+  }
+
+  /// Returns the address of the admin server as the log of the router's process states it.
+  static std::optional<tcp::endpoint> admin_address(const Router& router) {
+    constexpr std::string_view kPrefix = "admin: listening at ";
+    std::ifstream log(log_path(router));
+    for (std::string line; std::getline(log, line);) {
+      const auto position = line.find(kPrefix);
+      if (position != std::string::npos) return net::parse_endpoint(line.substr(position + kPrefix.size()));
+    }
+    return std::nullopt;
+  }
+
   /// Starts a second process, which shares the listening address and the temporary folder with the first.
   void replace(Router& router) {
     write_config(router);
@@ -337,6 +391,10 @@
     }
     for (auto& router : routers_) {
       if (!covers(fault.nodes, router.name) || !router.process) continue;
+      if (fault.kind == NodeFaultKind::kStandby) {
+        drain_router(router, fault);
+        continue;
+      }
       if (fault.kind == NodeFaultKind::kReload) {
         reload(router);
         continue;
@@ -368,6 +426,13 @@
     }
   }
 
+  void drain_router(Router& router, const NodeFault& fault) {
+    send_admin_command(router, EventKind::kStandby);
+    if (!fault.back_after) return;
+    schedule_at(context_.now() + *fault.back_after,
+                [this, &router] { send_admin_command(router, EventKind::kActive); });
+  }
+
   /// Sends SIGKILL at the earliest time at which the platform may do so after SIGTERM.
   void kill_when_overdue(Router& router) {
     router.is_stopping = true;
--- a/lab/fleet/schedule.cpp
+++ b/lab/fleet/schedule.cpp
@@ -25,9 +25,9 @@
 
 constexpr std::array<std::string_view, 9> kLinkFaultNames = {
     "drop", "delay", "duplicate", "reorder", "reset", "finish", "half-open", "stall", "partition"};
-constexpr std::array<std::string_view, 11> kNodeFaultNames = {"crash",        "freeze", "stop",   "replace",
+constexpr std::array<std::string_view, 12> kNodeFaultNames = {"crash",        "freeze", "stop",   "replace",
                                                               "drain",        "vanish", "reload", "mute",
-                                                              "channel-down", "crowd",  "die"};
+                                                              "channel-down", "crowd",  "die",    "standby"};
 
 template <typename Kind, std::size_t N>
 Kind kind_from_name(const std::array<std::string_view, N>& names, std::string_view name) {
--- a/lab/fleet/schedule.hpp
+++ b/lab/fleet/schedule.hpp
@@ -62,6 +62,7 @@
   kCrowd,        ///< many callers connect to a router at once, and each sends set-ups at once
   kDie,          ///< a server's process dies: its connections are reset, new ones refused. Restarts after
                  ///< `back_after`
+  kStandby,      ///< sends the admin command `standby`, and `active` after `back_after`
 };
 /// Returns the name of the kind in a schedule file.
 std::string_view name_of(NodeFaultKind kind);
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -262,6 +262,7 @@
 
 void Callers::on_open(net::TcpConnection& /*stream*/) {
   is_open_ = true;
+  record(EventKind::kConnected, "");
   if (is_probing_) request_readiness();
   for (auto& [id, set_up] : pending_)
     stream_->send(set_up.line);  // only set-ups that crossed a close are left
@@ -320,6 +321,7 @@
     constexpr std::size_t kPieces = 3;
     if (output.in_pieces && output.bytes.size() > kPieces) {
       const auto size = 1 + random_.below(output.bytes.size() / 2);
+      record(EventKind::kPartWritten, "");
       stream_->send(output.bytes.substr(0, size));
       output.bytes.erase(0, size);
       const milliseconds gap{static_cast<std::int64_t>(random_.below(20))};
@@ -412,7 +414,7 @@
 
 void Callers::on_closed(net::TcpConnection& stream, net::CloseReason reason) {
   if (&stream != stream_.get()) return;
-  is_open_ = false;
+  if (std::exchange(is_open_, false)) record(EventKind::kDisconnected, "");
   outputs_.clear();  // the router has not taken what was not written whole
   loop_.timers.cancel(std::exchange(piece_timer_, 0));
   bool has_resend = false;
@@ -422,6 +424,12 @@
     // new connection (the operators' page PROTOCOL).
     if (reason == net::CloseReason::kClosedByPeer && !set_up.is_resent &&
         context_.now() - set_up.sent_at <= kResendWindow) {
+      if (!is_admitted_) {
+        loop_.timers.cancel(set_up.timer);
+        record(EventKind::kGaveUp, id, 0, "sent to another router");
+        it = pending_.erase(it);
+        continue;
+      }
       has_resend = set_up.is_resent = true;
       ++it;
       continue;
@@ -430,8 +438,22 @@
     record(EventKind::kLost, id, 0, reason == net::CloseReason::kConnectionRefused ? "refused" : "");
     it = pending_.erase(it);
   }
+  reconnect_after(has_resend ? Duration{} : kReconnectDelay);
+}
+
+void Callers::reconnect_after(Duration delay) {
   loop_.timers.cancel(retry_timer_);
-  retry_timer_ = loop_.run_after(has_resend ? Duration{} : kReconnectDelay, [this] { connect(); });
+  retry_timer_ = loop_.run_after(delay, [this] {
+    if (is_admitted_) {
+      connect();
+    } else {
+      reconnect_after(kReconnectDelay);
+    }
+  });
+}
+
+void Callers::set_admitted(bool is_admitted) {
+  is_admitted_ = is_admitted;
 }
 
 // ---- the command channel --------------------------------------------------------------------------------
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -114,9 +114,13 @@
   [[nodiscard]] bool is_ready() const { return is_ready_; }
   /// Asks the router whether it accepts calls, again and again until it does.
   void request_readiness();
+  /// Sets whether the front sends new connections to the router. If not, a closed connection is not opened
+  /// again, and a set-up that crossed its close goes to another router, which this class does not play.
+  void set_admitted(bool is_admitted);
 
  private:
   void connect();
+  void reconnect_after(Duration delay);
   void call();
   void place_call();
   /// Writes a line, in pieces or at once; a line that is written in pieces delays the next ones. `on_written`
@@ -140,6 +144,7 @@
   Random random_;
   std::shared_ptr<net::TcpConnection> stream_;
   bool is_open_ = false, is_ready_ = false, is_probing_ = false;
+  bool is_admitted_ = true;
   struct PendingSetUp {
     core::TimerWheel::Handle timer = 0;
     Duration sent_at{};
--- a/tests/fleet_relay_test.cpp
+++ b/tests/fleet_relay_test.cpp
@@ -377,6 +377,35 @@
         }) > 20);
 }
 
+// A connection that is never without a call brought new requests for as long as the standby lasted.
+TEST_CASE("a router in standby carries no recent request and holds no idle connection after 4 s") {
+  const TemporaryFolder folder;
+  auto options = options_of(folder.path);
+  options.routers = 2;
+  options.connections = 6;
+  options.schedule.length = milliseconds{8200};
+  SUBCASE("connections kept by set-ups that wait") {
+    options.callers.calls_per_s = 60;
+    options.traits = {.mean_call_time = milliseconds{100}, .unanswered_share = 0.3};
+  }
+  SUBCASE("connections kept by established calls") {
+    options.callers.calls_per_s = 60;
+    options.traits = {.mean_answer_time = milliseconds{200}, .mean_call_time = seconds{3}};
+  }
+  SUBCASE("set-ups in pieces, and a crowd that asks no front") {
+    options.callers.pieces_share = 1;
+    options.traits.mean_call_time = seconds{1};
+    options.schedule.nodes.push_back({NodeFaultKind::kCrowd, {"n0"}, milliseconds{4200}, {}});
+  }
+  options.schedule.nodes.push_back({NodeFaultKind::kStandby, {"n0"}, milliseconds{500}, seconds{5}});
+  options.schedule.nodes.push_back({NodeFaultKind::kStandby, {"n1"}, seconds{1}, milliseconds{4500}});
+  const auto result = run_on_time(options);
+  CHECK_MESSAGE(result.verdict.has_passed(), format_verdict(result.verdict));
+  CHECK(std::count_if(result.history.begin(), result.history.end(), [](const Event& event) {
+          return event.kind == EventKind::kAdminReply && event.text.starts_with("+OK");
+        }) == 4);
+}
+
 // Faults that each hold alone may break a rule together.
 TEST_CASE("routers keep every rule in dense trials of overlapping faults") {
   const TemporaryFolder folder;
--- a/tests/fleet_rig_test.cpp
+++ b/tests/fleet_rig_test.cpp
@@ -199,6 +199,13 @@
     all.insert(all.end(), then.begin(), then.end());
     return all;
   };
+  const auto in_standby = [](const std::vector<Event>& then) {
+    std::vector<Event> all = {event(100, "c0", EventKind::kConnected, "n0"),
+                              event(1000, "n0", EventKind::kStandby),
+                              event(1001, "n0", EventKind::kAdminReply, "", 0, "+OK standby")};
+    all.insert(all.end(), then.begin(), then.end());
+    return all;
+  };
   const struct {
     const char* description;
     std::vector<Event> more;
@@ -346,12 +353,61 @@
       {"a call at another server than the one that vanished",
        {event(100, "s1", EventKind::kVanished), event(9000, "n1", EventKind::kReady)},
        -1},
+      {"a router in standby with a request of 1.9 s",
+       in_standby({event(3100, "c0", EventKind::kSetUp, "n0", 3000, "", "b2"),
+                   event(5001, "c0", EventKind::kRejected, "n0", 0, "", "b2")}),
+       9},
+      {"a router in standby with a request of 2 s",
+       in_standby({event(3000, "c0", EventKind::kSetUp, "n0", 3000, "", "b2"),
+                   event(5001, "c0", EventKind::kRejected, "n0", 0, "", "b2")}),
+       -1},
+      {"a router in standby that has just received a request",
+       in_standby({event(4951, "c0", EventKind::kSetUp, "n0", 3000, "", "b2"),
+                   event(5001, "c0", EventKind::kRejected, "n0", 0, "", "b2")}),
+       -1},
+      {"a request of 1.9 s at a router that was active again before",
+       in_standby({event(3100, "c0", EventKind::kSetUp, "n0", 3000, "", "b2"),
+                   event(4998, "n0", EventKind::kActive),
+                   event(4999, "n0", EventKind::kAdminReply, "", 0, "+OK active"),
+                   event(5000, "front", EventKind::kHealthCheckPassed, "n0"),
+                   event(5001, "c0", EventKind::kRejected, "n0", 0, "", "b2")}),
+       -1},
+      {"a router in standby with an idle connection", in_standby({event(5001, "n1", EventKind::kReady)}), 9},
+      {"a router in standby with a connection that carries an established call",
+       in_standby({event(2000, "c0", EventKind::kSetUp, "n0", 3000, "", "b2"),
+                   event(2009, "s0", EventKind::kAnswered, "n0", 0, "s0-2", "b2"),
+                   event(2010, "c0", EventKind::kAnswer, "n0", 0, "s0-2", "b2"),
+                   event(5001, "n1", EventKind::kReady)}),
+       -1},
+      {"a router in standby that has closed its idle connection",
+       in_standby({event(4999, "c0", EventKind::kDisconnected, "n0"), event(5001, "n1", EventKind::kReady)}),
+       -1},
+      {"a router in standby that says that it takes callers",
+       in_standby({event(4999, "c0", EventKind::kDisconnected, "n0"),
+                   event(5001, "front", EventKind::kHealthCheckPassed, "n0")}),
+       9},
+      {"a router that was killed in standby",
+       in_standby({event(3100, "n0", EventKind::kKilled), event(3101, "n0", EventKind::kExited, "", -9),
+                   event(5001, "n1", EventKind::kReady)}),
+       -1},
+      {"an admin command that is confirmed late",
+       {event(1000, "n0", EventKind::kStandby),
+        event(2051, "n0", EventKind::kAdminReply, "", 0, "+OK standby")},
+       10},
+      {"an active router that takes callers again too late",
+       {event(1000, "n0", EventKind::kActive), event(1001, "n0", EventKind::kAdminReply, "", 0, "+OK active"),
+        event(3051, "front", EventKind::kHealthCheckPassed, "n0")},
+       10},
+      {"an active router that takes callers again in time",
+       {event(1000, "n0", EventKind::kActive), event(1001, "n0", EventKind::kAdminReply, "", 0, "+OK active"),
+        event(3050, "front", EventKind::kHealthCheckPassed, "n0")},
+       -1},
       {"a process that does not end after SIGTERM",
        {event(99, "n0", EventKind::kStopping), event(100, "n0", EventKind::kExited, "", -9)},
        5},
   };
   for (const auto& row : rows) {
-    CAPTURE(row.description);
+    CAPTURE(std::string(row.description));
     CHECK(broken_rule(with_events(correct_run(), row.more)) == row.rule);
   }
 }
