Reject set-ups that come over 1 s after standby, on connections kept for other calls

Cause: the drain only closed connections without a call (Frontend::may_close) and had no other end. Callers go on using open connections, so one with established calls or overlapping set-ups was never without a call, and each new set-up was served as before. Why it works: no wait for callers is left; what came before is over 2 s old at the 4 s.

--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -45,6 +45,8 @@
   CallId add_call(ClientPort& client, SetUpRequest set_up);
   /// Passes a new call to the decision module, which forwards, queues or rejects it.
   void route(CallId call);
+  /// Rejects a new call that was not passed to route(): its caller may retry at another router at once.
+  void reject_unrouted(CallId call) { send_final_answer(call, Reason::kCongestion, Duration::zero()); }
   /// Ends a call whose caller no longer waits for it. Has no effect once the call is established.
   void abandon(CallId call);
   /// Ends a call on its caller's request: abandons the set-up before the answer, releases the call after it.
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -101,9 +101,9 @@
   virtual void shut_down() {}
   /// Returns, after shut_down(), whether every peer has closed its connection too.
   [[nodiscard]] virtual bool is_closed() const { return true; }
-  /// Drains this frontend on the operators' `standby` command: callers' health checks fail, requests that
-  /// still arrive are served, and each connection is closed once no request on it awaits an answer. With
-  /// false, accepts callers again.
+  /// Drains this frontend on the operators' `standby` command, as ConnectionDrain decides: callers' health
+  /// checks fail, requests that still arrive are served for a short period and then rejected at once, and
+  /// each connection is closed once it carries no call. With false, accepts callers again.
   virtual void set_standby(bool /*is_standby*/) {}
   /// Hands over to another process that serves the same callers (hot restart). No new connection is accepted
   /// here, and each connection is closed once no set-up on it awaits an answer. Established calls continue;
--- a/src/jsonl/frontend.cpp
+++ b/src/jsonl/frontend.cpp
@@ -29,12 +29,10 @@
 constexpr Duration kConfirmationTimeout = seconds{3};
 constexpr std::size_t kMaxSentReleases = 256;
 constexpr Duration kSweepInterval = milliseconds{200};
-// In standby: how often idle connections are closed, and how long a new connection may take to send its first
-// line. After the router enters standby, new connections may still arrive for 0.2 s. 4 s after it enters
-// standby, no connection may be open that is idle or has carried a request in the last 2 s.
-constexpr Duration kIdleCloseInterval = milliseconds{50};
+// During a drain: how often connections are looked at, and how long a new one may take to send its first
+// line.
+constexpr Duration kDrainInterval = milliseconds{50};
 constexpr Duration kFirstLineGracePeriod = milliseconds{150};
-constexpr Duration kDrainDeadline = seconds{4};
 constexpr Duration kRecentUse = seconds{2};
 // Lines that are read from one connection before other connections get their turn.
 constexpr int kMaxLinesPerTurn = 16;
@@ -223,7 +221,7 @@
       break;
     case JsonLine::Type::kHealthCheck:
       from.is_useful = true;
-      from.stream->send(health_check_answer_line(read->sid, !is_standby_));
+      from.stream->send(health_check_answer_line(read->sid, !drain_.is_standby()));
       break;
     case JsonLine::Type::kOther:  // `closed` is one of these: it confirms a release
       std::erase_if(from.sent_releases,
@@ -309,25 +307,24 @@
 }
 
 void Frontend::set_standby(bool is_standby) {
-  if (is_standby_ == is_standby) return;
-  is_standby_ = is_standby;
+  if (drain_.is_standby() == is_standby) return;
   loop_.timers.cancel(std::exchange(drain_deadline_timer_, 0));
+  const Instant now = net::Loop::now();
   if (is_standby) {
-    standby_since_ = net::Loop::now();
+    drain_.begin_standby(now);
     closed_in_standby_ = 0;
     net::log::info("jsonl: standby: health checks fail, idle connections are closed; ",
                    describe_connections());
-    drain_deadline_timer_ = loop_.run_after(kDrainDeadline, [this] { log_overdue_drain(); });
+    drain_deadline_timer_ =
+        loop_.run_after(core::ConnectionDrain::kDrainTime, [this] { log_overdue_drain(); });
   } else {
-    const auto standby_ms =
-        std::chrono::duration_cast<milliseconds>(net::Loop::now() - standby_since_).count();
+    const auto standby_ms = std::chrono::duration_cast<milliseconds>(now - drain_.standby_since()).count();
+    drain_.end_standby();
     net::log::info("jsonl: active: health checks pass, connections are kept; in ", standby_ms,
                    " ms of standby ", closed_in_standby_, " connections were closed; ",
                    describe_connections());
   }
-  if (is_hot_restarting_) return;
-  loop_.timers.cancel(std::exchange(idle_close_timer_, 0));
-  if (is_standby) schedule_idle_close();
+  schedule_drain();
 }
 
 void Frontend::log_overdue_drain() {
@@ -355,7 +352,8 @@
 }
 
 void Frontend::begin_hot_restart(std::function<void(core::UndeliveredRelease)> undelivered) {
-  if (std::exchange(is_hot_restarting_, true)) return;
+  if (drain_.is_hot_restarting()) return;
+  drain_.begin_hot_restart();
   undelivered_sink_ = std::move(undelivered);
   // The kernel distributes new connections among all listening processes, and resets those that are pending
   // at a listener that closes. Pending connections are therefore accepted first.
@@ -368,8 +366,7 @@
   undelivered_count_ = 0;
   net::log::info("jsonl: hot restart: ", connections_.size(),
                  " connections of callers, each closed once its set-ups are answered");
-  loop_.timers.cancel(std::exchange(idle_close_timer_, 0));
-  schedule_idle_close();
+  schedule_drain();
 }
 
 void Frontend::accept_pending() {
@@ -402,18 +399,19 @@
                       [](const auto& stream) { return stream->is_lingering(); });
 }
 
-bool Frontend::may_close(const Connection& connection, Instant now) const {
-  const bool is_new = !connection.is_useful && now - connection.accepted_at < kFirstLineGracePeriod;
-  // A set-up that has partly arrived is read to its end and answered by this process.
-  const bool has_calls = is_hot_restarting_ ? connection.unanswered > 0 : !connection.calls.empty();
-  return !is_new && !has_calls && !connection.partial_line_since && !connection.stream->has_unread();
+core::DrainedConnection Frontend::drain_state(const Connection& connection, Instant now) {
+  // A set-up that has partly arrived is read to its end and answered.
+  return {.is_new = !connection.is_useful && now - connection.accepted_at < kFirstLineGracePeriod,
+          .has_pending_input = connection.partial_line_since.has_value() || connection.stream->has_unread(),
+          .unanswered = connection.unanswered,
+          .established = connection.calls.size() - connection.unanswered};
 }
 
-void Frontend::close_idle_connections() {
+void Frontend::close_drained_connections() {
   const Instant now = net::Loop::now();
   std::vector<net::TcpConnection*> to_close;
   for (const auto& [key, connection] : connections_) {
-    if (may_close(connection, now)) to_close.push_back(key);
+    if (drain_.may_close(drain_state(connection, now))) to_close.push_back(key);
   }
   for (auto* key : to_close) {
     const auto found = connections_.find(key);
@@ -423,10 +421,11 @@
   }
 }
 
-void Frontend::schedule_idle_close() {
-  if (!is_standby_ && !is_hot_restarting_) return;
-  close_idle_connections();
-  idle_close_timer_ = loop_.run_after(kIdleCloseInterval, [this] { schedule_idle_close(); });
+void Frontend::schedule_drain() {
+  loop_.timers.cancel(std::exchange(drain_timer_, 0));
+  if (!drain_.is_draining()) return;
+  close_drained_connections();
+  drain_timer_ = loop_.run_after(kDrainInterval, [this] { schedule_drain(); });
 }
 
 std::shared_ptr<net::TcpConnection> Frontend::best_connection_of(const asio::ip::address& caller) {
@@ -533,7 +532,13 @@
   ++from.unanswered;
   from.held_bytes += held_bytes;
   held_bytes_ += held_bytes;
-  table_.route(id);
+  if (drain_.serves_set_ups(net::Loop::now())) {
+    table_.route(id);
+    return;
+  }
+  ++counters_.rejected_in_standby;
+  net::log::info(standby_log_limit_, "jsonl: set-up rejected in standby: ", sid);
+  table_.reject_unrouted(id);
 }
 
 // Handles a set-up whose id belongs to a live call. If both came on one connection, the caller could not
@@ -652,7 +657,7 @@
     send_release(*to, std::move(release));
     return;
   }
-  if (is_hot_restarting_ && undelivered_sink_) {
+  if (drain_.is_hot_restarting() && undelivered_sink_) {
     undelivered_sink_(std::move(release));
     return;
   }
--- a/src/jsonl/frontend.hpp
+++ b/src/jsonl/frontend.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/call_table.hpp"
+#include "core/connection_drain.hpp"
 #include "core/counters.hpp"
 #include "core/names.hpp"
 #include "jsonl/codec.hpp"
@@ -108,12 +109,10 @@
   void mark_answered(Call& call);
   std::shared_ptr<net::TcpConnection> best_connection_of(const asio::ip::address& caller);
   void schedule_sweep();
-  /// Whether a connection may be closed: it had time to send its first line, has no partial line and no
-  /// unread input, and has no calls (in standby) or no unanswered calls (during a hot restart).
-  [[nodiscard]] bool may_close(const Connection& connection, Instant now) const;
-  /// In standby and during a hot restart: closes each connection that may_close() allows.
-  void close_idle_connections();
-  void schedule_idle_close();
+  [[nodiscard]] static core::DrainedConnection drain_state(const Connection& connection, Instant now);
+  /// During a drain: closes each connection that may be closed.
+  void close_drained_connections();
+  void schedule_drain();
   /// Returns how many connections are open and what keeps them open, for log lines.
   [[nodiscard]] std::string describe_connections() const;
   void log_overdue_drain();
@@ -141,15 +140,13 @@
   std::size_t undelivered_count_ = 0;  ///< releases in undelivered_
   net::TcpConnection::Tag next_release_tag_ = 1;
   std::string listen_address_;
-  bool is_standby_ = false;
-  bool is_hot_restarting_ = false;
+  core::ConnectionDrain drain_;
   std::function<void(core::UndeliveredRelease)> undelivered_sink_;
-  Instant standby_since_{};
-  std::size_t closed_in_standby_ = 0;  ///< connections closed as idle since the latest `standby`
-  core::TimerWheel::Handle idle_close_timer_ = 0;
+  std::size_t closed_in_standby_ = 0;  ///< connections drained since the latest `standby`
+  core::TimerWheel::Handle drain_timer_ = 0;
   core::TimerWheel::Handle drain_deadline_timer_ = 0;
   net::log::RateLimiter unreadable_log_limit_, malformed_log_limit_, repeated_log_limit_, capacity_log_limit_,
-      idle_log_limit_;
+      idle_log_limit_, standby_log_limit_;
 };
 
 }  // namespace amberknot::jsonl
