End a shutdown at its exit time whatever callers go on sending

GracefulShutdown::may_exit waited without a limit for a moment without unanswered calls, looked at every 20 ms; callers go on sending until SIGKILL, and each late set-up stayed unanswered for up to a timer tick. Change: after answer_by a set-up is rejected when it arrives; at exit_by nothing is waited for, and end_all answers what is unanswered; the last check is made at exit_by and not up to 20 ms later. Why it works: no condition of the exit is left that callers control. Evidence: the new test fails without the change (may_exit(exit_by, 1, 1, true) is false).

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -294,7 +294,7 @@
     return !frontend || frontend->is_settled();
   });
   if (shutdown_plan_.may_exit(now, table_.unanswered(), table_.established(), !all_settled)) {
-    table_.release_all();
+    table_.end_all();
     store_undelivered_releases();
     for (const auto& frontend : frontends_) {
       if (frontend) frontend->shut_down();
@@ -305,7 +305,8 @@
     exit_when_closed(shutdown_plan_.callers_close_by(now));
     return;
   }
-  loop_.run_after(kExitCheckInterval, [this] { check_exit(); });
+  const Duration until_exit = shutdown_plan_.exit_by - now;
+  loop_.run_after(std::min(kExitCheckInterval, until_exit), [this] { check_exit(); });
 }
 
 // A process that exits with unread input resets its connections, and a caller may see the reset before the
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -45,7 +45,13 @@
 }
 
 void CallTable::route(CallId id) {
-  if (const auto* call = find(id)) execute(dispatcher_.report_new_call(clock_(), id, call->set_up.request));
+  const auto* call = find(id);
+  if (call == nullptr) return;
+  if (shutdown_ && !shutdown_->serves_set_ups(clock_())) {
+    send_final_answer(id, Reason::kTimeout, shutdown_retry_after());
+    return;
+  }
+  execute(dispatcher_.report_new_call(clock_(), id, call->set_up.request));
 }
 
 void CallTable::abandon(CallId id) {
@@ -194,7 +200,18 @@
   });
 }
 
-void CallTable::release_all() {
+void CallTable::end_all() {
+  std::vector<CallId> unanswered;
+  for (const auto& [id, call] : calls_) {
+    if (call.is_unanswered()) unanswered.push_back(id);
+  }
+  for (const CallId id : unanswered) {
+    auto* call = find(id);
+    if (call == nullptr) continue;
+    wheel_.cancel(call->timer);
+    call->set_up.request.expires = clock_();
+    on_timer(id);
+  }
   std::vector<CallId> established;
   for (const auto& [id, call] : calls_) {
     if (call.state == CallState::kEstablished) established.push_back(id);
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -101,8 +101,9 @@
   [[nodiscard]] std::size_t established() const { return established_; }
   /// Returns whether any call is in flight to that server or established there.
   [[nodiscard]] bool has_calls_at(ServerId server) const;
-  /// Releases all established calls towards callers and servers because the process exits.
-  void release_all();
+  /// Gives all unanswered calls their final answer, and releases all established calls towards callers and
+  /// servers, because the process exits.
+  void end_all();
 
  private:
   // Execution of the module's decisions.
--- a/src/core/graceful_shutdown.cpp
+++ b/src/core/graceful_shutdown.cpp
@@ -51,8 +51,8 @@
 
 bool GracefulShutdown::may_exit(Instant now, std::size_t unanswered, std::size_t established,
                                 bool has_pending_io) const {
-  return now >= accept_until && unanswered == 0 && (established == 0 || now >= exit_by) &&
-         (!has_pending_io || now >= answer_by);
+  if (now >= exit_by) return true;
+  return now >= accept_until && unanswered == 0 && established == 0 && (!has_pending_io || now >= answer_by);
 }
 
 Instant GracefulShutdown::callers_close_by(Instant now) const {
--- a/src/core/graceful_shutdown.hpp
+++ b/src/core/graceful_shutdown.hpp
@@ -45,8 +45,11 @@
   /// expected no earlier than the period in which callers still arrive, plus that deadline up to a maximum.
   static GracefulShutdown plan(Instant now, Duration longest_deadline, bool is_replaced);
 
+  /// Whether a set-up that arrives at `now` is served. Later ones are rejected at once: callers that go on
+  /// sending would otherwise keep calls unanswered, and the process from its exit, until SIGKILL.
+  [[nodiscard]] bool serves_set_ups(Instant now) const { return now < answer_by; }
   /// Returns whether the process may exit. `has_pending_io` says that set-ups are still arriving or answers
-  /// are not yet written, which is waited for until `answer_by`.
+  /// are not yet written, which is waited for until `answer_by`. Nothing is waited for beyond `exit_by`.
   [[nodiscard]] bool may_exit(Instant now, std::size_t unanswered, std::size_t established,
                               bool has_pending_io = false) const;
   /// Returns until when callers may close their connections, if everything has been sent at `now`.
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -219,6 +219,29 @@
   CHECK(core.table.unanswered() == 0);
 }
 
+// Callers go on sending, so that a moment without unanswered calls may never come.
+TEST_CASE("a stopping process rejects late set-ups at once and waits for no call beyond its exit time") {
+  SimulatedCore core;
+  const auto plan = GracefulShutdown::plan(core.now, seconds{3}, false);
+  core.table.begin_shutdown(plan);
+  core.advance_to(plan.answer_by);
+  core.open(seconds{3});
+  CHECK(core.table.unanswered() == 0);
+  CHECK(core.client.advice.size() == 1);
+  CHECK(core.server.sent == 0);
+  CHECK_FALSE(plan.may_exit(plan.exit_by - milliseconds{1}, 1, 0));
+  CHECK(plan.may_exit(plan.exit_by, 1, 1, true));
+}
+
+TEST_CASE("calls that are unanswered when a process exits get their final answers") {
+  SimulatedCore core;
+  for (int i = 0; i < 3; ++i) core.open(seconds{9});
+  REQUIRE(core.table.unanswered() == 3);
+  core.table.end_all();
+  CHECK(core.table.unanswered() == 0);
+  CHECK(core.client.advice.size() == 3);
+}
+
 TEST_CASE("a shutdown brings the deadlines of all calls forward and postpones none") {
   for (const bool is_connecting : {false, true}) {
     CAPTURE(is_connecting);
