Close new connections without a message once a router in standby rejects set-ups

Cause: a connection younger than 150 ms is kept for its first message; callers that connect again after each close always have such a one. A set-up that crosses such a close is sent again by its caller. Test: connection_drain_test.cpp, on the decision.

--- a/src/core/connection_drain.hpp
+++ b/src/core/connection_drain.hpp
@@ -50,8 +50,10 @@
   }
   /// Whether the connection may be closed. In standby it is kept for its established calls, since their
   /// releases are sent on a connection of their caller; in a hot restart the other process sends them.
-  [[nodiscard]] bool may_close(const DrainedConnection& connection) const {
-    if (!is_draining() || connection.is_new || connection.has_pending_input) return false;
+  [[nodiscard]] bool may_close(const DrainedConnection& connection, Instant now) const {
+    if (!is_draining() || connection.has_pending_input) return false;
+    // A set-up that crosses the close is sent again; one that was to be rejected need not be waited for.
+    if (connection.is_new && serves_set_ups(now)) return false;
     return connection.unanswered == 0 && (connection.established == 0 || is_hot_restarting_);
   }
 
--- a/src/jsonl/frontend.cpp
+++ b/src/jsonl/frontend.cpp
@@ -29,9 +29,9 @@
 constexpr Duration kConfirmationTimeout = seconds{3};
 constexpr std::size_t kMaxSentReleases = 256;
 constexpr Duration kSweepInterval = milliseconds{200};
-// During a drain: how often connections are looked at, and how long a new one may take to send its first
-// line.
-constexpr Duration kDrainInterval = milliseconds{50};
+// During a drain: how often connections are looked at, well within the 50 ms that the operators' page
+// PROTOCOL adds to each limit, and how long a new one may take to send its first line.
+constexpr Duration kDrainInterval = milliseconds{20};
 constexpr Duration kFirstLineGracePeriod = milliseconds{150};
 constexpr Duration kRecentUse = seconds{2};
 // Lines that are read from one connection before other connections get their turn.
@@ -411,7 +411,7 @@
   const Instant now = net::Loop::now();
   std::vector<net::TcpConnection*> to_close;
   for (const auto& [key, connection] : connections_) {
-    if (drain_.may_close(drain_state(connection, now))) to_close.push_back(key);
+    if (drain_.may_close(drain_state(connection, now), now)) to_close.push_back(key);
   }
   for (auto* key : to_close) {
     const auto found = connections_.find(key);
--- a/tests/connection_drain_test.cpp
+++ b/tests/connection_drain_test.cpp
@@ -46,19 +46,31 @@
       {"with an unanswered call", {.unanswered = 1}, false, false},
       {"with an established call", {.established = 1}, false, true},
   };
+  const Instant start{std::chrono::seconds{100}};
   for (const auto& row : rows) {
     CAPTURE(std::string(row.description));
     ConnectionDrain drain;
-    CHECK_FALSE(drain.may_close(row.connection));
-    drain.begin_standby(Instant{});
-    CHECK(drain.may_close(row.connection) == row.in_standby);
+    CHECK_FALSE(drain.may_close(row.connection, start));
+    drain.begin_standby(start);
+    CHECK(drain.may_close(row.connection, start) == row.in_standby);
     drain.begin_hot_restart();
-    CHECK(drain.may_close(row.connection) == row.in_hot_restart);
+    CHECK(drain.may_close(row.connection, start) == row.in_hot_restart);
     drain.end_standby();
-    CHECK(drain.may_close(row.connection) == row.in_hot_restart);
+    CHECK(drain.may_close(row.connection, start) == row.in_hot_restart);
   }
 }
 
+// Callers that connect again after each close kept such connections open at every moment.
+TEST_CASE("a new connection without a message is not kept once set-ups are no longer served") {
+  const Instant start{std::chrono::seconds{100}};
+  ConnectionDrain drain;
+  drain.begin_standby(start);
+  const Instant end = start + ConnectionDrain::kServicePeriod;
+  CHECK_FALSE(drain.may_close({.is_new = true}, end - Duration{1}));
+  CHECK(drain.may_close({.is_new = true}, end));
+  CHECK_FALSE(drain.may_close({.is_new = true, .has_pending_input = true}, end));
+}
+
 TEST_CASE("set-ups are served for the service period after the first of several standby commands") {
   const Instant start{std::chrono::seconds{100}};
   const Duration period = ConnectionDrain::kServicePeriod;
