Release the calls of a SIP server that resets its connections after a long silence

Trace: s1 vanished at 5.76 s and was back at 11.73 s as a new process; the router's list was down until 14.4 s. The new process's first report came when other routers had calls there, so 'all lines are free' did not hold, and its messages renewed the lease on calls that it never knew. Change: a reset that ends at least 3 s of silence on all connections ends the calls: a machine that is up again resets what it does not know, a path that heals resets nothing. Test: fails without it; a reset without such a silence still ends no call.

--- a/src/core/server_liveness.hpp
+++ b/src/core/server_liveness.hpp
@@ -29,6 +29,13 @@
   static constexpr Duration kProbeDelay = std::chrono::seconds{3};
   static constexpr Duration kProbeInterval = std::chrono::seconds{1};
 
+  /// Whether a connection that the server resets after such a silence of all its connections shows that its
+  /// process was restarted: a machine that is up again resets the connections that it does not know, while a
+  /// path that was cut and heals, or a process that hung and goes on, resets nothing.
+  static constexpr bool shows_restart(Duration silence_before_reset) {
+    return silence_before_reset >= kProbeDelay;
+  }
+
   /// Everything that the server sent before `received_at` has been received. Reports may come out of order.
   void on_received(Instant received_at) { last_received_at_ = std::max(last_received_at_, received_at); }
 
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -136,6 +136,7 @@
   bool reports_on_connect = false;  ///< it has sent a load report on a connection
   /// Of the releases of the calls whose connection is closed. Empty if there are no such calls.
   std::optional<core::ServerLiveness> detached_liveness;
+  Instant last_received_at{};                            // on any connection; zero before the first bytes
   std::size_t established = 0;                           // established calls
   std::vector<std::shared_ptr<Connection>> connections;  // connecting or open
   HalfClosed half_closed;
@@ -415,6 +416,14 @@
   if (reason == net::CloseReason::kClosedByPeer) connection->liveness.on_received(net::Loop::now());
   detach_calls(server, *connection);
   on_connection_lost(*connection, reason);
+  if (reason == net::CloseReason::kReset) on_reset(server);
+}
+
+void ConnectionPool::on_reset(Server& server) {
+  const Instant never{};
+  if (server.last_received_at == never || server.established == 0) return;
+  if (!core::ServerLiveness::shows_restart(net::Loop::now() - server.last_received_at)) return;
+  table_.abort_calls_at_silent_server(server.id, "connection reset after a long silence");
 }
 
 void ConnectionPool::on_connection_lost(Connection& connection, net::CloseReason reason) {
@@ -503,7 +512,9 @@
   detach_calls(server, connection);
   // The server closed it too, so everything it sent on that connection has arrived. A reset, however, may
   // have destroyed messages in transit.
-  if (reason == net::CloseReason::kClosedByPeer || server.established == 0) return;
+  if (reason == net::CloseReason::kClosedByPeer) return;
+  on_reset(server);
+  if (server.established == 0) return;
   server.releases_maybe_lost_since = net::Loop::now();
   loop_.timers.cancel(std::exchange(server.retry_timer, 0));
   server.backoff = kMinBackoff;
@@ -849,6 +860,7 @@
   connection.stall_suspected_at.reset();
   connection.pinged_at.reset();
   connection.liveness.on_received(net::Loop::now());
+  connection.server.last_received_at = net::Loop::now();
   // Only now is it certain that the server knows the connection and repeats its releases there.
   if (!std::exchange(connection.has_received, true)) {
     connection.server.releases_maybe_lost_since.reset();
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -95,6 +95,8 @@
   /// Stops sending on a connection that is open but unusable. The server may not notice for some time; until
   /// it closes the connection too, messages on it are still handled.
   void half_close(Connection& connection, net::CloseReason reason);
+  /// Ends the calls of a server that was silent for long before it reset a connection.
+  void on_reset(Server& server);
   void on_half_closed_end(Connection& connection, net::CloseReason reason);
   HalfClosed::iterator close_half_closed(Server& server, HalfClosed::iterator at);
   /// Closes the oldest half-closed connection of all servers to free its descriptor. Returns false if there
--- a/tests/stuck_connection_test.cpp
+++ b/tests/stuck_connection_test.cpp
@@ -3,6 +3,7 @@
 // there.
 #include <array>
 
+#include "core/server_liveness.hpp"
 #include "net_bench.hpp"
 
 using namespace amberknot;
@@ -197,6 +198,39 @@
       [&] { return router_fixture.caller->has_received("\"close\",\"sid\":\"" + kEstablished); });
 }
 
+// The new process has calls of other routers by the time of its first report, and the endpoint list says
+// nothing.
+TEST_CASE(
+    "the calls of a server that was silent and returns restarted are released when it resets connections") {
+  StalledConnectionFixture fixture;
+  auto& router_fixture = fixture.router_fixture;
+  router_fixture.send_set_up(kEstablished);
+  auto& connection = fixture.invited(kEstablished);
+  fixture.establish(kEstablished, connection);
+  const auto reset_and_report = [&] {
+    const auto count = fixture.connections.size();
+    connection.socket.set_option(asio::socket_base::linger(true, 0));
+    connection.socket.close();
+    router_fixture.run_until([&] { return fixture.connections.size() > count; });
+    fixture.connections.back()->say(RouterFixture::sip_message("NOTIFY sip:router@net SIP/2.0", "s1",
+                                                               "1 NOTIFY", "X-Occupancy: x0:39;x1:40\r\n"));
+    router_fixture.wait_for_messages_in_transit();
+  };
+  const auto is_released = [&] {
+    return router_fixture.caller->has_received("\"close\",\"sid\":\"" + kEstablished);
+  };
+  SUBCASE("after a long silence") {
+    const Instant silent_until = net::Loop::now() + core::ServerLiveness::kProbeDelay;
+    router_fixture.run_until([&] { return net::Loop::now() > silent_until; });
+    reset_and_report();
+    CHECK(is_released());
+  }
+  SUBCASE("a reset by the network, of a server that has just sent something") {
+    reset_and_report();
+    CHECK_FALSE(is_released());
+  }
+}
+
 // Other connections show that the server lives, and none of them brings the releases of this call.
 TEST_CASE("a call on a silent connection is released within 8 s although its server talks on another one") {
   StalledConnectionFixture fixture;
