Give the lab's callers their 50 ms and one identity, and kill only the process that was stopped

A crowd in standby connects once and then asks the front. No bound of a rule changes: a router's answer is still due at the caller's time and 50 ms, and a caller that waits now notices a later one.

--- a/lab/fleet/drain_rule.cpp
+++ b/lab/fleet/drain_rule.cpp
@@ -80,6 +80,9 @@
     if (event.kind == EventKind::kDisconnected) connections_.erase(event.who);
     const auto connection = connections_.find(event.who);
     if (connection != connections_.end() && is_connection_event(event.kind)) connection->second.apply(event);
+    if (event.kind == EventKind::kReleased) {  // it may come on another connection than the call's
+      for (auto& [who, other] : connections_) other.established.erase(event.call);
+    }
     const bool is_drained = standby_ != nullptr && event.time > deadline();
     if (is_drained && event.kind == EventKind::kHealthCheckPassed)
       verdict.violations.push_back({"the router took callers in standby", {*standby_, event}});
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -65,6 +65,7 @@
   std::vector<std::unique_ptr<Callers>> callers;
   /// Channels that the router has been moved away from. They say nothing new.
   std::vector<std::unique_ptr<CommandChannel>> retired_channels;
+  std::shared_ptr<EstablishedCalls> established = std::make_shared<EstablishedCalls>();
   std::unique_ptr<HealthChecker> front;
   std::vector<std::unique_ptr<AdminCommand>> admin_commands;
   bool is_taking_callers = true;  ///< the result of the latest health check
@@ -192,8 +193,9 @@
     std::string name = "c" + router.name.substr(1);
     if (!router.callers.empty()) name += "." + std::to_string(router.callers.size());
     router.callers.push_back(std::make_unique<Callers>(loop_, context_, std::move(name), router.name,
-                                                       router.port->address(), traits,
-                                                       options_.schedule.seed));
+                                                       router.port->address(), traits, options_.schedule.seed,
+                                                       router.established));
+    if (!router.is_taking_callers) router.callers.back()->set_admitted(false);
     return *router.callers.back();
   }
 
@@ -436,9 +438,11 @@
   /// Sends SIGKILL at the earliest time at which the platform may do so after SIGTERM.
   void kill_when_overdue(Router& router) {
     router.is_stopping = true;
-    schedule_at(context_.now() + earliest_kill_delay(options_.limits) + kLeakCheckTime, [this, &router] {
+    const auto stopped_process = router.start_count;
+    schedule_at(context_.now() + earliest_kill_delay(options_.limits) + kLeakCheckTime, [=, this, &router] {
       update_processes(router);
-      if (!router.is_stopping || !router.process) return;
+      // By now another process may have been started, and be stopping as well.
+      if (router.start_count != stopped_process || !router.is_stopping || !router.process) return;
       record(router.name, EventKind::kOverdue);
       router.process->send_signal(SIGKILL);
     });
--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -18,6 +18,8 @@
 // A set-up sent at most this long before the router closed the connection is sent again (the operators'
 // page PROTOCOL).
 constexpr Duration kResendWindow = milliseconds{50};
+// How much longer than its time a caller waits for the answer (the operators' page PROTOCOL).
+constexpr Duration kAnswerTolerance = milliseconds{50};
 constexpr Duration kReconnectDelay = milliseconds{30};
 const asio::ip::tcp::endpoint kAnyPort{asio::ip::address_v4::loopback(), 0};
 
@@ -232,14 +234,16 @@
 // ---- callers --------------------------------------------------------------------------------------------
 
 Callers::Callers(net::Loop& loop, RunContext& context, std::string name, std::string router,
-                 asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed)
+                 asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed,
+                 std::shared_ptr<EstablishedCalls> established)
     : loop_(loop),
       context_(context),
       name_(std::move(name)),
       router_(std::move(router)),
       to_(std::move(to)),
       traits_(traits),
-      random_(seed, name_) {
+      random_(seed, name_),
+      established_(std::move(established)) {
   connect();
 }
 
@@ -272,7 +276,8 @@
 void Callers::request_readiness() {
   is_ready_ = false;
   is_probing_ = true;
-  if (is_open_) stream_->send("{\"msg\":\"probe\",\"sid\":\"00000000000000ff\",\"attrs\":{},\"code\":0}\n");
+  if (is_open_)
+    write_line("{\"msg\":\"probe\",\"sid\":\"00000000000000ff\",\"attrs\":{},\"code\":0}\n", false, [] {});
 }
 
 void Callers::call_until(Duration end) {
@@ -300,7 +305,7 @@
   const Duration patience = gives_up_early
                                 ? Duration{static_cast<std::int64_t>(
                                       static_cast<double>(traits_.timeout.count()) * random_.uniform() / 2)}
-                                : traits_.timeout;
+                                : traits_.timeout + kAnswerTolerance;
   write_line(line, random_.chance(traits_.pieces_share), [this, id, timeout_ms, line, patience] {
     record(EventKind::kSetUp, id, timeout_ms);
     auto& set_up = pending_[id];
@@ -338,8 +343,8 @@
 void Callers::schedule_leave(const std::string& id) {
   const milliseconds stay{static_cast<std::int64_t>(random_.below(3000))};
   loop_.run_after(stay, [this, id] {
-    if (!is_open_ || established_.erase(id) == 0) return;
-    left_.insert(id);
+    if (!is_open_ || established_->current.erase(id) == 0) return;
+    established_->left.insert(id);
     record(EventKind::kLeft, id);
     write_line("{\"msg\":\"close\",\"sid\":\"" + id + "\",\"attrs\":{},\"code\":16}\n", false, [] {});
   });
@@ -388,17 +393,17 @@
       loop_.timers.cancel(found->second.timer);
       pending_.erase(found);
     }
-    established_.insert(id);
+    established_->current.insert(id);
     record(EventKind::kAnswer, id, 0, text("text"));
     if (random_.chance(traits_.leave_share)) schedule_leave(id);
     return;
   }
   if (type != "close") return;
-  if (established_.erase(id) > 0) {
+  if (established_->current.erase(id) > 0) {
     record(EventKind::kReleased, id, code);
     return;
   }
-  if (left_.contains(id)) return;  // the release crossed the end by the caller
+  if (established_->left.contains(id)) return;  // the release crossed the end by the caller
   // Also recorded if it is a second answer or comes after the caller gave up; the checker decides on it.
   if (const auto found = pending_.find(id); found != pending_.end()) {
     loop_.timers.cancel(found->second.timer);
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -100,11 +100,19 @@
   double pieces_share = 0;       ///< share of the set-ups that are written in pieces
 };
 
+/// The established calls of all callers of a router. A release may come on any connection of the caller, and
+/// a caller is known by its address, which all callers of a run share (the operators' page PROTOCOL).
+struct EstablishedCalls {
+  std::set<std::string> current;  ///< call ids
+  std::set<std::string> left;     ///< ids of the calls that a caller has ended
+};
+
 /// The callers of one router. They share one connection, which is opened again after it closes.
 class Callers : public net::TcpConnection::EventHandler {
  public:
   Callers(net::Loop& loop, RunContext& context, std::string name, std::string router,
-          asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed);
+          asio::ip::tcp::endpoint to, CallerTraits traits, std::uint64_t seed,
+          std::shared_ptr<EstablishedCalls> established);
   ~Callers() override;
   /// Makes calls until `end`, the first at once.
   void call_until(Duration end);
@@ -151,9 +159,8 @@
     std::string line;
     bool is_resent = false;
   };
-  std::map<std::string, PendingSetUp> pending_;  ///< set-ups without an answer, by call id
-  std::set<std::string> established_;            ///< ids of established calls
-  std::set<std::string> left_;                   ///< ids of established calls that the caller has ended
+  std::map<std::string, PendingSetUp> pending_;    ///< set-ups without an answer, by call id
+  std::shared_ptr<EstablishedCalls> established_;  ///< of all callers of the router
   struct Output {
     std::string bytes;
     bool in_pieces = false;
