Reject Diameter requests that come over 1 s after standby, as over JSON lines

Change: the same core::ConnectionDrain; initial requests over 1 s after standby get DIAMETER_TOO_BUSY, on which a client turns to another peer (RFC 6733, 7.1.3).

--- a/src/diameter/frontend.cpp
+++ b/src/diameter/frontend.cpp
@@ -88,6 +88,14 @@
   for (const auto& [key, peer] : peers_) peer->disconnect();
 }
 
+void Frontend::set_standby(bool is_standby) {
+  if (is_standby) {
+    drain_.begin_standby(net::Loop::now());
+  } else {
+    drain_.end_standby();
+  }
+}
+
 ResultCode Frontend::admit(Peer& peer) {
   return allowed_hosts_.empty() || allowed_hosts_.contains(peer.host()) ? ResultCode::kSuccess
                                                                         : ResultCode::kUnknownPeer;
@@ -211,7 +219,12 @@
   }
   sessions_[id] = {call, peer.host(), peer.shared_from_this(), request_parts.finish(), false, false};
   session_ids_by_call_[call] = id;
-  table_.route(call);
+  if (drain_.serves_set_ups(net::Loop::now())) {
+    table_.route(call);
+    return;
+  }
+  ++counters_.rejected_in_standby;
+  table_.reject_unrouted(call);
 }
 
 void Frontend::on_update_or_termination(Peer& peer, const Message& message, RequestType type) {
--- a/src/diameter/frontend.hpp
+++ b/src/diameter/frontend.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "core/call_table.hpp"
+#include "core/connection_drain.hpp"
 #include "core/counters.hpp"
 #include "core/names.hpp"
 #include "diameter/peer.hpp"
@@ -44,6 +45,9 @@
   }
   [[nodiscard]] std::size_t connections() const override { return peers_.size(); }
   void shut_down() override;
+  /// In standby initial requests are answered with DIAMETER_TOO_BUSY once the service period is over, so that
+  /// clients turn to another peer (RFC 6733, section 7.1.3). Connections stay, for updates and terminations.
+  void set_standby(bool is_standby) override;
 
  private:
   /// A Credit-Control session of a client.
@@ -102,6 +106,7 @@
   std::unordered_map<CallId, std::string> session_ids_by_call_;
   std::map<std::string, std::uint32_t> state_ids_by_host_;  ///< the last Origin-State-Id by host
   std::uint32_t next_call_number_ = 0;
+  core::ConnectionDrain drain_;
 };
 
 }  // namespace amberknot::diameter
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the Diameter codec, frontend and connection pool. The frontend and the pool run in a whole router,
 // against test peers on loopback.
+#include "core/connection_drain.hpp"
 #include "diameter/codec.hpp"
 #include "diameter/results.hpp"
 #include "net_bench.hpp"
@@ -544,6 +545,26 @@
   }
 }
 
+TEST_CASE(
+    "Diameter: a router in standby answers new requests with DIAMETER_TOO_BUSY once it serves no set-ups") {
+  DiameterFixture fixture(operator_file(true, true), true);
+  auto& client = *fixture.client_end;
+  fixture.router->set_standby(true);
+  client.send_initial_request("till;1");
+  fixture.run_until([&] { return fixture.peer().initial_requests().size() == 1; });
+  const Instant served_until = Loop::now() + core::ConnectionDrain::kServicePeriod;
+  fixture.run_until([&] { return Loop::now() > served_until; });
+  client.send_initial_request("till;2");
+  fixture.run_until([&] { return client.answers().size() == 1; });
+  CHECK(result_of(client.answers()[0]) == 3004);
+  CHECK(client.answers()[0].text(AvpCode::kSessionId) == "till;2");
+  CHECK(fixture.peer().initial_requests().size() == 1);
+  // The request from before is still served.
+  fixture.peer().send_answer(fixture.peer().initial_requests()[0], ResultCode::kSuccess);
+  fixture.run_until([&] { return client.answers().size() == 2; });
+  CHECK(result_of(client.answers()[1]) == 2001);
+}
+
 TEST_CASE("Diameter: malformed and unsupported requests get the RFC's Result-Codes") {
   DiameterFixture fixture(operator_file(true, true), true);
   auto& client = *fixture.client_end;
