Keep the port of a command channel of the lab while the channel is down

Cause: set_down() closed the listener, and another socket of the machine could get the port until the channel came back. Change: a bound socket that never listens keeps the port, as for the routers.

--- a/lab/fleet/stand_ins.cpp
+++ b/lab/fleet/stand_ins.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include "net/listen.hpp"
+
 namespace amberknot::lab::fleet {
 
 using std::chrono::milliseconds;
@@ -464,11 +466,10 @@
 // ---- the command channel --------------------------------------------------------------------------------
 
 CommandChannel::CommandChannel(net::Loop& loop, std::string first_event)
-    : loop_(loop),
-      acceptor_(loop.io, kAnyPort),
-      address_(acceptor_.local_endpoint()),
-      events_{std::move(first_event)} {
-  accept();
+    : loop_(loop), reserved_port_(loop.io), acceptor_(loop.io), events_{std::move(first_event)} {
+  net::bind_reusable_port(reserved_port_, kAnyPort);
+  address_ = reserved_port_.local_endpoint();
+  listen();
   send_heartbeat();
 }
 
@@ -477,6 +478,12 @@
   for (auto& [key, stream] : connections_) stream->close();
 }
 
+void CommandChannel::listen() {
+  net::bind_reusable_port(acceptor_, address_);
+  acceptor_.listen();
+  accept();
+}
+
 void CommandChannel::accept() {
   acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -507,11 +514,7 @@
     close_connections();
     return;
   }
-  acceptor_.open(address_.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(address_);
-  acceptor_.listen();
-  accept();
+  listen();
 }
 
 std::string CommandChannel::event_json(std::size_t index) const {
--- a/lab/fleet/stand_ins.hpp
+++ b/lab/fleet/stand_ins.hpp
@@ -193,6 +193,7 @@
   [[nodiscard]] std::string known_events() const;
 
  private:
+  void listen();
   void accept();
   void close_connections();
   void send_heartbeat();
@@ -200,6 +201,8 @@
   void on_closed(net::TcpConnection& stream, net::CloseReason reason) override;
   [[nodiscard]] std::string event_json(std::size_t index) const;
   net::Loop& loop_;
+  /// Bound and never listens, so that no other socket gets the port while the channel is down.
+  asio::ip::tcp::acceptor reserved_port_;
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::endpoint address_;
   bool is_silent_ = false;
