Review case 3: a file without the pools of the classes is accepted at SIGHUP

Seen: the router accepts it (cfg_accepted 1, cfg_invalid 0) and sends set-ups to servers that their class may not go to.

The stand-ins take settings as a parameter; cases 1 and 2 use them unchanged. Nothing of the program is changed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -35,7 +35,9 @@
   }
   auto& replaced = *servers[0];
   channel.tell(list, true);
-  Router router(loop, folder, channel.port(), " --operator review/1/operator.json");
+  Router router(
+      loop, folder, [&](std::uint16_t listen) { return config_json(java_cards(), listen, channel.port()); },
+      " --operator review/1/operator.json");
 
   std::map<std::string, Call> calls;
   CallerConnection caller(loop, router.port());
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -50,7 +50,10 @@
   channel.tell(Channel::endpoint("s-0", old_server.port(), 0, "ready") + "," +
                    Channel::endpoint("s-1", new_server.port(), 1, "ready"),
                true);
-  Router router(loop, argv[2], channel.port(), " --operator review/2/operator.json", "at_most_once");
+  Router router(
+      loop, argv[2],
+      [&](std::uint16_t listen) { return config_json(java_cards("at_most_once"), listen, channel.port()); },
+      " --operator review/2/operator.json");
 
   std::map<std::string, unsigned> purchase_of;
   std::map<unsigned, Purchase> purchases;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,36 +1,43 @@
-// Case 3: a session server answers some set-ups with a long description, within 16 KiB. The router cannot
-// pass it on in a line of 16 KiB and fails the call, which stands at the server. Is it released there?
+// Case 3: SIGHUP with a file that lacks a key, the pools to which each class of call may go. Do the old
+// settings remain?
 #include "sip_server.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr std::int64_t kSetUpMs = 400;  // the server answers set-ups in their order
-constexpr std::int64_t kCallMs = 8700;  // the mean length of a call (class_hold_us)
-constexpr std::size_t kMaxMessage = 16 * 1024;
-constexpr std::int64_t kLostLimitMs = 8050;  // 8 s, and 50 ms more on sockets
+constexpr int kServers = 7;
+constexpr std::int64_t kSetUpMs = 150;
+constexpr std::int64_t kCallMs = 8600;  // the length of a call (class_hold_us)
 
-struct ServerCall {
-  int server = 0;
-  std::int64_t stands_since = 0, over_since = 0;
-  bool is_long = false;
-};
+// Three of seven pools for each class.
+const std::map<std::string, std::set<int>> kPoolsOf = {
+    {"avail-read", {0, 1, 2}}, {"stop-sell", {2, 3, 4}}, {"rate-push", {4, 5, 6}}};
 
-std::string description(const std::string& call, bool is_long) {
-  std::string text = "answer to " + call + "\r\n";
-  for (int i = 0; i < (is_long ? 1080 : 4); ++i) text += "a=rtpmap:0 P\r\n";
-  return text;
+Deployment tbilisi_main() {
+  return {
+      .classes = {{"avail-read", "5000000", "15000000", "1.0", "idempotent", "8600000", R"(["0","1","2"])"},
+                  {"stop-sell", "1500000", "6000000", "5.0", "idempotent", "8600000", R"(["2","3","4"])"},
+                  {"rate-push", "5000000", "15000000", "3.0", "idempotent", "8600000", R"(["4","5","6"])"}},
+      .tenants = {R"({"name":"rioni-hotels","portion":"0.54","quota_per_s":"40.0"})",
+                  R"({"name":"kazbegi-stays","portion":"0.38","quota_per_s":"28.0"})",
+                  R"({"name":"alazani-inns","portion":"0.08","quota_per_s":"6.0"})"},
+      .clear_wait_us = "300000",
+      .resend_us = "0",
+      .cold_from = "0.3",
+      .fall_us = "1500000",
+      .ramp_time_us = "14000000",
+      .most_tries = "6",
+      .probes = "false",
+      .retry_after = "false",
+      .columns = R"(["idle","circuits","reduce","lat_ms"])"};
 }
 
-std::string printable(const std::string& bytes) {
-  std::string text;
-  for (const char c : bytes) {
-    char one[8];
-    std::snprintf(one, sizeof one, c >= 0x20 && c < 0x7f ? "%c" : "\\x%02x", static_cast<unsigned char>(c));
-    text += one;
-  }
-  return text;
+std::string header(const std::string& head, const std::string& name) {
+  const auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  const auto from = at + name.size() + 4;
+  return head.substr(from, head.find("\r\n", from) - from);
 }
 
 }  // namespace
@@ -42,119 +49,110 @@
   Record record(argv[3]);
   Loop loop;
   Channel channel(loop);
-  std::map<std::string, ServerCall> at_server;
+  std::map<std::string, int> stands_at;
   const auto report = [&](int server) {
-    const auto standing = std::count_if(at_server.begin(), at_server.end(), [&](const auto& item) {
-      return item.second.server == server && item.second.over_since == 0;
-    });
-    return "x0:" + std::to_string(200 - standing) + ";x1:200;latency_ms:2;qps:60";
+    const auto standing = std::count_if(stands_at.begin(), stands_at.end(),
+                                        [server](const auto& item) { return item.second == server; });
+    return "x0:" + std::to_string(54 - standing) + ";x1:54;eps:0;latency_ms:20";
   };
+  int set_ups = 0, violations = 0, answers = 0;
+  bool is_reloaded = false;
+  int set_ups_after_reload = 0;
   std::vector<std::unique_ptr<SipServer>> servers;
-  for (int i = 0; i < 2; ++i)
+  std::string list;
+  for (int i = 0; i < kServers; ++i) {
     servers.push_back(std::make_unique<SipServer>(loop, [&report, i] { return report(i); }));
-  std::set<std::string> gets_long_answer;
-  int unreadable = 0, cut = 0;
-  std::map<std::string, int> open_set_ups;  // the connection of each set-up that is not answered yet
-  const auto answer = [&](int number, int connection, const SipMessage& message) {
-    if (!open_set_ups.contains(message.call_id) || open_set_ups[message.call_id] != connection) return;
-    open_set_ups.erase(message.call_id);
-    const bool is_long = gets_long_answer.contains(message.call_id);
-    const auto body = description(message.call_id, is_long);
-    if (body.size() + 512 > kMaxMessage) cannot_run("the answer would exceed 16 KiB");
-    at_server[message.call_id] = {number, now_ms(), 0, is_long};
-    record.line("s-" + std::to_string(number) + " answers " + message.call_id + " with a description of " +
-                std::to_string(body.size()) + " bytes");
-    SipServer::answer(connection, message, "200 OK", {}, body);
-    servers[number]->report_state();
-  };
-  for (int number = 0; number < 2; ++number) {
-    const auto server = servers[number].get();
-    const auto name = "s-" + std::to_string(number);
-    server->on_message = [&, number, name](int connection, const SipMessage& message) {
+    auto& server = *servers.back();
+    const auto name = "s-" + std::to_string(i);
+    list += (i > 0 ? "," : "") + Channel::endpoint(name, server.port(), i, "ready");
+    server.on_message = [&, i, name](int connection, const SipMessage& message) {
       if (message.is_answer()) return;
       const auto method = message.method();
-      record.line(name + " got " + message.first_line + ", Call-ID " + message.call_id);
       if (method == "INVITE") {
-        open_set_ups[message.call_id] = connection;
-        loop.after(kSetUpMs, [&, number, connection, message] { answer(number, connection, message); });
-      } else if (method == "CANCEL") {
-        open_set_ups.erase(message.call_id);
+        const auto call_class = header(message.head, "X-Cos");
+        ++set_ups;
+        if (is_reloaded) ++set_ups_after_reload;
+        record.line(name + " got a set-up of class " + call_class + ", " + message.call_id);
+        if (!kPoolsOf.at(call_class).contains(i)) {
+          ++violations;
+          record.line("BROKEN: a call of class " + call_class + " may not go to " + name);
+        }
+        loop.after(kSetUpMs, [&, i, connection, message] {
+          if (!servers[i]->connections().contains(connection)) return;
+          stands_at[message.call_id] = i;
+          SipServer::answer(connection, message, "200 OK", {}, "answer");
+          servers[i]->report_state();
+          loop.after(kCallMs, [&, i, connection, id = message.call_id] {
+            if (stands_at.erase(id) == 0) return;
+            const auto& open = servers[i]->connections();
+            if (open.empty()) return;
+            SipServer::request(open.contains(connection) ? connection : *open.begin(), "BYE", id,
+                               "Reason: Q.850;cause=16\r\n");
+            servers[i]->report_state();
+          });
+        });
       } else if (method == "BYE") {
-        if (at_server.contains(message.call_id) && at_server[message.call_id].over_since == 0)
-          at_server[message.call_id].over_since = now_ms();
+        stands_at.erase(message.call_id);
         SipServer::answer(connection, message, "200 OK");
-      } else if (method == "OPTIONS") {
-        SipServer::answer(connection, message, "200 OK", "X-Occupancy: " + report(number) + "\r\n");
       }
     };
-    server->on_closed = [&](int connection) {
-      std::erase_if(open_set_ups, [&](const auto& item) {
-        if (item.second != connection) return false;
-        ++cut;
-        record.line("set-up " + item.first + " was open on that connection and is given up");
-        return true;
-      });
-    };
-    server->on_unreadable = [&, name](int, const std::string& bytes) {
-      ++unreadable;
-      record.line(
-          name + " cannot read what came, and has closed the connection: " + printable(bytes.substr(0, 200)));
-    };
   }
-  channel.tell(Channel::endpoint("s-0", servers[0]->port(), 0, "ready") + "," +
-                   Channel::endpoint("s-1", servers[1]->port(), 1, "ready"),
-               true);
-  Router router(loop, argv[2], channel.port());
+  channel.tell(list, true);
+  const auto whole = tbilisi_main();
+  std::uint16_t listen = 0;
+  Router router(loop, argv[2], [&](std::uint16_t port) {
+    listen = port;
+    return config_json(whole, port, channel.port());
+  });
 
-  std::map<std::string, std::string> final_answer;
-  std::map<std::string, std::int64_t> over_for_caller;
   CallerConnection caller(loop, router.port());
   caller.on_line = [&](const std::string& line) {
-    const auto sid = member(line, "sid");
-    record.line("caller got " + line.substr(0, 100));
+    record.line("caller got " + line);
     const auto type = member(line, "msg");
-    if (type == "close") {
-      caller.send(R"({"msg":"closed","sid":")" + sid + "\",\"attrs\":{}}\n");
-      over_for_caller.emplace(sid, now_ms());
-    }
-    if (type != "ready" && type != "close") return;
-    const bool is_first = final_answer.emplace(sid, type == "ready" ? "stands" : member(line, "code")).second;
-    if (type != "ready" || !is_first) return;
-    // Calls are ended by their callers.
-    loop.after(kCallMs, [&, sid] {
-      record.line("caller releases " + sid);
-      caller.send(R"({"msg":"close","sid":")" + sid + "\",\"attrs\":{},\"code\":16}\n");
-      over_for_caller.emplace(sid, now_ms());
-    });
+    if (type == "ready") ++answers;
+    if (type == "close")
+      caller.send(R"({"msg":"closed","sid":")" + member(line, "sid") + "\",\"attrs\":{}}\n");
   };
   unsigned next_call = 1;
-  loop.run(1500);
-  for (int round = 0; round < 5; ++round) {
-    // The later calls wait for their answers, on all connections to s-0, when the third one gets its own.
-    for (int i = 0; i < 8; ++i) {
-      const auto sid = sid_of(next_call++);
-      if (i == 2 && has_trouble) gets_long_answer.insert(sid);
-      record.line("caller opens " + sid);
-      caller.send(open_line(sid, 3000, 0));
-      loop.run(60);
+  // Each half second six calls of one class at once, all with the same pool of first choice.
+  const auto place_calls = [&](int bursts) {
+    for (int burst = 0; burst < bursts; ++burst) {
+      const auto& call_class = whole.classes[static_cast<std::size_t>(burst) % 3].name;
+      const int pool = *kPoolsOf.at(call_class).begin();
+      for (int i = 0; i < 6; ++i) {
+        const auto sid = sid_of(next_call++);
+        record.line("caller opens " + sid + " of class " + call_class + ", first choice s-" +
+                    std::to_string(pool));
+        caller.send(open_line(sid, 1900, pool, "rioni-hotels", call_class));
+      }
+      loop.run(500);
     }
-    loop.run(2500);
-  }
-  loop.run(kCallMs + kLostLimitMs + 500);
-
-  int stood = 0, standing = 0;
-  for (const auto& [id, call] : at_server) {
-    ++stood;
-    const bool is_over = over_for_caller.contains(id) && now_ms() - over_for_caller[id] > kLostLimitMs;
-    if (call.over_since != 0 || !is_over) continue;
-    ++standing;
-    record.line("BROKEN: " + id + " stands at its server, its caller was told " + final_answer[id] +
-                ", and no release came");
+  };
+  loop.run(1500);
+  place_calls(20);
+  auto next = whole;
+  // With TROUBLE=0 the file is whole, and has one attempt less for each call.
+  if (has_trouble) {
+    next.has_skilled_pools = false;
+  } else {
+    next.most_tries = "5";
   }
-  record.line("verdict: " + std::to_string(stood) + " calls stood, " + std::to_string(standing) +
-              " stand there still although they are over for their callers; " + std::to_string(unreadable) +
-              " messages of the router could not be read, " + std::to_string(cut) +
-              " other set-ups were cut by that");
-  if (stood < 20 || final_answer.size() < 40) cannot_run("too few calls were answered");
-  return standing > 0 || router.has_ended() ? 1 : 0;
+  router.configure(config_json(next, listen, channel.port()));
+  router.signal(SIGHUP);
+  record.line(has_trouble ? "SIGHUP with a file that lacks family_info.skilled_pools"
+                          : "SIGHUP with a whole file");
+  loop.run(1200);
+  is_reloaded = true;
+  const auto stats = router.control(loop, "stats");
+  for (const std::string name : {"cfg_accepted", "cfg_invalid"})
+    record.line("the router reports " +
+                stats.substr(stats.find(name), stats.find('\n', stats.find(name)) - stats.find(name)));
+  place_calls(40);
+  loop.run(2000);
+  record.line("verdict: " + std::to_string(set_ups) + " set-ups arrived, " +
+              std::to_string(set_ups_after_reload) + " of them after the new file, " +
+              std::to_string(answers) + " calls stood; " + std::to_string(violations) +
+              " set-ups went to servers that the call may not go to");
+  if (answers < 100 || set_ups_after_reload < 50) cannot_run("too few calls stood");
+  return violations > 0 || router.has_ended() ? 1 : 0;
 }
--- a/review/stand_ins.hpp
+++ b/review/stand_ins.hpp
@@ -287,33 +287,68 @@
   std::set<int> readers_;
 };
 
-/// The settings of the small deployment, as in the interface page's example: two classes, three tenants.
-inline std::string config_json(std::uint16_t listen, std::uint16_t channel, const std::string& repeat) {
-  const std::string name = "n0";
-  const auto address = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
-  const auto call_class = [&](const char* class_name, const char* value, const std::string& class_repeat) {
-    return std::string(R"({"name":")") + class_name +
-           R"(","aim_us":"1200000","deadline_us":"9000000","value":")" + value +
-           R"(","late_worth":"0.1","repeat":")" + class_repeat + R"(","streamed":"true","key_scope":"all",)" +
-           R"("window_us":"5000000"})";
+/// A deployment's settings, as far as they differ between the cases.
+struct Deployment {
+  struct Class {
+    std::string name, aim_us, deadline_us, value, repeat, hold_us, pools;
   };
-  return R"({"name":")" + name + R"(","listen":)" + address(listen) +
+  std::vector<Class> classes;
+  std::vector<std::string> tenants;  ///< name and quota, as JSON
+  std::string clear_wait_us, resend_us, cold_from, fall_us, ramp_time_us, most_tries, probes, retry_after,
+      columns;
+  bool has_skilled_pools = true;  ///< false: the file lacks that key
+};
+
+/// java-cards, as in the example of the interface page; `repeat` is that of the class card-activate.
+inline Deployment java_cards(const std::string& repeat = "idempotent") {
+  const std::string pools = R"(["0","1","2","3"])";
+  return {.classes = {{"balance-check", "1200000", "9000000", "1.0", "idempotent", "8700000", pools},
+                      {"card-activate", "1200000", "9000000", "2.0", repeat, "10500000", pools}},
+          .tenants = {R"({"name":"toko-sinar","portion":"0.64","quota_per_s":"22.0"})",
+                      R"({"name":"pasar-maju","portion":"0.2","quota_per_s":"7.0"})",
+                      R"({"name":"warung-rejeki","portion":"0.16","quota_per_s":"6.0"})"},
+          .clear_wait_us = "500000",
+          .resend_us = "400000",
+          .cold_from = "0.29",
+          .fall_us = "3000000",
+          .ramp_time_us = "15000000",
+          .most_tries = "4",
+          .probes = "true",
+          .retry_after = "true",
+          .columns = R"(["idle","circuits","lat_ms","max_rate"])"};
+}
+
+/// The configuration file of one router.
+inline std::string config_json(const Deployment& site, std::uint16_t listen, std::uint16_t channel) {
+  const auto address = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+  std::string classes, holds, widths, pools, tenants;
+  for (const auto& one : site.classes) {
+    const std::string comma = classes.empty() ? "" : ",";
+    classes += comma + R"({"name":")" + one.name + R"(","aim_us":")" + one.aim_us + R"(","deadline_us":")" +
+               one.deadline_us + R"(","value":")" + one.value + R"(","late_worth":"0.1","repeat":")" +
+               one.repeat + R"(","streamed":"true","key_scope":"all","window_us":"5000000"})";
+    holds += comma + "\"" + one.hold_us + "\"";
+    widths += comma + "\"1\"";
+    pools += comma + one.pools;
+  }
+  for (const auto& one : site.tenants) tenants += (tenants.empty() ? "" : ",") + one;
+  return R"({"name":"n0","listen":)" + address(listen) +
          R"(,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":)" +
-         address(channel) + R"(,"known":{"cursor":0,"cmds":[]},"settings":{"classes":[)" +
-         call_class("balance-check", "1.0", "idempotent") + "," + call_class("card-activate", "2.0", repeat) +
-         R"(],"discovery":"pushed","family":"trunks","family_info":{"clear_wait_us":"500000",)" +
-         R"("class_hold_us":["8700000","10500000"],"channels_needed":["1","1"],"network_form":"skills",)" +
-         R"("resend_us":"400000","retry_hint":"false","route_advice":"false","self_no":"-1",)" +
-         R"("skilled_pools":[["0","1","2","3"],["0","1","2","3"]]},"invariants":{"answer_slack_us":"20000",)" +
-         R"("ask_within_us":"10000000","cold_from":"0.29","drain_grace_us":"500000","fall_multiple":"3.0",)" +
-         R"("fall_us":"3000000","ramp_time_us":"15000000"},"limits":{"cancel":"true","conn_idle_us":"600000000",)" +
-         R"("connect_timeout_us":"500000","max_retry_after_us":"2000000","most_held":"20000","most_tries":"4",)" +
-         R"("peers":"false","probes":"true","retry_after":"true","second_copies":"false"},)" +
-         R"("over_share_worth":"0.05","report":{"columns":["idle","circuits","lat_ms","max_rate"],)" +
-         R"("source":"inline"},"round_us":"5000","self_index":"0","siblings":"1","tenants":[)" +
-         R"({"name":"toko-sinar","portion":"0.64","quota_per_s":"22.0"},)" +
-         R"({"name":"pasar-maju","portion":"0.2","quota_per_s":"7.0"},)" +
-         R"({"name":"warung-rejeki","portion":"0.16","quota_per_s":"6.0"}],"zone":"0"}})";
+         address(channel) + R"(,"known":{"cursor":0,"cmds":[]},"settings":{"classes":[)" + classes +
+         R"(],"discovery":"pushed","family":"trunks","family_info":{"clear_wait_us":")" + site.clear_wait_us +
+         R"(","class_hold_us":[)" + holds + R"(],"channels_needed":[)" + widths +
+         R"(],"network_form":"skills","resend_us":")" + site.resend_us +
+         R"(","retry_hint":"false","route_advice":"false","self_no":"-1")" +
+         (site.has_skilled_pools ? R"(,"skilled_pools":[)" + pools + "]" : "") +
+         R"(},"invariants":{"answer_slack_us":"20000","ask_within_us":"10000000","cold_from":")" +
+         site.cold_from + R"(","drain_grace_us":"500000","fall_multiple":"3.0","fall_us":")" + site.fall_us +
+         R"(","ramp_time_us":")" + site.ramp_time_us +
+         R"("},"limits":{"cancel":"true","conn_idle_us":"600000000","connect_timeout_us":"500000",)" +
+         R"("max_retry_after_us":"2000000","most_held":"20000","most_tries":")" + site.most_tries +
+         R"(","peers":"false","probes":")" + site.probes + R"(","retry_after":")" + site.retry_after +
+         R"(","second_copies":"false"},"over_share_worth":"0.05","report":{"columns":)" + site.columns +
+         R"(,"source":"inline"},"round_us":"5000","self_index":"0","siblings":"1","tenants":[)" + tenants +
+         R"(],"zone":"0"}})";
 }
 
 /// The value of a string member of a line, or of a number member; enough for the router's lines.
@@ -391,17 +426,18 @@
 /// A router process, with its configuration and TMPDIR in `folder`.
 class Router {
  public:
-  /// `repeat` is that of the class card-activate.
-  Router(Loop& loop, const std::string& folder, std::uint16_t channel, const std::string& arguments = {},
-         const std::string& repeat = "idempotent")
-      : listen_(free_port()) {
-    const auto config = folder + "/config.json";
-    std::ofstream(config) << config_json(listen_, channel, repeat);
+  /// `config` makes the text of the configuration for the address where callers connect.
+  using Config = std::function<std::string(std::uint16_t listen)>;
+
+  Router(Loop& loop, const std::string& folder, const Config& config, const std::string& arguments = {})
+      : listen_(free_port()), control_(free_port()), config_file_(folder + "/config.json") {
+    configure(config(listen_));
     const auto tmp = folder + "/tmp";
     ::mkdir(tmp.c_str(), 0755);
     process_ = Process({"/bin/sh", "-c", run_command() + arguments},
                        {"RELAY_NAME=n0", "RELAY_LISTEN=127.0.0.1:" + std::to_string(listen_),
-                        "RELAY_CONFIG=" + config, "TMPDIR=" + tmp, "RELAY_LOG=info"},
+                        "RELAY_CONTROL=127.0.0.1:" + std::to_string(control_), "RELAY_CONFIG=" + config_file_,
+                        "TMPDIR=" + tmp, "RELAY_LOG=info"},
                        folder + "/router.log");
     // The front admits a router once it has passed a test following its start.
     std::unique_ptr<CallerConnection> front;
@@ -420,9 +456,23 @@
   }
   [[nodiscard]] std::uint16_t port() const { return listen_; }
   [[nodiscard]] bool has_ended() const { return process_.has_ended(); }
+  void configure(const std::string& text) const { std::ofstream(config_file_) << text; }
+  void signal(int number) const { process_.signal(number); }
+  /// The reply of the operators' door to one call.
+  [[nodiscard]] std::string control(Loop& loop, const std::string& call) const {
+    CallerConnection door(loop, control_);
+    std::string reply;
+    bool has_ended = false;
+    door.on_line = [&](const std::string& line) { reply += line + "\n"; };
+    door.on_end = [&] { has_ended = true; };
+    door.send(call + "\n");
+    loop.run(2000, [&] { return has_ended; });
+    return reply;
+  }
 
  private:
-  std::uint16_t listen_;
+  std::uint16_t listen_, control_;
+  std::string config_file_;
   Process process_;
 };
 
