Review cases: a stopped script ends its check and the router too

Seen: run.sh stopped by TERM, INT or KILL left its check and the router running until the check's own end, since timeout stood between them. The check now ends with the script, and its processes with it.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -23,7 +23,7 @@
 int main(int argc, char** argv) {
   if (argc != 4) cannot_run("usage: case TROUBLE FOLDER RECORD");
   const bool has_trouble = std::string(argv[1]) != "0";
-  ::signal(SIGPIPE, SIG_IGN);
+  end_with_script();
   Record record(argv[3]);
   Loop loop;
   Channel channel(loop);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -45,7 +45,7 @@
 int main(int argc, char** argv) {
   if (argc != 4) cannot_run("usage: case TROUBLE FOLDER RECORD");
   const bool has_trouble = std::string(argv[1]) != "0";
-  ::signal(SIGPIPE, SIG_IGN);
+  end_with_script();
   Record record(argv[3]);
   Loop loop;
   Channel channel(loop);
--- a/review/stand_ins.hpp
+++ b/review/stand_ins.hpp
@@ -46,6 +46,15 @@
   std::exit(2);
 }
 
+/// Called first by each check. It ends with the script that has started it, however that ends, and after 115
+/// s; the processes that it starts end with it.
+inline void end_with_script() {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  ::signal(SIGALRM, SIG_DFL);
+  ::alarm(115);
+  ::signal(SIGPIPE, SIG_IGN);
+}
+
 /// The record of a run: one line for each event, with the milliseconds since the start of the case.
 class Record {
  public:
