Reject a configuration that lacks a key, at the start as at SIGHUP

Cause: settings.cpp, read_classes, read a missing list of pools as an empty one (`find(key).value_or("")`), and an empty list means any pool. There was no list of the keys that a file must have: each was optional or not by the accessor its line used.

Change: settings/required_keys lists the keys of WIRE with the form that needs each; read_config checks every file by it. At SIGHUP a file must also have the keys of the file in force, since the need of tenants or zones cannot be told from one file. The reader refuses a class without pools with `skills`. Configuration fields: limits, name, listen, the peers' three, endpoints of known.cmds. A server without `group` is no longer one of pool 0. The reader's key-value class has a file of its own.

Why it works: no default is reached by leaving a key out, and the check does not depend on how a key is read.

OptionalSettingsMayBeAbsent asserted what WIRE contradicts (one optional key, aim_stretch): replaced by a test of the keys that a form has no use for and one that leaves out each key.

--- a/lab/fleet/config_text.hpp
+++ b/lab/fleet/config_text.hpp
@@ -14,6 +14,7 @@
   std::uint64_t seed = 1;
   std::string known = R"({"cursor":0,"cmds":[]})";
   std::size_t routers = 1;
+  std::size_t servers = 1;  ///< each is a pool of its own
 };
 
 /// Returns the configuration as JSON.
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -175,7 +175,7 @@
   void write_config(const Router& router) const {
     std::ofstream(router.folder + "/config.json") << config_text(
         {router.name, net::to_text(router.port->address()), net::to_text(router.channel->address()),
-         options_.schedule.seed, router.channel->known_events(), options_.routers},
+         options_.schedule.seed, router.channel->known_events(), options_.routers, options_.servers},
         options_.limits);
   }
 
--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -122,7 +122,7 @@
   explicit Simulation(const SimulationOptions& options) : options_(options) {
     const auto config =
         app::read_config(config_text({"n0", "127.0.0.1:1", "127.0.0.1:1", options.schedule.seed,
-                                      ConfigValues().known, options.routers},
+                                      ConfigValues().known, options.routers, options.servers},
                                      options.limits),
                          "", "");
     settings_ = config.settings;
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -38,9 +39,10 @@
       0;  ///< number of the last command channel event that `known_updates` includes
   std::vector<discovery::EndpointUpdate> known_updates;  ///< the endpoint list at the start
   Settings settings;
-  std::string settings_text;    ///< as path=value lines; a reload compares them to detect changes
-  core::ConfiguredNames names;  ///< of classes and tenants
-  Duration connect_timeout{};   ///< timeout for connecting to a server
+  std::string settings_text;              ///< as path=value lines; a reload compares them with those in force
+  std::set<std::string> optional_fields;  ///< fields of the file that a deployment may do without
+  core::ConfiguredNames names;            ///< of classes and tenants
+  Duration connect_timeout{};             ///< timeout for connecting to a server
 };
 
 /// Parses and checks a configuration file. `name`, `listen` and `admin_listen` come from the environment and
@@ -48,6 +50,10 @@
 Config read_config(std::string json, std::string_view name, std::string_view listen,
                    std::string_view admin_listen = {});
 
+/// Throws ConfigError, which names the field, if `updated` lacks a field that `current` has: a file that is
+/// read while a router runs is defective if it lacks what the router was given before.
+void check_fields_kept(const Config& current, const Config& updated);
+
 /// Returns the content of a file. Throws ConfigError if it cannot be read.
 std::string read_file(const std::string& path);
 
--- a/src/app/endpoint_updates.cpp
+++ b/src/app/endpoint_updates.cpp
@@ -61,6 +61,10 @@
 
 std::vector<core::EndpointChange> EndpointUpdates::changes_of(const discovery::EndpointUpdate& update) const {
   auto changes = update.changes;
+  // A server whose pool was never given is not used: calls may be limited to some pools.
+  std::erase_if(changes, [this](const core::EndpointChange& change) {
+    return !change.pool && context_.servers.find(change.name) == nullptr;
+  });
   if (!update.is_full_list) return changes;
   std::set<std::string> listed;
   for (const auto& change : changes) listed.insert(change.name);
@@ -82,7 +86,7 @@
   const bool is_removed_now = change.state == EndpointState::kRemoved;
   if (is_removed_now && server.state != EndpointState::kRemoved) affected.removed.push_back(server.id);
   server.address = change.address;
-  server.pool = PoolId{change.pool};
+  if (change.pool) server.pool = PoolId{*change.pool};
   server.state = change.state;
   if (!is_removed_now) {
     server.removed_at.reset();
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -174,6 +174,7 @@
 }
 
 void Router::reload(const Config& new_config) {
+  check_fields_kept(config_, new_config);
   ++counters_.reloads;
   const auto reject = [](const char* field) {
     net::log::warn("reload: ", field, " has changed: not applied, requires a restart");
@@ -206,6 +207,7 @@
   for (const auto& update : new_config.known_updates) endpoint_watcher_->apply_update(update);
   endpoint_watcher_->reconnect_to(new_config.command_channel);
   config_.command_channel = new_config.command_channel;
+  config_.optional_fields = new_config.optional_fields;
   net::log::info("reload: configuration applied");
 }
 
--- a/src/core/endpoint_registry.hpp
+++ b/src/core/endpoint_registry.hpp
@@ -30,8 +30,8 @@
 /// One changed server in an endpoint update.
 struct EndpointChange {
   std::string name;
-  std::string address;  ///< host:port
-  std::uint32_t pool = 0;
+  std::string address;                     ///< host:port
+  std::optional<std::uint32_t> pool = {};  ///< if it is not given, the server keeps its pool
   EndpointState state = EndpointState::kReady;
   std::int64_t started_unix_ms = 0;  ///< zero if it started long ago
 };
--- a/src/discovery/endpoint_update.cpp
+++ b/src/discovery/endpoint_update.cpp
@@ -6,7 +6,7 @@
 namespace amberknot::discovery {
 namespace {
 
-/// Exclusive upper limit of pool numbers. A group outside of it counts as pool 0.
+/// Exclusive upper limit of pool numbers.
 constexpr double kPoolLimit = 4e9;
 
 std::optional<EndpointState> parse_state(std::string_view text) {
@@ -16,23 +16,33 @@
   return std::nullopt;
 }
 
-std::uint32_t parse_pool(const rapidjson::Value& endpoint) {
-  const auto pool = settings::parse_number(settings::member_string(endpoint, "group")).value_or(0);
-  return pool >= 0 && pool < kPoolLimit ? static_cast<std::uint32_t>(pool) : 0;
+/// Returns nothing if the endpoint has no valid group.
+std::optional<std::uint32_t> parse_pool(const rapidjson::Value& endpoint) {
+  const auto pool = settings::parse_number(settings::member_string(endpoint, "group"));
+  if (!pool || *pool < 0 || *pool >= kPoolLimit) return std::nullopt;
+  return static_cast<std::uint32_t>(*pool);
 }
 
-/// Returns nothing if the entry has no name or an unknown state.
-std::optional<core::EndpointChange> parse_change(const rapidjson::Value& endpoint) {
+/// Appends the change to the update unless the entry has to be skipped, and its invalid fields in any case.
+void parse_change(const rapidjson::Value& endpoint, EndpointUpdate& update) {
   const auto state = parse_state(settings::member_string(endpoint, "status"));
+  const auto started_unix_ms = settings::parse_number(settings::member_string(endpoint, "since_ms"));
   core::EndpointChange change;
   change.name = settings::member_string(endpoint, "name");
-  if (!state || change.name.empty()) return std::nullopt;
   change.address = settings::member_string(endpoint, "address");
   change.pool = parse_pool(endpoint);
-  change.state = *state;
-  change.started_unix_ms = static_cast<std::int64_t>(
-      settings::parse_number(settings::member_string(endpoint, "since_ms")).value_or(0));
-  return change;
+  change.state = state.value_or(EndpointState::kRemoved);
+  change.started_unix_ms = static_cast<std::int64_t>(started_unix_ms.value_or(0));
+  const auto add_invalid = [&](const char* field) {
+    update.invalid_fields.push_back(field + (" of endpoint " + change.name));
+  };
+  if (change.name.empty()) add_invalid("name");
+  if (!state) add_invalid("status");
+  const bool is_removed = state == EndpointState::kRemoved;
+  if (!is_removed && change.address.empty()) add_invalid("address");
+  if (!is_removed && !change.pool) add_invalid("group");
+  if (!is_removed && !started_unix_ms) add_invalid("since_ms");
+  if (state && !change.name.empty()) update.changes.push_back(std::move(change));
 }
 
 }  // namespace
@@ -55,9 +65,7 @@
   const auto* endpoints = settings::find_member(*nodes, "endpoints");
   if (endpoints == nullptr || !endpoints->IsArray()) return std::nullopt;
   update.has_endpoint_list = true;
-  for (const auto& endpoint : endpoints->GetArray()) {
-    if (auto change = parse_change(endpoint)) update.changes.push_back(std::move(*change));
-  }
+  for (const auto& endpoint : endpoints->GetArray()) parse_change(endpoint, update);
   return update;
 }
 
--- a/src/discovery/endpoint_update.hpp
+++ b/src/discovery/endpoint_update.hpp
@@ -18,6 +18,8 @@
   bool is_full_list = false;  ///< `changes` is the full list: endpoints that it does not name are removed
   bool has_endpoint_list = false;  ///< false if the event does not concern the endpoint list
   std::vector<core::EndpointChange> changes;
+  /// Fields of endpoints that are missing or invalid, for example `group of endpoint s-1`.
+  std::vector<std::string> invalid_fields;
 };
 
 /// Parses the data of an event. Returns nothing if it is not a JSON object, has no valid `cursor`, or has
--- a/src/discovery/endpoint_watcher.cpp
+++ b/src/discovery/endpoint_watcher.cpp
@@ -171,6 +171,8 @@
   if (update.event_number <= last_event_id_) return;
   last_event_id_ = update.event_number;
   ++counters_.endpoint_events;
+  for (const auto& field : update.invalid_fields)
+    net::log::warn("discovery: command channel event ", update.event_number, ": missing or invalid ", field);
   on_update_(update);
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,113 +1,52 @@
 #include "settings/settings.hpp"
 
-#include <algorithm>
-#include <charconv>
 #include <cmath>
-#include <initializer_list>
-#include <map>
+#include <limits>
 #include <optional>
 
+#include "settings/json_text.hpp"
+#include "settings/key_value_pairs.hpp"
+
 namespace amberknot::settings {
 namespace {
 
-constexpr std::uint32_t kMaxItems = 10'000;  // limit for the lists of classes, tenants and peers
-
-std::vector<std::string> split(std::string_view text, char separator) {
-  std::vector<std::string> parts;
-  while (!text.empty()) {
-    const auto end = text.find(separator);
-    parts.emplace_back(text.substr(0, end));
-    if (end == std::string_view::npos) break;
-    text.remove_prefix(end + 1);
-  }
-  return parts;
+/// The pool number in `text`, which is part of the value of `key`.
+PoolId parse_pool(const std::string& text, const std::string& key) {
+  const auto number = parse_number(text);
+  if (!number || *number < 0 || *number > std::numeric_limits<std::uint32_t>::max() ||
+      *number != std::floor(*number))
+    throw SettingsError("setting is not a list of pool numbers: " + key);
+  return PoolId{static_cast<std::uint32_t>(*number)};
 }
 
-std::optional<double> parse_number(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
-  return value;
+/// The pools that calls of one class may go to; empty if they may go to any. Where the servers are pools of
+/// agents, each class has a list of pools, and one without a list is an error: it must not be taken for a
+/// class that may go to any pool.
+std::vector<PoolId> read_pools(const KeyValuePairs& pairs, std::size_t class_index) {
+  const auto key = "family_info.skilled_pools." + std::to_string(class_index);
+  const bool is_required = pairs.find("family_info.network_form") == "skills";
+  std::vector<PoolId> pools;
+  for (const auto& pool : split(is_required ? pairs.require(key) : pairs.find(key).value_or(""), ','))
+    pools.push_back(parse_pool(pool, key));
+  if (is_required && pools.empty()) throw SettingsError("setting is not a list of pool numbers: " + key);
+  return pools;
 }
 
-/// The key=value pairs. The require accessors throw SettingsError, which names the key, if a value is missing
-/// or invalid. find_number() throws it only if the value is invalid, and find() never.
-class KeyValuePairs {
- public:
-  explicit KeyValuePairs(std::string_view text) {
-    for (const auto& line : split(text, '\n')) {
-      const auto equals = line.find('=');
-      if (equals != std::string::npos) values_[line.substr(0, equals)] = line.substr(equals + 1);
-    }
-  }
-
-  [[nodiscard]] std::optional<std::string> find(const std::string& key) const {
-    const auto found = values_.find(key);
-    if (found == values_.end()) return std::nullopt;
-    return found->second;
-  }
-  [[nodiscard]] std::optional<double> find_number(const std::string& key) const {
-    const auto value = find(key);
-    if (!value || value->empty()) return std::nullopt;
-    const auto number = parse_number(*value);
-    if (!number) throw SettingsError("setting is not a number: " + key);
-    return number;
-  }
-  [[nodiscard]] std::string require(const std::string& key) const {
-    const auto value = find(key);
-    if (!value) throw SettingsError("setting is missing: " + key);
-    return *value;
-  }
-  [[nodiscard]] double require_number(const std::string& key) const {
-    const auto value = parse_number(require(key));
-    if (!value) throw SettingsError("setting is not a number: " + key);
-    return *value;
-  }
-  [[nodiscard]] double require_non_negative(const std::string& key) const {
-    const double value = require_number(key);
-    if (value < 0) throw SettingsError("setting must not be negative: " + key);
-    return value;
-  }
-  [[nodiscard]] std::uint32_t require_count(const std::string& key, std::uint32_t max_count) const {
-    const double value = require_non_negative(key);
-    if (value > max_count || value != std::floor(value))
-      throw SettingsError("setting is not a whole number within its range: " + key);
-    return static_cast<std::uint32_t>(value);
-  }
-  [[nodiscard]] Duration require_duration(const std::string& key) const {
-    constexpr double kMaxMicros = 1e15;
-    const double value = require_non_negative(key);
-    if (value > kMaxMicros)
-      throw SettingsError("setting is too large for a duration in microseconds: " + key);
-    return Duration{static_cast<std::int64_t>(value)};
-  }
-  [[nodiscard]] double require_positive(const std::string& key) const {
-    const double value = require_number(key);
-    if (value <= 0) throw SettingsError("setting must be greater than zero: " + key);
-    return value;
-  }
-  /// One of `words`. A misspelt word is an error, so that it is not taken for another.
-  [[nodiscard]] std::string require_word(const std::string& key,
-                                         std::initializer_list<std::string_view> words) const {
-    const auto value = require(key);
-    if (std::find(words.begin(), words.end(), value) == words.end())
-      throw SettingsError("setting is not one of its permitted values: " + key);
-    return value;
-  }
-  [[nodiscard]] bool require_flag(const std::string& key) const {
-    const auto value = require(key);
-    if (value == "true") return true;
-    if (value == "false") return false;
-    throw SettingsError("setting must be true or false: " + key);
-  }
-
- private:
-  std::map<std::string, std::string> values_;
-};
+/// The mean holding time of each class; empty if the settings give none.
+std::vector<Duration> read_holding_times(const KeyValuePairs& pairs) {
+  const std::string key = "family_info.class_hold_us";
+  std::vector<Duration> holding_times;
+  for (const auto& text : split(pairs.find(key).value_or(""), ',')) {
+    const auto micros = parse_number(text);
+    if (!micros || *micros < 0 || *micros > kMaxDurationMicros)
+      throw SettingsError("setting is not a list of durations in microseconds: " + key);
+    holding_times.emplace_back(static_cast<std::int64_t>(*micros));
+  }
+  return holding_times;
+}
 
 std::vector<CallClass> read_classes(const KeyValuePairs& pairs) {
-  std::vector<std::string> holding_times;
-  if (const auto text = pairs.find("family_info.class_hold_us")) holding_times = split(*text, ',');
+  const auto holding_times = read_holding_times(pairs);
   std::vector<CallClass> classes(pairs.require_count("classes.count", kMaxItems));
   if (classes.empty()) throw SettingsError("setting must be at least 1: classes.count");
   for (std::size_t i = 0; i < classes.size(); ++i) {
@@ -125,24 +64,14 @@
       throw SettingsError("setting must not be negative: " + prefix + "late_worth");
     call_class.idempotent =
         pairs.require_word(prefix + "repeat", {"idempotent", "deduplicated", "at_most_once"}) == "idempotent";
-    if (i < holding_times.size()) {
-      if (const auto holding_time = parse_number(holding_times[i]))
-        call_class.mean_holding_time = Duration{static_cast<std::int64_t>(*holding_time)};
-    }
-    const auto pools_key = "family_info.skilled_pools." + std::to_string(i);
-    for (const auto& pool : split(pairs.find(pools_key).value_or(""), ',')) {
-      const auto pool_number = parse_number(pool);
-      if (!pool_number || *pool_number < 0)
-        throw SettingsError("setting is not a list of pool numbers: " + pools_key);
-      call_class.pools.push_back(PoolId{static_cast<std::uint32_t>(*pool_number)});
-    }
+    if (i < holding_times.size()) call_class.mean_holding_time = holding_times[i];
+    call_class.pools = read_pools(pairs, i);
   }
   return classes;
 }
 
 std::vector<Tenant> read_tenants(const KeyValuePairs& pairs) {
-  if (!pairs.find("tenants.count")) return {};
-  std::vector<Tenant> tenants(pairs.require_count("tenants.count", kMaxItems));
+  std::vector<Tenant> tenants(pairs.list_size("tenants"));
   for (std::size_t i = 0; i < tenants.size(); ++i) {
     const auto key = "tenants." + std::to_string(i) + ".quota_per_s";
     tenants[i].quota_per_s = pairs.find_number(key);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -2,21 +2,15 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "amberknot/admission.hpp"
+#include "settings/key_value_pairs.hpp"
 
 namespace amberknot::settings {
 
-/// A required setting is missing, or a setting has an invalid value; the message names its key.
-class SettingsError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 /// The settings of the decision module, and those of its host.
 struct ParsedSettings {
   Settings settings;
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -229,6 +229,9 @@
   CHECK(update->changes[0].state == EndpointState::kDraining);
   CHECK(update->changes[0].pool == 2);
   CHECK(update->changes[0].started_unix_ms == 1700000000123);
+  CHECK(update->invalid_fields == std::vector<std::string>{"status of endpoint b", "since_ms of endpoint b",
+                                                           "name of endpoint ", "group of endpoint ",
+                                                           "since_ms of endpoint "});
   CHECK(parse_endpoint_update(R"({"cursor":1})")->has_endpoint_list == false);
   for (const char* invalid : {"", "{", "[]", R"({"nodes":{}})", R"({"cursor":1,"nodes":{"endpoints":3}})"}) {
     CAPTURE(invalid);
--- a/tests/reload_plan_test.cpp
+++ b/tests/reload_plan_test.cpp
@@ -3,6 +3,7 @@
 #include "core/reload_plan.hpp"
 
 #include <array>
+#include <cstring>
 
 #include "net_bench.hpp"
 #include "settings_text.hpp"
@@ -23,7 +24,7 @@
 /// A JSON configuration as the platform writes it, with `settings` as the value of its settings field.
 std::string configuration(const std::string& settings) {
   return R"({"name":"n","listen":"127.0.0.1:1","seed":"0f","channel":"127.0.0.1:2",)"
-         R"("known":{"cursor":0,"cmds":[]},"settings":)" +
+         R"("limits":{"cores":1.0,"memory_mb":64,"sockets":1024},"known":{"cursor":0,"cmds":[]},"settings":)" +
          settings + "}";
 }
 
@@ -35,19 +36,25 @@
   keys["limits.most_tries"] = max_attempts;
   std::string text;
   for (const auto& [key, value] : keys) text += (text.empty() ? "{\"" : ",\"") + key + "\":\"" + value + "\"";
-  return text + R"(,"limits":{"connect_timeout_us":"500000"}})";
+  return text + "}";
 }
 
 /// Valid settings with two classes and two tenants; the first tenant is named acme.
 std::string named_settings(const std::string& first, const std::string& second, const std::string& tenant) {
   const auto class_entry = [](const std::string& name) {
     return R"({"name":")" + name +
-           R"(","aim_us":"1000","deadline_us":"2000","value":"1","repeat":"idempotent"})";
+           R"(","aim_us":"1000","deadline_us":"2000","value":"1","late_worth":"0.1","repeat":"idempotent",)"
+           R"("streamed":"true"})";
+  };
+  const auto tenant_entry = [](const std::string& name) {
+    return R"({"name":")" + name + R"(","portion":"0.5","quota_per_s":"10"})";
   };
   auto text = good_settings();
   text.pop_back();
-  return text + R"(,"classes":[)" + class_entry(first) + "," + class_entry(second) +
-         R"(],"tenants":[{"name":"acme"},{"name":")" + tenant + R"("}]})";
+  return text + R"(,"classes":[)" + class_entry(first) + "," + class_entry(second) + R"(],"tenants":[)" +
+         tenant_entry("acme") + "," + tenant_entry(tenant) +
+         R"(],"family_info":{"channels_needed":["1","1"],"class_hold_us":["9100000","9100000"],)"
+         R"("skilled_pools":[["0","1"],["0"]]}})";
 }
 
 }  // namespace
@@ -159,6 +166,83 @@
   });
 }
 
+// Guards against a file without the pools of the classes: it was accepted, and calls went to servers that
+// they may not go to. The other fields are checked in the same way.
+TEST_CASE(
+    "a file that lacks a field is rejected at the start and at a reload, and the error names the field") {
+  const std::string good = configuration(good_settings());
+  const std::string peer_fields =
+      R"("peer_listen":"127.0.0.1:3","peers":["127.0.0.1:3"],"peers_all":"127.0.0.1:4",)";
+  const std::string with_peers = R"({"control":"127.0.0.1:5",)" + peer_fields + good.substr(1);
+  REQUIRE_NOTHROW(app::read_config(with_peers, "", ""));
+  const auto error_of = [](const std::string& text) {
+    try {
+      app::read_config(text, "n", "127.0.0.1:1");
+    } catch (const app::ConfigError& error) {
+      return std::string(error.what());
+    }
+    return std::string();
+  };
+  const std::pair<const char*, const char*> fields[] = {
+      {R"("name":"n",)", "name"},
+      {R"("listen":"127.0.0.1:1",)", "listen"},
+      {R"("seed":"0f",)", "seed"},
+      {R"("channel":"127.0.0.1:2",)", "channel"},
+      {R"("cores":1.0,)", "limits.cores"},
+      {R"("memory_mb":64,)", "limits.memory_mb"},
+      {R"(,"sockets":1024)", "limits.sockets"},
+      {R"("limits":{"cores":1.0,"memory_mb":64,"sockets":1024},)", "limits"},
+      {R"("cursor":0,)", "known.cursor"},
+      {R"(,"cmds":[])", "known.cmds"},
+      {R"("known":{"cursor":0,"cmds":[]},)", "known"},
+      {R"("peer_listen":"127.0.0.1:3",)", "peer_listen"},
+      {R"("peers":["127.0.0.1:3"],)", "peers"},
+      {R"("peers_all":"127.0.0.1:4",)", "peers_all"},
+      {R"("family_info.skilled_pools.0":"0,1",)", "family_info.skilled_pools.0"},
+      {R"("classes.0.late_worth":"0.1",)", "classes.0.late_worth"},
+      {R"("report.columns":"idle,circuits,lat_ms,reduce",)", "report.columns"},
+      {R"("over_share_worth":"0.05",)", "over_share_worth"},
+  };
+  for (const auto& [text, name] : fields) {
+    CAPTURE(name);
+    auto defective = with_peers;
+    REQUIRE(defective.find(text) != std::string::npos);
+    defective.erase(defective.find(text), std::strlen(text));
+    CHECK(error_of(defective).find(name) != std::string::npos);
+  }
+  const std::string known = R"("cmds":[{"cursor":1,"nodes":{"endpoints":[)";
+  const std::pair<const char*, const char*> endpoints[] = {
+      {R"({"name":"s","address":"127.0.0.1:9","status":"ready","since_ms":0})", "group of endpoint s"},
+      {R"({"name":"s","group":1,"status":"ready","since_ms":0})", "address of endpoint s"},
+      {R"({"name":"s","address":"127.0.0.1:9","group":1,"status":"ready"})", "since_ms of endpoint s"},
+      {R"({"name":"s","address":"127.0.0.1:9","group":1,"since_ms":0})", "status of endpoint s"},
+  };
+  for (const auto& [endpoint, name] : endpoints) {
+    auto defective = good;
+    defective.replace(defective.find(R"("cmds":[)"), std::strlen(R"("cmds":[)"), known + endpoint + "]}}");
+    CHECK(error_of(defective).find(name) != std::string::npos);
+  }
+  // Fields that a deployment may do without are missed only by a router that was given them.
+  RouterFixture fixture({}, [&] {
+    auto config = router_config();
+    config.optional_fields = app::read_config(with_peers, "", "").optional_fields;
+    config.settings_text = app::read_config(good, "", "").settings_text;
+    return config;
+  }());
+  auto updated = app::read_config(with_peers, "", "");
+  updated.command_channel = fixture.config.command_channel;
+  for (const char* field : {"control", "peers"}) {
+    auto without = updated;
+    without.optional_fields.erase(field);
+    CHECK_THROWS_AS(fixture.router->reload(without), app::ConfigError);
+  }
+  auto without_tenants = updated;
+  without_tenants.settings_text.erase(without_tenants.settings_text.find("tenants.count=1\n"), 16);
+  CHECK_THROWS_AS(fixture.router->reload(without_tenants), app::ConfigError);
+  CHECK(fixture.router->counters().reloads == 0);
+  CHECK_NOTHROW(fixture.router->reload(updated));
+}
+
 TEST_CASE(
     "a reload adds and removes classes and lowers the attempt limit, and calls in progress keep their "
     "class") {
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 
@@ -29,14 +30,16 @@
   }
   ~ConfigFile() { std::filesystem::remove_all(folder_); }
   [[nodiscard]] std::string path() const { return folder_ / "config.json"; }
-  void write(const std::string& listen, const std::string& channel) const {
+  void write(const std::string& listen, const std::string& channel,
+             const std::map<std::string, std::string>& keys = amberknot::testing::default_setting_values(),
+             const std::string& more = "") const {
     std::string settings;
-    for (const auto& [key, value] : amberknot::testing::default_setting_values()) {
+    for (const auto& [key, value] : keys) {
       settings += (settings.empty() ? "\"" : ",\"") + key + "\":\"" + value + "\"";
     }
-    replace(R"({"name":"n","listen":")" + listen + R"(","seed":"0f","channel":")" + channel +
-            R"(","known":{"cursor":7,"cmds":[]},"settings":{"limits":{"connect_timeout_us":"500000"},)" +
-            settings + "}}");
+    replace("{" + more + R"("name":"n","listen":")" + listen + R"(","seed":"0f","channel":")" + channel +
+            R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":1024},)" +
+            R"("known":{"cursor":7,"cmds":[]},"settings":{)" + settings + "}}");
   }
   /// Replaces the file atomically, as the platform does.
   void replace(const std::string& text) const {
@@ -117,6 +120,81 @@
   CHECK(WEXITSTATUS(program.status()) == 0);
 }
 
+// Guards against a reload that takes a file without the pools of the classes: calls then went to servers that
+// their class may not go to.
+TEST_CASE("after SIGHUP with a file that lacks the pools of a class, its calls still go to its pools only") {
+  RouterFixture fixture;  // provides the loop, the command channel and a server
+  ConfigFile file;
+  const auto free_address = [&] {
+    StandInListener free(fixture.loop);
+    return free.address;
+  };
+  const std::string listen = free_address(), control = free_address();
+  const std::string control_field = R"("control":")" + control + "\",";
+  auto keys = amberknot::testing::default_setting_values();
+  keys["classes.0.name"] = "voice";
+  keys["tenants.0.name"] = "acme";
+  keys["family_info.network_form"] = "skills";
+  keys["family_info.skilled_pools.0"] = "0";
+  // Names of classes and tenants are read from nested settings.
+  const std::string names = R"("classes":[{"name":"voice"}],"tenants":[{"name":"acme"}],)";
+  const auto write = [&](const std::map<std::string, std::string>& settings) {
+    file.write(listen, fixture.command_channel.address, settings, control_field);
+    auto text = app::read_file(file.path());
+    text.insert(text.find(R"("settings":{)") + std::strlen(R"("settings":{)"), names);
+    file.replace(text);
+  };
+  write(keys);
+  Program program(file.path());
+  fixture.run_until(
+      [&] { return fixture.command_channel.find_connection_with("Last-Event-ID: 7\r\n") != nullptr; });
+  // The only server is in pool 1.
+  fixture.command_channel.find_connection_with("Last-Event-ID: 7\r\n")
+      ->stream->send(
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 8\ndata: "
+          R"({"cursor":8,"nodes":{"snapshot":true,"endpoints":[{"name":"s1","address":")" +
+          fixture.server.address + R"(","group":1,"status":"ready","since_ms":0}]}})" + "\n\n");
+  const auto reads_from_control = [&](const std::string& expected) {
+    auto admin = fixture.connect(*net::parse_endpoint(control));
+    admin->stream->send("stats\n");
+    fixture.run_until([&] { return admin->closed || admin->has_received("\n.\n"); });
+    return admin->has_received(expected);
+  };
+  fixture.run_until([&] { return reads_from_control("registry_entries:1"); });
+  keys.erase("family_info.skilled_pools.0");
+  write(keys);
+  program.signal(SIGHUP);
+  fixture.run_until(
+      [&] { return reads_from_control("cfg_invalid:1") || reads_from_control("cfg_accepted:1"); });
+  CHECK(reads_from_control("cfg_invalid:1"));
+  const auto caller = fixture.connect(*net::parse_endpoint(listen));
+  caller->stream->send(
+      R"({"msg":"open","sid":"00000000000000a1","attrs":{"class":"voice","left":"400","tenant":"acme",)"
+      R"("key":"77aa","extras":"dest:0;width:1;via:-1"},"text":"d"})"
+      "\n");
+  fixture.run_until([&] {
+    return caller->has_received("\"close\",\"sid\":\"00000000000000a1") ||
+           fixture.server.find_connection_with("Call-ID: 00000000000000a1") != nullptr;
+  });
+  CHECK(fixture.server.find_connection_with("Call-ID: 00000000000000a1") == nullptr);
+}
+
+// Guards against a server whose group is missing in the endpoint list and that was taken for one of pool 0.
+TEST_CASE("a new server without a group gets no calls, and a known one keeps its pool") {
+  RouterFixture fixture;
+  auto update = update_of(1, "s1", fixture.server.address);
+  update.has_endpoint_list = true;
+  update.changes[0].pool.reset();
+  fixture.router->apply_endpoint_update(update);
+  fixture.send_set_up("00000000000000a1", 300);
+  fixture.run_until([&] { return fixture.caller->has_received("\"close\",\"sid\":\"00000000000000a1"); });
+  CHECK(fixture.server.connections.empty());
+  fixture.announce_server();
+  fixture.router->apply_endpoint_update(update);
+  fixture.send_set_up("00000000000000a2");
+  fixture.wait_for_invite("00000000000000a2");
+}
+
 TEST_CASE("a reload switches to the new command channel at once and resumes after the last event") {
   RouterFixture fixture;
   const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "settings/required_keys.hpp"
 #include "settings_text.hpp"
 
 namespace amberknot::settings {
@@ -34,20 +35,83 @@
   EXPECT_TRUE(parsed.reports_retry_wait);
 }
 
-TEST(Settings, OptionalSettingsMayBeAbsent) {
+/// The error of check_required_keys for these keys; empty if there is none.
+std::string error_of_required_keys(const std::map<std::string, std::string>& keys) {
+  try {
+    check_required_keys(KeyValuePairs(settings_text(keys)));
+  } catch (const SettingsError& error) {
+    return error.what();
+  }
+  return {};
+}
+
+TEST(Settings, KeysThatTheFormHasNoUseForMayBeAbsent) {
   auto keys = default_setting_values();
-  for (const auto* key : {"report.columns", "tenants.count", "family_info.class_hold_us",
-                          "family_info.retry_hint", "family_info.skilled_pools.0"}) {
+  for (const auto* key :
+       {"tenants.count", "tenants.0.name", "tenants.0.portion", "tenants.0.quota_per_s", "over_share_worth",
+        "report.columns", "limits.max_retry_after_us", "family_info.skilled_pools.0"}) {
     keys.erase(key);
   }
+  keys["report.source"] = "off";
+  keys["limits.retry_after"] = "false";
+  keys["family_info.network_form"] = "network";
   keys["family_info.resend_us"] = "0";
+  EXPECT_EQ(error_of_required_keys(keys), "");
   const auto parsed = parse_settings(settings_text(keys), 9);
   EXPECT_FALSE(parsed.settings.retransmit_interval.has_value());
-  EXPECT_FALSE(parsed.settings.classes[0].mean_holding_time.has_value());
   EXPECT_TRUE(parsed.settings.classes[0].pools.empty());
   EXPECT_TRUE(parsed.settings.tenants.empty());
   EXPECT_TRUE(parsed.report_columns.empty());
-  EXPECT_FALSE(parsed.reports_retry_wait);
+}
+
+// Guards against a file without the pools of a class, whose calls then went to servers that they may not use.
+TEST(Settings, ClassWithoutPoolsIsAnErrorAndNotAClassForAnyPool) {
+  auto keys = default_setting_values();
+  for (const char* value : {"", "0,1.5", "0,-1", "4294967296", "0;1"}) {
+    keys["family_info.skilled_pools.0"] = value;
+    EXPECT_THROW(parse_settings(settings_text(keys), 9), SettingsError) << value;
+  }
+  keys.erase("family_info.skilled_pools.0");
+  EXPECT_THROW(parse_settings(settings_text(keys), 9), SettingsError);
+}
+
+// Guards against a file that lacks a key and is taken for one that asks for a default.
+TEST(Settings, EachMissingKeyIsAnErrorThatNamesIt) {
+  auto whole = default_setting_values();
+  for (const auto* key : {"charges.probe", "goal.whole", "weights", "limits.cpu_us_per_s"}) whole[key] = "0";
+  EXPECT_NE(error_of_required_keys(whole), "") << "some keys of the simulated world, but not all";
+  whole = default_setting_values();
+  ASSERT_EQ(error_of_required_keys(whole), "");
+  for (const auto& [key, value] : whole) {
+    // A missing length is that of an empty list; check_keys_kept finds missing lists.
+    if (key == "tenants.count" || key == "family_info.skilled_pools.count") continue;
+    auto keys = whole;
+    keys.erase(key);
+    std::string error = error_of_required_keys(keys);
+    try {
+      if (error.empty()) parse_settings(settings_text(keys), 9);
+    } catch (const SettingsError& parse_error) {
+      error = parse_error.what();
+    }
+    EXPECT_NE(error.find(key), std::string::npos) << key << ": " << error;
+  }
+}
+
+// Guards against a key that only the form of the deployment makes necessary, and that a reload lacks.
+TEST(Settings, KeyOfTheSettingsInForceMayNotBeMissingInNewOnes) {
+  auto keys = default_setting_values();
+  keys["zone"] = "0";
+  keys["invariants.ask_within_us"] = "10000000";
+  keys["classes.0.window_us"] = "5000000";
+  keys["classes.0.aim_stretch"] = "1";
+  const KeyValuePairs current(settings_text(keys));
+  for (const auto* key : {"zone", "invariants.ask_within_us", "classes.0.window_us", "tenants.count"}) {
+    auto updated = keys;
+    updated.erase(key);
+    EXPECT_THROW(check_keys_kept(current, KeyValuePairs(settings_text(updated))), SettingsError) << key;
+  }
+  keys.erase("classes.0.aim_stretch");  // the one key that may be absent
+  EXPECT_NO_THROW(check_keys_kept(current, KeyValuePairs(settings_text(keys))));
 }
 
 TEST(Settings, IgnoresUnknownKeysAndMalformedLines) {
