Reject an empty list of Diameter clients and a bind without a password

`diameter.clients: []` admitted any client, since an empty set stands for an absent field. `ldap.bind_dn` without `password_file` was an unauthenticated bind (RFC 4513, 5.1.2). The file is read at the start only.

--- a/src/app/operator_file.cpp
+++ b/src/app/operator_file.cpp
@@ -90,6 +90,9 @@
     if (!config.listen) throw_field_error(section.field("listen"), "is not an IP address with a port");
   }
   config.clients = section.string_set("clients");
+  // Without the field any client is admitted; an empty list must not be taken for that.
+  if (section.find("clients") != nullptr && config.clients.empty())
+    throw_field_error(section.field("clients"), "names no client");
   config.servers = section.string_set("servers");
   // RFC 3539, section 3.4.1: the watchdog interval must not be below 6 s.
   config.watchdog_interval = section.duration("watchdog_ms", config.watchdog_interval, milliseconds{6000});
@@ -118,6 +121,9 @@
   source.filter = section.string_value("filter", source.filter);
   source.bind_dn = section.string_value("bind_dn", "");
   source.password_file = section.string_value("password_file", "");
+  // A bind with a name and no password is an unauthenticated bind (RFC 4513, section 5.1.2).
+  if (source.bind_dn.empty() != source.password_file.empty())
+    throw_field_error(section.field(source.bind_dn.empty() ? "bind_dn" : "password_file"), "is missing");
   source.key_attribute = section.string_value("key_attribute");
   source.tenant_attribute = section.string_value("tenant_attribute");
   source.query_timeout = section.duration("timeout_ms", source.query_timeout, milliseconds{100});
--- a/tests/net_parse_test.cpp
+++ b/tests/net_parse_test.cpp
@@ -251,6 +251,10 @@
       {R"({"diameter":{"origin_host":"a","origin_realm":"b","listen":"c"}})", "diameter.listen"},
       {R"({"diameter":{"origin_host":"a","origin_realm":"b","watchdog_ms":10}})", "diameter.watchdog_ms"},
       {R"({"diameter":{"origin_host":"a","origin_realm":"b","servers":"*"}})", "diameter.servers"},
+      // Guards against an empty list of clients that admits any, and against a bind without its password.
+      {R"({"diameter":{"origin_host":"a","origin_realm":"b","clients":[]}})", "diameter.clients"},
+      {R"({"ldap":{"url":"ldap://x","base":"b","bind_dn":"cn=r","key_attribute":"k","tenant_attribute":"t"}})",
+       "ldap.password_file"},
       {R"({"ldap":{"url":"http://x"}})", "ldap.url"},
       {R"({"ldap":{"url":"ldap://x","base":"b","key_attribute":"k","tenant_attribute":"t"}})",
        "diameter.listen"},
