Read the events of a session server's new process by its own numbers

Cause: the number of the last event was kept for the server, and on_event dropped each event whose number was not higher; a new process counts from 1. Nothing reset the number: not another process name, nor a later start in the list, nor `lost`.

Change: http2/server_process.hpp, without I/O: the position in the events of one process, which goes on from whatever follows `lost` and begins anew with another process, and which process a connection leads to. Why it works: a number is only compared with numbers of the process that gave it.

Same cause, found on related paths and mended here: `draining` was kept over a replacement without a later start; a process without a name, and one at a server with a configured version, was never noticed; calls at the new process could be aborted with those of the old one; slow start was not told; releases for the old process went to the new one.

--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/load_report.hpp"
+#include "http2/server_process.hpp"
 #include "translate/message.hpp"
 #include "translate/retry_after.hpp"
 
@@ -80,6 +81,8 @@
   std::uint64_t number;  // unique in the pool
   std::shared_ptr<Connection> connection;
   Instant up_since{};  // zero until the connection is up
+  bool is_versions_requested = false;
+  std::optional<std::string> process_name;  // once it has answered a versions request
 };
 
 /// The pool's state for one server.
@@ -93,7 +96,7 @@
   bool ready = false;             // in state kReady in the endpoint list
   bool draining = false;          // the server has sent a draining event and has not restarted since
   bool reported_serving = false;  // not used
-  std::string process_name;
+  ServerProcess process;
   std::vector<std::shared_ptr<PooledConnection>> connections;
   std::deque<CallId> waiting_set_ups;  // calls whose set-up has not been sent, oldest first
   std::map<std::string, PendingRelease> pending_releases;
@@ -107,8 +110,7 @@
   // Event stream.
   RequestKey event_stream_key = 0;  // zero if no stream is open
   core::TimerWheel::Handle event_stream_timer = 0;
-  std::uint64_t last_event_id = 0;
-  bool has_last_event_id = false;
+  EventCursor event_cursor;
   settings::SseParser sse_reader{net::kMaxMessageBytes};
   std::deque<std::string> sessions_to_check;
   core::TimerWheel::Handle check_timer = 0;
@@ -190,7 +192,7 @@
   server.started_unix_ms = endpoint.started_unix_ms;
   server.ready = endpoint.state == EndpointState::kReady;
   server.listed = endpoint.state != EndpointState::kRemoved;
-  if (restarted) server.draining = false;
+  if (restarted) server.draining = false;  // said of the process before
   // A server that drains gets no more set-ups, including those that were accepted but not written.
   if (!server.ready) withdraw_set_ups(server);
   if (!server.listed || address_changed) {
@@ -303,16 +305,49 @@
       continue;
     }
     for (const auto& pooled : server.connections) {
-      if (pooled->number != action.connection || !pooled->connection->has_capacity()) continue;
-      const RequestKey key = next_key_++;
-      outstanding_[key] = {RequestKind::kVersions, {}, {}, net::Loop::now(), pooled->number};
-      if (!pooled->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}}))
-        outstanding_.erase(key);
+      if (pooled->number == action.connection) request_versions(*pooled);
     }
   }
   schedule_version_tick();
 }
 
+void ConnectionPool::request_versions(PooledConnection& pooled) {
+  if (!pooled.connection->has_capacity()) return;
+  const RequestKey key = next_key_++;
+  outstanding_[key] = {RequestKind::kVersions, {}, {}, net::Loop::now(), pooled.number};
+  pooled.is_versions_requested =
+      pooled.connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
+  if (!pooled.is_versions_requested) outstanding_.erase(key);
+}
+
+// Everything that is known of the process before is discarded: its sessions, what it said of itself, and what
+// is still to be sent to it.
+void ConnectionPool::on_process_replaced(PooledConnection& first, Instant previous_since) {
+  auto& server = first.server;
+  // Connections that have not named their process yet may lead to the new one.
+  Instant since = first.up_since;
+  std::vector<std::shared_ptr<PooledConnection>> of_predecessor;
+  for (const auto& pooled : server.connections) {
+    const bool is_of_predecessor = pooled->process_name && !server.process.is_current(*pooled->process_name);
+    if (is_of_predecessor) of_predecessor.push_back(pooled);
+    if (!is_of_predecessor && pooled->up_since != Instant{}) since = std::min(since, pooled->up_since);
+  }
+  net::log::warn("session api: ", server.name,
+                 " was replaced by a new process; sessions established before are aborted");
+  std::erase_if(server.pending_releases,
+                [since](const auto& item) { return item.second.requested_at < since; });
+  if (server.sending_resumes_at < since + kCalmPause) server.sending_resumes_at = {};
+  server.draining = false;
+  if (server.event_cursor.on_process_replaced(since)) reopen_event_stream(server);
+  for (const auto& pooled : of_predecessor) pooled->connection->fail(net::CloseReason::kReset);
+  call_table_.abort_calls_sent_before(server.id, since, "process replaced");
+  // Of the sessions that were set up since, some may have been set up at the process before.
+  check_all_sessions(server);
+  const auto* endpoint = endpoints_.find(server.id);
+  const bool is_restart_listed = endpoint != nullptr && endpoint->started > previous_since;
+  on_change_(server.id, !is_restart_listed);
+}
+
 void ConnectionPool::schedule_version_tick() {
   const auto next_tick = versions_.next_timer();
   if (!next_tick || version_timer_ != 0) return;
@@ -386,6 +421,9 @@
   translate::Versions::Actions actions;
   versions_.on_connected(pooled.up_since, server.id, pooled.number, actions);
   apply_version_actions(std::move(actions));
+  // Each connection is asked which process it leads to, also where the version is configured or already
+  // asked.
+  if (!pooled.is_versions_requested) request_versions(pooled);
   if (server.event_stream_key == 0) open_event_stream(server);
   send_waiting(server);
 }
@@ -556,7 +594,7 @@
 void ConnectionPool::delete_session(Server& server, const std::string& id, core::Cause cause) {
   if (!server.listed || server.pending_releases.size() >= resource_limits_.max_undelivered_releases_per_peer)
     return;
-  server.pending_releases[id] = {cause, false, 0};
+  server.pending_releases[id] = {cause, false, 0, net::Loop::now()};
   send_waiting(server);
 }
 
@@ -670,15 +708,15 @@
       } else {
         return;  // versions_ asks again after its timeout
       }
-      if (!server.process_name.empty() && process != server.process_name) {
-        net::log::warn("session api: ", server.name,
-                       " was replaced by a new process; sessions established before are aborted");
-        call_table_.abort_calls_sent_before(server.id, pooled.up_since, "process replaced");
-      }
-      server.process_name = process;
+      pooled.process_name = process;
+      const Instant previous_since = server.process.first_connected_at();
+      const auto verdict = server.process.on_reported(process, pooled.up_since);
+      if (verdict == ServerProcess::Verdict::kPredecessor)
+        return pooled.connection->fail(net::CloseReason::kReset);
       translate::Versions::Actions actions;
       versions_.on_versions_received(net::Loop::now(), server.id, pooled.number, process, supported, actions);
       apply_version_actions(std::move(actions));
+      if (verdict == ServerProcess::Verdict::kReplaced) on_process_replaced(pooled, previous_since);
       send_waiting(server);
       break;
     }
@@ -834,8 +872,8 @@
   if (pooled == nullptr) return;
   const RequestKey key = next_key_++;
   Request request{"GET", "/events", {{"accept", "text/event-stream"}}, {}, true};
-  if (server.has_last_event_id)
-    request.headers.emplace_back("last-event-id", std::to_string(server.last_event_id));
+  if (const auto last_number = server.event_cursor.last_number())
+    request.headers.emplace_back("last-event-id", std::to_string(*last_number));
   server.sse_reader = settings::SseParser(net::kMaxMessageBytes);
   server.event_stream_key = key;
   outstanding_[key] = {RequestKind::kEvents, {}, {}, net::Loop::now(), pooled->number};
@@ -887,24 +925,22 @@
   const auto [parse_end, parse_error] =
       std::from_chars(event.id.data(), event.id.data() + event.id.size(), event_id);
   const bool has_event_id = parse_error == std::errc{} && parse_end == event.id.data() + event.id.size();
-  // The server repeats events when the stream is resumed.
-  if (has_event_id && server.has_last_event_id && event_id <= server.last_event_id) return;
   std::string data = event.data;
   std::string fault;
   const auto session_event = reader_.read_event(event.name, {data.data(), data.size()}, fault);
-  if (has_event_id) {
-    server.last_event_id = event_id;
-    server.has_last_event_id = true;
-  }
+  // A process that is asked for what follows a number of the process before says first that events are lost.
+  // Its own numbers may be lower.
+  const bool are_events_lost = session_event && session_event->kind == SessionEvent::Kind::kEventsLost;
+  if (are_events_lost && server.event_cursor.on_lost(session_event->lost_before, net::Loop::now()))
+    on_events_numbered_anew(server);
+  if (has_event_id && !are_events_lost && server.event_cursor.is_repeated(event_id)) return;
+  if (has_event_id) server.event_cursor.on_received(event_id, net::Loop::now());
   if (!session_event) {
     ++counters_.unreadable_messages;
     net::log::warn(invalid_message_log_, "session api: event ", event.id, " of ", server.name,
                    " is invalid; all sessions of the server are checked: ", fault);
     // The event may have reported a session's end, so all sessions of this server are checked.
-    for (const auto& [key, call] : calls_by_session_) {
-      if (key.first == server.id) server.sessions_to_check.push_back(key.second);
-    }
-    check_sessions(server);
+    check_all_sessions(server);
     return;
   }
   switch (session_event->kind) {
@@ -922,10 +958,7 @@
       break;
     }
     case SessionEvent::Kind::kEventsLost:
-      for (const auto& [key, call] : calls_by_session_) {
-        if (key.first == server.id) server.sessions_to_check.push_back(key.second);
-      }
-      check_sessions(server);
+      check_all_sessions(server);
       break;
     case SessionEvent::Kind::kDraining:
       if (std::exchange(server.draining, true)) break;
@@ -937,6 +970,13 @@
   }
 }
 
+// A process without a name shows by this that it has replaced another one. Its sessions are checked as after
+// any loss of events.
+void ConnectionPool::on_events_numbered_anew(Server& server) {
+  net::log::info("session api: ", server.name, " numbers its events anew");
+  if (std::exchange(server.draining, false)) on_change_(server.id, false);
+}
+
 void ConnectionPool::on_session_ended(Server& server, const std::string& id, Outcome outcome,
                                       core::Cause cause) {
   const auto found = calls_by_session_.find({server.id, id});
@@ -952,6 +992,14 @@
   end_attempt(attempt.ref, make_end(outcome, cause));
 }
 
+void ConnectionPool::check_all_sessions(Server& server) {
+  server.sessions_to_check.clear();
+  for (const auto& [key, call] : calls_by_session_) {
+    if (key.first == server.id) server.sessions_to_check.push_back(key.second);
+  }
+  check_sessions(server);
+}
+
 void ConnectionPool::check_sessions(Server& server) {
   if (server.check_timer != 0 || server.sessions_to_check.empty()) return;
   server.check_timer = loop_.run_after(kSessionCheckInterval, [this, &server] {
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -88,6 +88,7 @@
     core::Cause cause{};
     bool outstanding = false;  ///< a DELETE request has been sent and has not ended
     int attempts = 0;
+    Instant requested_at{};
   };
 
   /// Adds the server if the pool does not have it.
@@ -104,9 +105,15 @@
   void on_down(PooledConnection& pooled, net::CloseReason reason);
   void on_set_up_answer(PooledConnection& pooled, CallId call, Response& response);
   void on_event(Server& server, const settings::SseEvent& event);
+  /// `first` is the first connection that names the new process, `previous_since` when the process before it
+  /// was first connected to.
+  void on_process_replaced(PooledConnection& first, Instant previous_since);
+  void on_events_numbered_anew(Server& server);
   void on_session_ended(Server& server, const std::string& id, Outcome outcome, core::Cause cause);
   void open_event_stream(Server& server);
   void reopen_event_stream(Server& server);
+  /// Asks the server for each session that it is to hold, whether it still does.
+  void check_all_sessions(Server& server);
   void check_sessions(Server& server);
   void delete_session(Server& server, const std::string& id, core::Cause cause);
   void on_release_ended(Server& server, const std::string& id, bool confirmed);
@@ -120,6 +127,7 @@
   /// Takes the reference by value because it may belong to the attempt that is removed.
   void end_attempt(core::AttemptId ref, core::AttemptEnd attempt_end);
   void end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end);
+  void request_versions(PooledConnection& pooled);
   void apply_version_actions(translate::Versions::Actions actions);
   void schedule_version_tick();
   /// Gives up the sessions of servers from which nothing has been received for too long.
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "http2/body.hpp"
+#include "http2/server_process.hpp"
 #include "lab/http2_server.hpp"
 #include "net_bench.hpp"
 
@@ -442,6 +443,117 @@
   fixture.run_until([&] { return fixture.caller_received(kSessionB, "ready"); });
 }
 
+// Guards against releases that were dropped because the new process numbers its events anew.
+TEST_CASE("releases that a new process reports reach the callers although its event numbers are lower") {
+  struct NewProcess {
+    std::string what;
+    std::string versions;
+    bool sends_lost;
+    std::int64_t started;
+  };
+  const NewProcess new_processes[] = {
+      {"named, says that events are lost", R"({"versions":[1,2],"process":"p2"})", true, 0},
+      {"named, says nothing of lost events", R"({"versions":[1,2],"process":"p2"})", false, 0},
+      {"named, and announced by the endpoint list", R"({"versions":[1,2],"process":"p2"})", false,
+       net::Loop::unix_ms()},
+      {"without a name", "", true, 0},
+  };
+  for (const auto& process : new_processes) {
+    CAPTURE(process.what);
+    SessionApiFixture fixture;
+    SessionServer server(fixture.loop);
+    fixture.list_and_wait(server, "h1");
+    fixture.establish(server, kSessionA);
+    server.send_event(86, "load", R"({"x0":3})");
+    fixture.run_until([&] { return fixture.router->counters().load_reports > 0; });
+    server.http2.crash();
+    server.versions = process.versions;
+    const int versions_requests_before = server.versions_requests;
+    server.http2.restart();
+    if (process.started != 0) fixture.list_server(server, "h1", EndpointState::kReady, process.started);
+    fixture.run_until([&] { return server.versions_requests >= versions_requests_before + 2; });
+    fixture.wait_for_messages_in_transit();
+    const int requests_before = server.event_stream_requests;
+    if (process.sends_lost)
+      server.event_stream.first->send_data(server.event_stream.second,
+                                           "event: lost\ndata: {\"before\":1}\n\n");
+    fixture.run_until([&] { return fixture.caller_received(kSessionA, "close"); });
+    // A stream that was opened with the number of the process before is opened again.
+    if (!process.sends_lost) {
+      fixture.run_until([&] { return server.last_event_id == "0"; });
+      CHECK(server.event_stream_requests >= requests_before);
+    }
+    fixture.establish(server, kSessionB);
+    server.send_event(1, "released", R"({"id":")" + kSessionB + R"(","cause":16})");
+    fixture.run_until([&] { return fixture.caller_received(kSessionB, "close"); });
+  }
+}
+
+// Guards against a server that is avoided for good because the process before it drained.
+TEST_CASE("a new process gets calls although the process before it had reported that it drains") {
+  for (const std::string& versions : {std::string(R"({"versions":[1,2],"process":"p2"})"), std::string()}) {
+    CAPTURE(versions);
+    SessionApiFixture fixture;
+    SessionServer server(fixture.loop);
+    fixture.list_and_wait(server, "h1");
+    server.send_event(86, "draining", "{}");
+    server.send_event(87, "load", R"({"x0":3})");
+    fixture.run_until([&] { return fixture.router->counters().load_reports > 0; });
+    server.http2.crash();
+    server.versions = versions;
+    server.http2.restart();
+    const int requests_before = server.event_stream_requests;
+    fixture.run_until([&] { return server.event_stream_requests > requests_before; });
+    server.event_stream.first->send_data(server.event_stream.second, "event: lost\ndata: {\"before\":1}\n\n");
+    fixture.establish(server, kSessionA);
+  }
+}
+
+// Guards against a new process at a server with a configured version that is never noticed.
+TEST_CASE("a server with a configured version is asked for its process on each connection") {
+  SessionApiFixture fixture(make_operator_file("session-1"));
+  SessionServer server(fixture.loop, R"({"versions":[1],"process":"p1"})");
+  fixture.list_and_wait(server, "h1");
+  fixture.establish(server, kSessionA);
+  fixture.run_until([&] { return server.versions_requests >= 2; });
+  server.http2.crash();
+  server.versions = R"({"versions":[1],"process":"p2"})";
+  server.http2.restart();
+  fixture.run_until([&] { return fixture.caller_received(kSessionA, "close"); });
+  CHECK(server.versions_requests >= 3);
+}
+
+TEST_CASE("the process of a server is known by its name and its event numbers") {
+  using http2::EventCursor;
+  using http2::ServerProcess;
+  const Instant start{std::chrono::seconds{1}};
+  ServerProcess process;
+  CHECK(process.on_reported("p1", start) == ServerProcess::Verdict::kUnchanged);
+  CHECK(process.on_reported("p1", start + milliseconds{1}) == ServerProcess::Verdict::kUnchanged);
+  CHECK(process.on_reported("p2", start + milliseconds{5}) == ServerProcess::Verdict::kReplaced);
+  // A connection that is older than that to the new process belongs to the one before.
+  CHECK(process.on_reported("p1", start + milliseconds{2}) == ServerProcess::Verdict::kPredecessor);
+  CHECK(process.on_reported("", start + milliseconds{9}) == ServerProcess::Verdict::kReplaced);
+  CHECK(process.first_connected_at() == start + milliseconds{9});
+
+  EventCursor cursor;
+  CHECK_FALSE(cursor.is_repeated(1));
+  CHECK_FALSE(cursor.on_process_replaced(start));
+  cursor.on_received(41, start);
+  CHECK(cursor.is_repeated(41));
+  CHECK_FALSE(cursor.is_repeated(42));
+  CHECK_FALSE(cursor.on_lost(60, start));  // events that are too old, of the same process
+  CHECK_FALSE(cursor.is_repeated(60));
+  CHECK(cursor.on_lost(1, start + milliseconds{5}));  // another process, which counts from 1
+  CHECK_FALSE(cursor.is_repeated(1));
+  // Events of the new process that were received already are not read again.
+  cursor.on_received(3, start + milliseconds{6});
+  CHECK_FALSE(cursor.on_process_replaced(start + milliseconds{5}));
+  CHECK(cursor.last_number() == 3U);
+  CHECK(cursor.on_process_replaced(start + milliseconds{7}));
+  CHECK(cursor.last_number() == 0U);
+}
+
 TEST_CASE("a server that denies its old version after an upgrade is asked for its versions again") {
   SessionApiFixture fixture;
   SessionServer server(fixture.loop, R"({"versions":[1],"process":"p1"})");
