Notice restarts of a Diameter server whose state ids begin anew

A new process that counts lower (another machine, a clock set back) was never seen to restart again, so that its calls stood for their callers after it had lost them. The delay before the next connect, up to 30 s after a long outage, was kept too: a server that the list announced as ready got no calls until it had passed.

Change: a later start or another address in the endpoint list discards both. An id counts for the process that the connection leads to: one that was up before the start leads to the process before. Why it works: the list says when the new process started, and RFC 6733, 8.16, orders the ids of one entity only.

--- a/src/diameter/connection_pool.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -56,7 +56,10 @@
     if (std::exchange(is_health_check_pending, false))
       pool.table_.on_health_check_result(id, Outcome::kOk, round_trip, {});
   }
-  std::uint32_t& last_state_id(Peer& /*peer*/) override { return state_id; }
+  std::uint32_t& last_state_id(Peer& of) override {
+    const bool is_to_predecessor = of.up_since() != Instant{} && of.up_since() < started;
+    return is_to_predecessor ? predecessor_state_id : state_id;
+  }
   void on_restarted(Peer& /*peer*/) override {
     // The restarted process has lost its sessions. Each call is aborted once, here, whichever message carried
     // the new Origin-State-Id.
@@ -72,14 +75,17 @@
   ConnectionPool& pool;
   ServerId id;
   std::string address;
-  bool is_wanted = false;  ///< listed, so a connection is kept
-  bool is_ready = false;   ///< listed as ready for new calls
+  std::int64_t started_unix_ms = 0;
+  std::optional<Instant> started;  ///< the same on the monotonic clock
+  bool is_wanted = false;          ///< listed, so a connection is kept
+  bool is_ready = false;           ///< listed as ready for new calls
   std::shared_ptr<Peer> peer;
   core::ServerLiveness liveness;
   Duration reconnect_delay = kMinReconnectDelay;
   core::TimerWheel::Handle reconnect_timer = 0;
-  bool is_health_check_pending = false;  ///< a health check waits for a DWA
-  std::uint32_t state_id = 0;            ///< the last Origin-State-Id of the server
+  bool is_health_check_pending = false;    ///< a health check waits for a DWA
+  std::uint32_t state_id = 0;              ///< the last Origin-State-Id of the server
+  std::uint32_t predecessor_state_id = 0;  ///< of the process before it, while a connection leads there
   std::unordered_map<CallId, Attempt> attempts;
   /// Calls of unanswered initial requests by Hop-by-Hop Identifier.
   std::unordered_map<std::uint32_t, CallId> calls_by_hop_by_hop;
@@ -134,7 +140,9 @@
 void ConnectionPool::on_endpoint_changed(const core::Endpoint& listed) {
   auto& server = find_or_add(listed.id);
   const bool has_moved = !server.address.empty() && server.address != listed.address;
+  const bool is_restarted = listed.started_unix_ms > server.started_unix_ms;
   server.address = listed.address;
+  server.started_unix_ms = listed.started_unix_ms;
   server.is_ready = listed.state == EndpointState::kReady;
   server.is_wanted = listed.state != EndpointState::kRemoved;
   if (!server.is_ready) withdraw_queued(server);
@@ -143,13 +151,27 @@
     peer->close();
     end_unanswered(server, Outcome::kReset);
   }
+  if (has_moved || is_restarted) forget_process(server, listed.started);
   if (!server.is_wanted) {
     server.pending_terminations.clear();  // the removed server holds no sessions any more
     loop_.timers.cancel(std::exchange(server.reconnect_timer, 0));
+    server.reconnect_delay = kMinReconnectDelay;
   }
   if (server.is_wanted && !server.peer && server.reconnect_timer == 0) connect(server);
 }
 
+// The new process counts its Origin-State-Id by itself, so that it may be lower than that of the process
+// before. If the current connection is one to the new process, it has reported that process's own.
+void ConnectionPool::forget_process(Server& server, std::optional<Instant> started) const {
+  server.started = started;
+  server.predecessor_state_id = server.state_id;
+  const bool is_connected_to_new = server.peer && server.peer->is_up() && server.peer->up_since() >= started;
+  server.state_id = is_connected_to_new ? server.peer->state_id() : 0;
+  // It may listen already; the delay has grown while the process before did not.
+  server.reconnect_delay = kMinReconnectDelay;
+  loop_.timers.cancel(std::exchange(server.reconnect_timer, 0));
+}
+
 void ConnectionPool::forget_server(ServerId id) {
   const auto found = servers_by_id_.find(id);
   if (found == servers_by_id_.end()) return;
--- a/src/diameter/connection_pool.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -51,6 +51,8 @@
   /// Returns the entry of a server, which is created if there is none.
   Server& find_or_add(ServerId id);
   void connect(Server& server);
+  /// Discards what is known of the process that ran before the one that started at `started`.
+  void forget_process(Server& server, std::optional<Instant> started) const;
   /// Returns the attempt, or null if it is over.
   Attempt* find_attempt(Server& server, const core::AttemptId& attempt);
   /// Removes the attempt of a call without a message to anyone.
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -173,6 +173,7 @@
 
 void Peer::mark_up() {
   is_up_ = true;
+  up_since_ = Loop::now();
   net::log::info("diameter: ", host_, " is up");
   loop_.timers.cancel(timer_);
   start_watchdog_timer();
@@ -209,6 +210,7 @@
   // An id of zero or a missing id says nothing about restarts. A lower id than before is ignored, since it
   // may come from a clock that was set back.
   if (!id || *id == 0) return;
+  state_id_ = *id;
   auto& last = handler_.last_state_id(*this);
   const std::uint32_t previous = std::exchange(last, std::max(*id, last));
   if (previous != 0 && *id > previous) handler_.on_restarted(*this);
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -82,6 +82,10 @@
   [[nodiscard]] const std::string& host() const { return host_; }
   /// Origin-Realm of the peer, empty before the capabilities exchange.
   [[nodiscard]] const std::string& realm() const { return realm_; }
+  /// When the capabilities exchange succeeded; zero before that.
+  [[nodiscard]] Instant up_since() const { return up_since_; }
+  /// The last Origin-State-Id received on this connection; zero if there was none.
+  [[nodiscard]] std::uint32_t state_id() const { return state_id_; }
   [[nodiscard]] net::TcpConnection& stream() { return *stream_; }
   /// When the last message was received; zero before the first one.
   [[nodiscard]] Instant last_received_at() const { return last_received_at_; }
@@ -111,6 +115,8 @@
   bool is_watchdog_pending_ = false;  ///< a DWR is unanswered
   Instant watchdog_sent_at_{};
   Instant last_received_at_{};
+  Instant up_since_{};
+  std::uint32_t state_id_ = 0;
   std::uint32_t next_hop_by_hop_ = 1;
   std::string host_, realm_;
   core::TimerWheel::Handle timer_ = 0;  ///< limits the capabilities exchange, then runs the watchdog
--- a/tests/diameter_test.cpp
+++ b/tests/diameter_test.cpp
@@ -429,6 +429,50 @@
   CHECK(fixture.router->counters().aborted == 1);
 }
 
+// Guards against restarts that are missed because the Origin-State-Id of an earlier process was higher.
+TEST_CASE("Diameter: a process that the endpoint list announces may count its state ids anew") {
+  DiameterFixture fixture(operator_file(true, false, milliseconds{100}));
+  fixture.peer().state_id = 50;
+  const auto previous_requests = fixture.peer().watchdog_requests;
+  fixture.run_until([&] { return fixture.peer().watchdog_requests > previous_requests + 1; });
+  fixture.state_id = 7;
+  const auto previous_connections = fixture.server.connections.size();
+  SUBCASE("the list is read before the new connection is up") {
+    fixture.announce_server(EndpointState::kReady, net::Loop::unix_ms());
+    fixture.peer().stream->close();
+  }
+  SUBCASE("the list is read after the new connection is up") {
+    const auto started = net::Loop::unix_ms();
+    fixture.peer().stream->close();
+    fixture.run_until([&] { return fixture.server.connections.size() > previous_connections; });
+    fixture.run_until([&] { return fixture.peer().watchdog_requests > 0; });
+    fixture.announce_server(EndpointState::kReady, started);
+  }
+  fixture.run_until([&] { return fixture.server.connections.size() > previous_connections; });
+  fixture.run_until([&] { return fixture.peer().watchdog_requests > 0; });
+  fixture.establish_call(kCallA);
+  CHECK_FALSE(fixture.caller->has_received("\"close\",\"sid\":\"" + kCallA));
+  fixture.peer().state_id = 8;  // restarts without the list
+  fixture.run_until([&] {
+    return fixture.caller->has_received("\"close\",\"sid\":\"" + kCallA + "\",\"attrs\":{},\"code\":41}");
+  });
+}
+
+// Guards against a new process that is not connected to for up to 30 s, the delay after many failed connects.
+TEST_CASE("Diameter: a process that the endpoint list announces is connected to at once") {
+  DiameterFixture fixture(operator_file(true, false));
+  const auto port = fixture.server.acceptor.local_endpoint().port();
+  fixture.server.stop();
+  // Connects fail after 0.1 s, 0.3 s and so on; the next one after 3.1 s would come 3.2 s later.
+  const Instant failing_until = Loop::now() + milliseconds{3300};
+  fixture.run_until([&] { return Loop::now() >= failing_until; });
+  StandInListener new_process(fixture.loop, port);
+  const Instant started = Loop::now();
+  fixture.announce_server(EndpointState::kReady, net::Loop::unix_ms());
+  fixture.run_until([&] { return !new_process.connections.empty(); });
+  CHECK(Loop::now() - started < std::chrono::seconds{2});
+}
+
 // The watchdog interval of RFC 3539 is longer than the time in which callers must learn of the end.
 TEST_CASE("Diameter: the calls of a server that falls silent are released to their callers within 8 s") {
   DiameterFixture fixture(operator_file(true, false));
