Never reject a call that may have been executed and may not be repeated

Cause: AttemptHistory::reason preferred an earlier error about a version (421, region-closed: never ran) to the module's reason, and the kind of the final answer followed from the reason. The module had failed the call because of the reset that came later. Evidence: the record has 421 at s-1, the run at s-0, and cause 42 in the same millisecond; 41 is the reset's.

Change: the history keeps whether an attempt may have been executed, by its error or its outcome, and whether the call is idempotent. Where it may have been and is not, reasons of rejections do not apply. Why it works: every final answer passes there, and the kind no longer depends on which error came first.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -37,7 +37,10 @@
   auto& call = calls_[id];
   call.client = &client;
   call.set_up = std::move(set_up);
-  call.history = AttemptHistory(call.set_up.request.excluded_versions);
+  const auto& classes = dispatcher_.settings().classes;
+  const auto call_class = call.set_up.request.call_class;
+  const bool is_idempotent = call_class < classes.size() && classes[call_class].idempotent;
+  call.history = AttemptHistory(call.set_up.request.excluded_versions, is_idempotent);
   set_timer(id, call, call.set_up.request.expires);
   ++counters_.received;
   trace(call, {.kind = CallEventKind::kReceived});
@@ -343,6 +346,8 @@
     report.is_caller_fault = verdict.is_caller_fault;
     report.newly_excluded_versions =
         verdict.answer_immediately ? kAllVersions : call.history.excluded_versions();
+  } else if (call.state == CallState::kInFlight) {
+    call.history.on_attempt_ended(end.outcome);
   }
   return report;
 }
--- a/src/core/final_answer.hpp
+++ b/src/core/final_answer.hpp
@@ -20,9 +20,10 @@
 
 /// Returns the final answer of a call that this router ends with `reason` and the retry delay `retry_after`.
 /// Errors about the call or a protocol version take precedence over `reason`; an error of a server does so
-/// only if it leads to the same kind of final answer. If every supported version is excluded,
-/// kNoCompatibleServer replaces `reason`. A longer retry delay requested by servers replaces `retry_after` if
-/// the settings allow retry advice, up to their maximum.
+/// only if it leads to the same kind of final answer. A call that may have been executed and is not
+/// idempotent is never rejected. If every supported version is excluded, kNoCompatibleServer replaces
+/// `reason`. A longer retry delay requested by servers replaces `retry_after` if the settings allow retry
+/// advice, up to their maximum.
 FinalAnswer final_answer(const AttemptHistory& history, ProtocolVersionSet supported_versions, Reason reason,
                          Duration retry_after, const Limits& limits);
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -7,6 +7,7 @@
 AttemptVerdict AttemptHistory::on_attempt_ended(ProtocolVersion version, const ErrorClassification& meaning,
                                                 std::optional<Duration> retry_after) {
   const auto verdict = verdict_of(meaning);
+  if (meaning.execution_state == ExecutionState::kMayHaveExecuted) may_have_been_executed_ = true;
   switch (meaning.scope) {
     case ErrorScope::kServer:
       server_error_ = meaning.reason;
@@ -24,15 +25,27 @@
   return verdict;
 }
 
+void AttemptHistory::on_attempt_ended(Outcome outcome) {
+  const bool is_not_executed =
+      outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+  if (!is_not_executed) may_have_been_executed_ = true;
+}
+
 Reason AttemptHistory::reason(Reason module_reason) const {
-  if (call_error_) return *call_error_;
-  if (version_error_) return *version_error_;
+  const auto is_rejection = [](Reason reason) {
+    return info_of(reason).final_answer == FinalAnswerKind::kRejected;
+  };
+  const auto applies = [&](const std::optional<Reason>& reason) {
+    return reason && (may_be_rejected() || !is_rejection(*reason));
+  };
+  if (applies(call_error_)) return *call_error_;
+  if (applies(version_error_)) return *version_error_;
+  const bool must_fail = is_rejection(module_reason) && !may_be_rejected();
+  const Reason default_reason = must_fail ? Reason::kServerFault : module_reason;
   // The last server error is more specific than the module's reason, but applies only if it leads to the same
   // kind of final answer.
-  if (server_error_ && info_of(*server_error_).final_answer == info_of(module_reason).final_answer) {
-    return *server_error_;
-  }
-  return module_reason;
+  if (server_error_ && is_rejection(*server_error_) == is_rejection(default_reason)) return *server_error_;
+  return default_reason;
 }
 
 }  // namespace amberknot::core
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -23,17 +23,23 @@
 /// in the end. The last error about the call takes precedence, then the last one about a protocol version,
 /// then the last one about a server if it leads to the same kind of final answer as the decision module's
 /// reason, then the module's reason: "the tenant is suspended" tells the caller more than "all servers are
-/// full".
+/// full". A rejection promises that the call was not executed: if it may have been, and must not be executed
+/// twice, reasons of rejections do not apply.
 class AttemptHistory {
  public:
   AttemptHistory() = default;
-  explicit AttemptHistory(ProtocolVersionSet excluded_versions) : excluded_(excluded_versions) {}
+  /// An idempotent call may be rejected whatever became of its attempts.
+  explicit AttemptHistory(ProtocolVersionSet excluded_versions, bool is_idempotent = true)
+      : is_idempotent_(is_idempotent), excluded_(excluded_versions) {}
 
   /// Records that an attempt at a server of that version ended with that error. Returns what the decision
   /// module is told.
   AttemptVerdict on_attempt_ended(ProtocolVersion version, const ErrorClassification& meaning,
                                   std::optional<Duration> retry_after = std::nullopt);
 
+  /// Records that an attempt ended with that outcome, without an error that explains it.
+  void on_attempt_ended(Outcome outcome);
+
   [[nodiscard]] ProtocolVersionSet excluded_versions() const { return excluded_; }
   /// Returns whether all supported versions are excluded, so that the call must be answered at once. While no
   /// server has reported its version (`supported` is empty), the call may wait.
@@ -48,6 +54,10 @@
   [[nodiscard]] std::optional<Duration> retry_after() const { return retry_after_; }
 
  private:
+  [[nodiscard]] bool may_be_rejected() const { return is_idempotent_ || !may_have_been_executed_; }
+
+  bool is_idempotent_ = true;
+  bool may_have_been_executed_ = false;  ///< by one of the attempts
   ProtocolVersionSet excluded_ = 0;
   std::optional<Reason> call_error_;
   std::optional<Reason> version_error_;
--- a/tests/core_state_test.cpp
+++ b/tests/core_state_test.cpp
@@ -153,4 +153,66 @@
         Reason::kCongestion);  // no server has reported its version yet
 }
 
+// Guards against a rejection of a call that a server may have executed: its caller would dial again, and the
+// call would be executed twice. Every order of up to three ends of attempts, and every reason of the decision
+// module.
+TEST_CASE(
+    "a call that may have been executed and is not idempotent is failed, in whatever order its attempts "
+    "ended") {
+  struct End {
+    std::optional<ErrorClassification> error;
+    Outcome outcome = Outcome::kError;
+  };
+  std::vector<End> ends;
+  for (const Outcome outcome : {Outcome::kError, Outcome::kFull, Outcome::kTimeout, Outcome::kConnectFailed,
+                                Outcome::kReset, Outcome::kCancelled, Outcome::kNotSent})
+    ends.push_back({std::nullopt, outcome});
+  for (const Reason reason :
+       {Reason::kRegionClosed, Reason::kCongestion, Reason::kNumberBusy, Reason::kAborted}) {
+    for (const auto state : {ExecutionState::kNotExecuted, ExecutionState::kMayHaveExecuted}) {
+      for (const auto scope : {ErrorScope::kServer, ErrorScope::kVersion, ErrorScope::kCall})
+        ends.push_back({ErrorClassification{reason, state, scope}});
+    }
+  }
+  const auto may_be_executed = [](const End& end) {
+    if (end.error) return end.error->execution_state == ExecutionState::kMayHaveExecuted;
+    return end.outcome != Outcome::kFull && end.outcome != Outcome::kConnectFailed &&
+           end.outcome != Outcome::kNotSent;
+  };
+  const auto is_rejected = [](const std::vector<End>& order, bool is_idempotent, Reason module_reason) {
+    AttemptHistory history(0, is_idempotent);
+    for (const auto& end : order) {
+      if (end.error) {
+        history.on_attempt_ended(ProtocolVersion{0}, *end.error);
+      } else {
+        history.on_attempt_ended(end.outcome);
+      }
+    }
+    return final_answer(history, version_set(ProtocolVersion{1}), module_reason, {}, {}).is_rejection();
+  };
+  std::vector<std::vector<End>> orders = {{}};
+  for (std::size_t first = 0; first < orders.size() && orders[first].size() < 3; ++first) {
+    for (const auto& end : ends) {
+      auto longer = orders[first];
+      longer.push_back(end);
+      orders.push_back(std::move(longer));
+    }
+  }
+  std::size_t wrong_rejections = 0, changed_answers = 0;
+  for (const auto& order : orders) {
+    const bool is_executed = std::any_of(order.begin(), order.end(), may_be_executed);
+    for (const Reason reason : {Reason::kCongestion, Reason::kTimeout, Reason::kServerFault}) {
+      const bool is_wrong = is_executed && is_rejected(order, false, reason);
+      // A call that nothing can have executed is answered like an idempotent one.
+      const bool is_changed =
+          !is_executed && is_rejected(order, false, reason) != is_rejected(order, true, reason);
+      wrong_rejections += is_wrong ? 1 : 0;
+      changed_answers += is_changed ? 1 : 0;
+    }
+  }
+  CHECK(orders.size() > 25'000);
+  CHECK(wrong_rejections == 0);
+  CHECK(changed_answers == 0);
+}
+
 }  // namespace amberknot::core
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -112,8 +112,9 @@
 };
 
 struct SessionApiFixture : RouterFixture {
-  explicit SessionApiFixture(const app::OperatorFile& file = make_operator_file())
-      : RouterFixture(file, config_with_two_tenants()) {}
+  explicit SessionApiFixture(const app::OperatorFile& file = make_operator_file(),
+                             const app::Config& config = config_with_two_tenants())
+      : RouterFixture(file, config) {}
   void list_server(SessionServer& server, const std::string& name,
                    EndpointState state = EndpointState::kReady, std::int64_t started = 0) {
     discovery::EndpointUpdate update;
@@ -571,6 +572,70 @@
   CHECK(server.set_ups.size() == 2);
 }
 
+// Guards against a refusal, which invites the caller to dial again, of a call that a server may have
+// executed: an error that another server had given before took precedence.
+TEST_CASE(
+    "a call that is not idempotent is failed if it may have been executed, whatever another server said "
+    "before") {
+  using Server = SessionServer;
+  struct SecondServer {
+    std::string what;
+    bool uses_sip;
+    std::function<void(Server::SetUp&)> end_session_api;
+    std::function<void(RouterFixture&, TestConnection&)> end_sip;
+    bool may_be_executed;
+  };
+  const auto answer_sip = [](const std::string& status) {
+    return [status](RouterFixture&, TestConnection& connection) {
+      connection.stream->send(RouterFixture::sip_message("SIP/2.0 " + status, kSessionA, "1 INVITE"));
+    };
+  };
+  const std::vector<SecondServer> second_servers = {
+      {"session API, reset", false, [](Server::SetUp& one) { one.peer->reset_connection(); }, {}, true},
+      {"session API, 504", false, [](Server::SetUp& one) { Server::reject(one, 504, ""); }, {}, true},
+      {"session API, 500", false, [](Server::SetUp& one) { Server::reject(one, 500, ""); }, {}, true},
+      {"session API, silent", false, [](Server::SetUp&) {}, {}, true},
+      {"session API, 503", false, [](Server::SetUp& one) { Server::reject(one, 503, ""); }, {}, false},
+      {"SIP, reset", true, {}, [](RouterFixture&, TestConnection& one) { one.reset(); }, true},
+      {"SIP, 504", true, {}, answer_sip("504 Reset"), true},
+      {"SIP, 500", true, {}, answer_sip("500 Error"), true},
+      {"SIP, silent", true, {}, [](RouterFixture&, TestConnection&) {}, true},
+  };
+  for (const auto& second : second_servers) {
+    CAPTURE(second.what);
+    auto file = make_operator_file();
+    file.session_api->servers = {{"h2", "learn"}};
+    if (!second.uses_sip) file.session_api->servers["h1"] = "learn";
+    auto config = config_with_two_tenants();
+    for (auto& call_class : config.settings.classes) call_class.idempotent = false;
+    SessionApiFixture fixture(file, config);
+    SessionServer version_2_server(fixture.loop);
+    version_2_server.on_set_up = [](Server::SetUp& set_up) { Server::reject(set_up, 421, "region-closed"); };
+    SessionServer version_1_server(fixture.loop, R"({"versions":[1],"process":"q"})");
+    version_1_server.on_set_up = second.end_session_api;
+    fixture.list_and_wait(version_2_server, "h2");
+    // The second server is listed when the first one has refused the call and it waits.
+    fixture.open_call(kSessionA, "acme", 1000);
+    if (second.uses_sip) {
+      fixture.announce_server();
+      second.end_sip(
+          fixture, *[&] {
+            const auto text = "Call-ID: " + kSessionA;
+            fixture.run_until([&] { return fixture.server.find_connection_with(text) != nullptr; });
+            return fixture.server.find_connection_with(text);
+          }());
+    } else {
+      fixture.list_and_wait(version_1_server, "h1");
+    }
+    fixture.run_until([&] { return fixture.caller_received(kSessionA, "close"); });
+    const bool is_rejected = fixture.caller->has_received("\"code\":42") ||
+                             fixture.caller->has_received("\"code\":34") ||
+                             fixture.caller->has_received("\"code\":102");
+    CHECK(is_rejected != second.may_be_executed);
+    if (second.may_be_executed) CHECK(version_1_server.set_ups.size() == (second.uses_sip ? 0 : 1));
+  }
+}
+
 TEST_CASE("an invalid set-up answer releases the session and ends the call") {
   for (const std::string& body :
        {std::string("nonsense"), std::string(R"({"id":"00000000000000cc","description":"d","region":"r"})"),
