--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -148,7 +148,9 @@
   if (!events->IsArray()) throw ConfigError("config: known.cmds is not an array");
   for (const auto& event : events->GetArray()) {
     auto update = discovery::parse_endpoint_update(event);
-    if (!update) throw ConfigError("config: known.cmds holds an event that is not a valid endpoint update");
+    if (!update)
+      throw ConfigError(
+          "config: known.cmds: an event has no valid cursor, or no array of endpoints in nodes");
     if (!update->invalid_fields.empty())
       throw ConfigError("config: known.cmds: missing or invalid " + update->invalid_fields.front());
     config.known_updates.push_back(std::move(*update));
--- a/src/discovery/endpoint_update.cpp
+++ b/src/discovery/endpoint_update.cpp
@@ -66,6 +66,7 @@
   if (endpoints == nullptr || !endpoints->IsArray()) return std::nullopt;
   update.has_endpoint_list = true;
   for (const auto& endpoint : endpoints->GetArray()) parse_change(endpoint, update);
+  if (snapshot == nullptr || !snapshot->IsBool()) update.invalid_fields.emplace_back("snapshot of the event");
   return update;
 }
 
--- a/src/discovery/endpoint_update.hpp
+++ b/src/discovery/endpoint_update.hpp
@@ -18,7 +18,7 @@
   bool is_full_list = false;  ///< `changes` is the full list: endpoints that it does not name are removed
   bool has_endpoint_list = false;  ///< false if the event does not concern the endpoint list
   std::vector<core::EndpointChange> changes;
-  /// Fields of endpoints that are missing or invalid, for example `group of endpoint s-1`.
+  /// Fields that are missing or invalid, for example `group of endpoint s-1`.
   std::vector<std::string> invalid_fields;
 };
 
--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t kMaxConnectionsPerServer = 4;
 constexpr Duration kMinReconnectBackoff = milliseconds{100};
 constexpr Duration kMaxReconnectBackoff = seconds{1};
-// Not used: the attempt of a set-up that the server did not process ends at once, and the set-up is not sent
-// on another connection of its server.
-constexpr int kMaxMoves = 3;
 // Tries per release. They are limited because a server may hold a session that nobody can release.
 constexpr int kMaxReleaseAttempts = 20;
 constexpr Duration kReleaseRetryInterval = milliseconds{300};
@@ -92,10 +89,9 @@
   std::string name;
   std::string address;
   std::int64_t started_unix_ms = 0;
-  bool listed = false;            // in the endpoint list and not removed
-  bool ready = false;             // in state kReady in the endpoint list
-  bool draining = false;          // the server has sent a draining event and has not restarted since
-  bool reported_serving = false;  // not used
+  bool listed = false;    // in the endpoint list and not removed
+  bool ready = false;     // in state kReady in the endpoint list
+  bool draining = false;  // the server has sent a draining event and has not restarted since
   ServerProcess process;
   std::vector<std::shared_ptr<PooledConnection>> connections;
   std::deque<CallId> waiting_set_ups;  // calls whose set-up has not been sent, oldest first
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -69,7 +69,6 @@
     PooledConnection* pooled = nullptr;  ///< while the set-up is outstanding: the connection it was sent on
     RequestKey request_key = 0;
     Instant sent_at{};
-    int moves = 0;  ///< not used
     bool established = false;
     /// Set if the session's end was reported before the answer to its set-up arrived.
     std::optional<std::pair<Outcome, core::Cause>> early_end;
--- a/src/settings/required_keys.cpp
+++ b/src/settings/required_keys.cpp
@@ -203,6 +203,9 @@
 
 void check_required_keys(const KeyValuePairs& settings) {
   const Form form(settings);
+  // A deployment whose goal weighs the worst tenant has tenants.
+  const bool has_tenants = settings.find_number("goal.worst_tenant").value_or(0) > 0;
+  if (has_tenants && !contains_list(settings, "tenants")) throw_missing("tenants");
   for (const auto& [name, need] : kKeys) {
     const std::string key(name);
     if (form.requires_key(need) && !settings.contains(key)) throw_missing(key);
--- a/tests/reload_plan_test.cpp
+++ b/tests/reload_plan_test.cpp
@@ -212,6 +212,7 @@
   }
   const std::string known = R"("cmds":[{"cursor":1,"nodes":{"endpoints":[)";
   const std::pair<const char*, const char*> endpoints[] = {
+      {R"({"name":"s","address":"127.0.0.1:9","group":1,"status":"ready","since_ms":0})", "snapshot"},
       {R"({"name":"s","address":"127.0.0.1:9","status":"ready","since_ms":0})", "group of endpoint s"},
       {R"({"name":"s","group":1,"status":"ready","since_ms":0})", "address of endpoint s"},
       {R"({"name":"s","address":"127.0.0.1:9","group":1,"status":"ready"})", "since_ms of endpoint s"},
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -82,6 +82,11 @@
   EXPECT_NE(error_of_required_keys(whole), "") << "some keys of the simulated world, but not all";
   whole = default_setting_values();
   ASSERT_EQ(error_of_required_keys(whole), "");
+  auto without_tenants = whole;
+  without_tenants.erase("tenants.count");
+  EXPECT_EQ(error_of_required_keys(without_tenants), "") << "a deployment may have none";
+  without_tenants["goal.worst_tenant"] = "0.1";
+  EXPECT_NE(error_of_required_keys(without_tenants).find("tenants"), std::string::npos);
   for (const auto& [key, value] : whole) {
     // A missing length is that of an empty list; check_keys_kept finds missing lists.
     if (key == "tenants.count" || key == "family_info.skilled_pools.count") continue;
