Read all events of a session server's process that only the list announces

Cause: the position in the events was given up only for another name or a `lost`; ConnectionPool::on_endpoint_changed, which learns the start from the list, left it as it was. `draining`, said by the process at the old address, was kept over a change of the address as well.

Change: a later start or another address in the list ends the position, unless events have come since that start. Why it works: events that came before the start are those of the process before, whose numbers mean nothing to the next one.

Evidence: «a process that only the endpoint list announces is asked for all its events», at the same address and at another one, failed before (both waited in vain; the stream was asked for after event 86) and passes now.

--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -188,7 +188,8 @@
   server.started_unix_ms = endpoint.started_unix_ms;
   server.ready = endpoint.state == EndpointState::kReady;
   server.listed = endpoint.state != EndpointState::kRemoved;
-  if (restarted) server.draining = false;  // said of the process before
+  const bool is_other_process = restarted || address_changed;
+  if (is_other_process) server.draining = false;  // reported by the process before
   // A server that drains gets no more set-ups, including those that were accepted but not written.
   if (!server.ready) withdraw_set_ups(server);
   if (!server.listed || address_changed) {
@@ -220,6 +221,8 @@
   versions_.on_server_listed(net::Loop::now(), server.id, server.address, server.started_unix_ms,
                              configured_version_(server.name), actions);
   apply_version_actions(std::move(actions));
+  const Instant since = address_changed ? net::Loop::now() : endpoint.started.value_or(Instant{});
+  if (is_other_process && server.event_cursor.on_process_replaced(since)) reopen_event_stream(server);
   maintain_connections(server);
 }
 
