Part the session API pool's answers on versions and its closing of connections

Change: read_versions_answer reads, on_versions_answer applies, close_connections ends what was on them. check_keys_retained and its two kin say that keys must not go, in the place of a withdrawn word. No behaviour changes.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -208,13 +208,13 @@
   return config;
 }
 
-void check_fields_kept(const Config& current, const Config& updated) {
+void check_fields_retained(const Config& current, const Config& updated) {
   for (const auto& field : current.optional_fields) {
     if (!updated.optional_fields.contains(field)) throw_missing(field);
   }
   try {
-    settings::check_keys_kept(settings::KeyValuePairs(current.settings_text),
-                              settings::KeyValuePairs(updated.settings_text));
+    settings::check_keys_retained(settings::KeyValuePairs(current.settings_text),
+                                  settings::KeyValuePairs(updated.settings_text));
   } catch (const settings::SettingsError& error) {
     throw ConfigError(std::string("config: settings: ") + error.what());
   }
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -52,7 +52,7 @@
 
 /// Throws ConfigError, which names the field, if `updated` lacks a field that `current` has: a file that is
 /// read while a router runs is defective if it lacks what the router was given before.
-void check_fields_kept(const Config& current, const Config& updated);
+void check_fields_retained(const Config& current, const Config& updated);
 
 /// Returns the content of a file. Throws ConfigError if it cannot be read.
 std::string read_file(const std::string& path);
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -174,7 +174,7 @@
 }
 
 void Router::reload(const Config& new_config) {
-  check_fields_kept(config_, new_config);
+  check_fields_retained(config_, new_config);
   ++counters_.reloads;
   const auto reject = [](const char* field) {
     net::log::warn("reload: ", field, " has changed: not applied, requires a restart");
--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -192,24 +192,7 @@
   if (is_other_process) server.draining = false;  // reported by the process before
   // A server that drains gets no more set-ups, including those that were accepted but not written.
   if (!server.ready) withdraw_set_ups(server);
-  if (!server.listed || address_changed) {
-    const auto removed = std::exchange(server.connections, {});
-    connection_count_ -= removed.size();
-    server.event_stream_key = 0;
-    for (const auto& pooled : removed) {
-      // close() does not call the connection's handler, so the outstanding attempts are ended here. `server`
-      // is already up to date, so attempts that are routed again see its new state.
-      std::vector<core::AttemptId> lost_attempts;
-      for (const auto& [call, attempt] : attempts_) {
-        if (attempt.pooled == pooled.get()) lost_attempts.push_back(attempt.ref);
-      }
-      pooled->connection->close();
-      forget_outstanding(server, *pooled);
-      std::sort(lost_attempts.begin(), lost_attempts.end(),
-                [](const auto& a, const auto& b) { return a.call < b.call; });
-      for (const auto& ref : lost_attempts) end_attempt(ref, make_end(Outcome::kReset));
-    }
-  }
+  if (!server.listed || address_changed) close_connections(server);
   if (!server.listed) {
     server.pending_releases.clear();
     server.sessions_to_check.clear();
@@ -226,6 +209,25 @@
   maintain_connections(server);
 }
 
+void ConnectionPool::close_connections(Server& server) {
+  const auto closed = std::exchange(server.connections, {});
+  connection_count_ -= closed.size();
+  server.event_stream_key = 0;
+  for (const auto& pooled : closed) {
+    // close() does not call the connection's handler, so the outstanding attempts are ended here. `server` is
+    // already up to date, so attempts that are routed again see its new state.
+    std::vector<core::AttemptId> lost_attempts;
+    for (const auto& [call, attempt] : attempts_) {
+      if (attempt.pooled == pooled.get()) lost_attempts.push_back(attempt.ref);
+    }
+    pooled->connection->close();
+    forget_outstanding(server, *pooled);
+    std::sort(lost_attempts.begin(), lost_attempts.end(),
+              [](const auto& a, const auto& b) { return a.call < b.call; });
+    for (const auto& ref : lost_attempts) end_attempt(ref, make_end(Outcome::kReset));
+  }
+}
+
 void ConnectionPool::forget_server(ServerId id) {
   const auto found = servers_by_id_.find(id);
   if (found == servers_by_id_.end()) return;
@@ -672,7 +674,6 @@
   const OutstandingRequest request = std::move(found->second);
   outstanding_.erase(found);
   auto& server = pooled.server;
-  std::string fault;
   switch (request.kind) {
     case RequestKind::kSetUp:
       on_set_up_answer(pooled, request.call, response);
@@ -685,40 +686,9 @@
           server.id, response.status == 503 || response.status == 429 ? Outcome::kFull : Outcome::kOk,
           net::Loop::now() - request.sent_at, {});
       break;
-    case RequestKind::kVersions: {
-      std::vector<DialectIndex> supported;
-      std::string process;
-      if (response.status == 404) {
-        // A server of version 1 does not have this path.
-        if (const auto version_1 = translator_.server_dialect_index("session-1"))
-          supported.push_back(*version_1);
-      } else if (response.status == 200) {
-        const auto versions_body = reader_.read_versions({response.body.data(), response.body.size()}, fault);
-        if (!versions_body) {
-          net::log::warn(invalid_message_log_, "session api: versions body of ", server.name,
-                         " is invalid and ignored: ", fault);
-          return;
-        }
-        for (const auto version : versions_body->versions) {
-          if (const auto dialect = translator_.server_dialect_index("session-" + std::to_string(version)))
-            supported.push_back(*dialect);
-        }
-        process = versions_body->process;
-      } else {
-        return;  // versions_ asks again after its timeout
-      }
-      pooled.process_name = process;
-      const Instant previous_since = server.process.first_connected_at();
-      const auto verdict = server.process.on_reported(process, pooled.up_since);
-      if (verdict == ServerProcess::Verdict::kPredecessor)
-        return pooled.connection->fail(net::CloseReason::kReset);
-      translate::Versions::Actions actions;
-      versions_.on_versions_received(net::Loop::now(), server.id, pooled.number, process, supported, actions);
-      apply_version_actions(std::move(actions));
-      if (verdict == ServerProcess::Verdict::kReplaced) on_process_replaced(pooled, previous_since);
-      send_waiting(server);
+    case RequestKind::kVersions:
+      on_versions_answer(pooled, response);
       break;
-    }
     case RequestKind::kEvents:
       reopen_event_stream(server);
       break;
@@ -729,6 +699,47 @@
   }
 }
 
+std::optional<ConnectionPool::VersionsAnswer> ConnectionPool::read_versions_answer(const Server& server,
+                                                                                   Response& response) {
+  VersionsAnswer answer;
+  const auto add_version = [&](std::uint32_t version) {
+    if (const auto dialect = translator_.server_dialect_index("session-" + std::to_string(version)))
+      answer.supported.push_back(*dialect);
+  };
+  if (response.status == 404) {
+    add_version(1);  // a server of version 1 does not have this path
+    return answer;
+  }
+  if (response.status != 200) return std::nullopt;
+  std::string fault;
+  const auto body = reader_.read_versions({response.body.data(), response.body.size()}, fault);
+  if (!body) {
+    net::log::warn(invalid_message_log_, "session api: versions body of ", server.name,
+                   " is invalid and ignored: ", fault);
+    return std::nullopt;
+  }
+  for (const auto version : body->versions) add_version(version);
+  answer.process = body->process;
+  return answer;
+}
+
+void ConnectionPool::on_versions_answer(PooledConnection& pooled, Response& response) {
+  auto& server = pooled.server;
+  const auto answer = read_versions_answer(server, response);
+  if (!answer) return;  // versions_ asks again after its timeout
+  pooled.process_name = answer->process;
+  const Instant previous_since = server.process.first_connected_at();
+  const auto verdict = server.process.on_reported(answer->process, pooled.up_since);
+  if (verdict == ServerProcess::Verdict::kPredecessor)
+    return pooled.connection->fail(net::CloseReason::kReset);
+  translate::Versions::Actions actions;
+  versions_.on_versions_received(net::Loop::now(), server.id, pooled.number, answer->process,
+                                 answer->supported, actions);
+  apply_version_actions(std::move(actions));
+  if (verdict == ServerProcess::Verdict::kReplaced) on_process_replaced(pooled, previous_since);
+  send_waiting(server);
+}
+
 void ConnectionPool::on_set_up_answer(PooledConnection& pooled, CallId call, Response& response) {
   const auto found = attempts_.find(call);
   if (found == attempts_.end()) return;
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -90,6 +90,12 @@
     Instant requested_at{};
   };
 
+  /// What a server's answer to a versions request says.
+  struct VersionsAnswer {
+    std::vector<translate::DialectIndex> supported;
+    std::string process;  ///< empty if the process has no name
+  };
+
   /// Adds the server if the pool does not have it.
   Server& find_or_add_server(ServerId id);
   void maintain_connections(Server& server);
@@ -102,6 +108,8 @@
   void on_failure(PooledConnection& pooled, RequestKey key, Failure failure);
   bool on_chunk(PooledConnection& pooled, RequestKey key, int status, std::string_view chunk);
   void on_down(PooledConnection& pooled, net::CloseReason reason);
+  /// Closes all connections to the server and ends the attempts on them.
+  void close_connections(Server& server);
   void on_set_up_answer(PooledConnection& pooled, CallId call, Response& response);
   void on_event(Server& server, const settings::SseEvent& event);
   /// `first` is the first connection that names the new process, `previous_since` when the process before it
@@ -127,6 +135,9 @@
   void end_attempt(core::AttemptId ref, core::AttemptEnd attempt_end);
   void end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end);
   void request_versions(PooledConnection& pooled);
+  void on_versions_answer(PooledConnection& pooled, Response& response);
+  /// Returns nothing if the answer says nothing about versions.
+  std::optional<VersionsAnswer> read_versions_answer(const Server& server, Response& response);
   void apply_version_actions(translate::Versions::Actions actions);
   void schedule_version_tick();
   /// Gives up the sessions of servers from which nothing has been received for too long.
--- a/src/settings/required_keys.cpp
+++ b/src/settings/required_keys.cpp
@@ -184,8 +184,8 @@
 }
 
 template <std::size_t kSize>
-void check_items_kept(const KeyValuePairs& current, const KeyValuePairs& updated, const std::string& list,
-                      const RequiredKey (&keys)[kSize]) {
+void check_items_retained(const KeyValuePairs& current, const KeyValuePairs& updated, const std::string& list,
+                          const RequiredKey (&keys)[kSize]) {
   const auto current_size = current.list_size(list);
   const auto updated_size = updated.list_size(list);
   for (const auto& [name, need] : keys) {
@@ -219,14 +219,14 @@
   }
 }
 
-void check_keys_kept(const KeyValuePairs& current, const KeyValuePairs& updated) {
+void check_keys_retained(const KeyValuePairs& current, const KeyValuePairs& updated) {
   for (const auto& required : kKeys) {
     const std::string key(required.name);
     if (current.contains(key) && !updated.contains(key)) throw_missing(key);
   }
   if (contains_list(current, "tenants") && !contains_list(updated, "tenants")) throw_missing("tenants");
-  check_items_kept(current, updated, "classes", kClassKeys);
-  check_items_kept(current, updated, "tenants", kTenantKeys);
+  check_items_retained(current, updated, "classes", kClassKeys);
+  check_items_retained(current, updated, "tenants", kTenantKeys);
 }
 
 }  // namespace amberknot::settings
--- a/src/settings/required_keys.hpp
+++ b/src/settings/required_keys.hpp
@@ -13,6 +13,6 @@
 /// Throws SettingsError, which names the key, if `updated` lacks one that `current` holds. It finds missing
 /// keys whose need cannot be told from the text alone, for example that of the tenants. Of a list, it
 /// compares the keys that all of its items hold, since items may be added and removed.
-void check_keys_kept(const KeyValuePairs& current, const KeyValuePairs& updated);
+void check_keys_retained(const KeyValuePairs& current, const KeyValuePairs& updated);
 
 }  // namespace amberknot::settings
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -85,7 +85,7 @@
   without_tenants["goal.worst_tenant"] = "0.1";
   EXPECT_NE(error_of_required_keys(without_tenants).find("tenants"), std::string::npos);
   for (const auto& [key, value] : whole) {
-    // A missing length is that of an empty list; check_keys_kept finds missing lists.
+    // A missing length is that of an empty list; check_keys_retained finds missing lists.
     if (key == "tenants.count" || key == "family_info.skilled_pools.count") continue;
     auto keys = whole;
     keys.erase(key);
@@ -153,10 +153,10 @@
   for (const auto* key : {"zone", "invariants.ask_within_us", "classes.0.window_us", "tenants.count"}) {
     auto updated = keys;
     updated.erase(key);
-    EXPECT_THROW(check_keys_kept(current, KeyValuePairs(settings_text(updated))), SettingsError) << key;
+    EXPECT_THROW(check_keys_retained(current, KeyValuePairs(settings_text(updated))), SettingsError) << key;
   }
   keys.erase("classes.0.aim_stretch");  // the one key that may be absent
-  EXPECT_NO_THROW(check_keys_kept(current, KeyValuePairs(settings_text(keys))));
+  EXPECT_NO_THROW(check_keys_retained(current, KeyValuePairs(settings_text(keys))));
 }
 
 TEST(Settings, IgnoresUnknownKeysAndMalformedLines) {
