Allow for the leak search before the recorded end of a sanitized process

Cause: it took the recorded end for the close of the listener and allowed 50 ms between them; AddressSanitizer searches for leaks in between.

Change: RuleLimits::max_exit_delay, 50 ms as before, and the leak search's time on top in a sanitized build. Test: «a set-up that finds no listener is excused only shortly before the end of the process».

--- a/lab/fleet/checker.cpp
+++ b/lab/fleet/checker.cpp
@@ -169,8 +169,9 @@
         continue;
       // A set-up that crossed the close of a connection was sent again, and no process was there to take it.
       // The end of a process is recorded shortly after it has closed its listener.
-      const bool found_no_process = lost != nullptr && lost->text == "refused" &&
-                                    index.was_down(set_up->peer, lost->time, lost->time + limits.tolerance);
+      const bool found_no_process =
+          lost != nullptr && lost->text == "refused" &&
+          index.was_down(set_up->peer, lost->time, lost->time + limits.max_exit_delay);
       if (found_no_process || index.had_uncertain_fault(set_up->who, set_up->peer, set_up->time, deadline)) {
         ++verdict.excused;
         continue;
--- a/lab/fleet/checker.hpp
+++ b/lab/fleet/checker.hpp
@@ -15,6 +15,8 @@
 struct RuleLimits {
   /// Added to each time limit that is observed on sockets (the operators' page PROTOCOL).
   Duration tolerance = std::chrono::milliseconds{50};
+  /// How long after a process has closed its listener its end may be recorded.
+  Duration max_exit_delay = std::chrono::milliseconds{50};
   Duration drain_grace_period = std::chrono::milliseconds{500};
   Duration min_retry_delay = std::chrono::milliseconds{500};
   std::size_t max_attempts = 4;
--- a/lab/fleet/runner.cpp
+++ b/lab/fleet/runner.cpp
@@ -110,7 +110,9 @@
     stop_all();
     FleetResult result;
     result.history = merge_by_time({std::move(history_)});
-    result.verdict = check(result.history, options_.limits);
+    RuleLimits limits = options_.limits;
+    limits.max_exit_delay += kLeakCheckTime;
+    result.verdict = check(result.history, limits);
     result.relay_counts = counts_;
     result.max_lateness = lateness_monitor_.max_lateness();
     result.restarts = restarts_;
--- a/tests/fleet_rig_test.cpp
+++ b/tests/fleet_rig_test.cpp
@@ -425,6 +425,23 @@
   CHECK(format_verdict(verdict).find("\"us\":700000") != std::string::npos);
 }
 
+// Guards against a trial that fails because a process under AddressSanitizer searches for leaks between the
+// close of its listener and its end, and against a listener that is closed long before.
+TEST_CASE("a set-up that finds no listener is excused only shortly before the end of the process") {
+  const auto run = with_events(correct_run(),
+                               {event(100, "c0", EventKind::kSetUp, "n0", 500, "", "b2"),
+                                event(101, "c0", EventKind::kLost, "n0", 0, "refused", "b2"),
+                                event(99, "n0", EventKind::kStopping), event(156, "n0", EventKind::kExited)});
+  const auto violations = [&run](Duration max_exit_delay) {
+    RuleLimits limits;
+    limits.max_exit_delay = max_exit_delay;
+    return check(run, limits).rules[0].violations.size();
+  };
+  CHECK(violations(RuleLimits().max_exit_delay) == 1);
+  CHECK(violations(std::chrono::milliseconds{54}) == 1);
+  CHECK(violations(std::chrono::milliseconds{55}) == 0);
+}
+
 TEST_CASE("an inconclusive run does not pass") {
   const auto reason_of = [](const History& history) { return check(history, {}).inconclusive_reason; };
   CHECK(reason_of({}) == "no call was answered");
