--- a/review/stand-2/case_same_id.cpp
+++ b/review/stand-2/case_same_id.cpp
@@ -11,14 +11,17 @@
   first.answer_time = second.answer_time = milliseconds{200};
   const std::vector<std::pair<std::string, std::string>> servers = {{first.name, first.http2.address()},
                                                                     {second.name, second.http2.address()}};
-  Router n0("n0", channel.listener.address(), servers, 0), n1("n1", channel.listener.address(), servers, 1);
-  for (auto* router : {&n0, &n1})
+  Router n0("n0", channel.listener.address(), servers, 0), n1("n1", channel.listener.address(), servers, 1),
+      n2("n2", channel.listener.address(), servers, 2);
+  for (auto* router : {&n0, &n1, &n2})
     router->write_operator_file(operator_text("router-" + router->name + ".kartu.example", router->diameter,
                                               "", R"(,"session_api":{"servers":{"*":"session-1"}})"));
   n0.start();
   run_for(milliseconds{1'500});
   n1.start();
-  if (!wait_ready(n0.listen) || !wait_ready(n1.listen)) return kNotRun;
+  run_for(milliseconds{1'500});
+  n2.start();
+  if (!wait_ready(n0.listen) || !wait_ready(n1.listen) || !wait_ready(n2.listen)) return kNotRun;
   run_for(milliseconds{1'000});
   if (trouble()) {
     n0.kill_now();
@@ -51,7 +54,7 @@
     run_for(milliseconds{300});
   }
   run_for(milliseconds{12'000 + 8'100});
-  if (!n0.is_running() || !n1.is_running()) {
+  if (!n0.is_running() || !n1.is_running() || !n2.is_running()) {
     note("a router has ended");
     return kBroken;
   }
--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -11,8 +11,11 @@
 CASE_RECORD="$folder/record.txt"
 export CASE_RUN CASE_TMP CASE_RECORD TROUBLE="${TROUBLE:-1}"
 cd "$root" || exit 2
-# The routers end with the stand-ins (PR_SET_PDEATHSIG).
-timeout -k 2 115 "$stand" "$2"
+# The routers end with the stand-ins (PR_SET_PDEATHSIG), also if those are killed.
+timeout -k 2 115 "$stand" "$2" &
+child=$!
+trap 'kill "$child" 2> /dev/null; wait "$child"; rm -rf "$CASE_TMP"; exit 2' TERM INT HUP
+wait "$child"
 verdict=$?
 rm -rf "$CASE_TMP"
 case $verdict in 0 | 1) exit $verdict ;; *) exit 2 ;; esac
