Diameter: never pass a malformed answer on as an established call

Cause: Peer::on_message_read() gave an answer with a fault to the pool with the AVPs before the fault, and the pool did not learn of the fault. It found Result-Code 2001 and took the missing description for an empty one. Evidence: the log has 'invalid message with command 272 from s-..., Result-Code 5014' for the very answer that was passed on, so the decoder had found the fault; the stand-in's record shows a text.

Change: malformed answers have a callback of their own. The pool ends the attempt as an error that may have run and terminates the session. A missing or invalid description and another session's id count as malformed. The check of descriptions moves from the SIP codec to core. An AVP with the V bit is never taken for the RFC's AVP of that code: a Service-Parameter-Type with vendor id 0 and no value was read four bytes behind its end.

--- a/src/diameter/codec.cpp
+++ b/src/diameter/codec.cpp
@@ -146,12 +146,17 @@
 }
 
 const Avp* find_in(const std::vector<Avp>& avps, AvpCode code) {
-  const auto found = std::find_if(avps.begin(), avps.end(), [&](const Avp& avp) {
-    return avp.code == static_cast<std::uint32_t>(code) && avp.vendor == 0;
-  });
+  const auto found =
+      std::find_if(avps.begin(), avps.end(), [code](const Avp& avp) { return avp.has_code(code); });
   return found == avps.end() ? nullptr : &*found;
 }
 
+/// Returns the value of an Unsigned32 or Enumerated AVP, or nullopt if it is null or not 4 bytes long.
+std::optional<std::uint32_t> number_of(const Avp* avp) {
+  if (avp == nullptr || avp->data.size() != 4) return std::nullopt;
+  return read_integer(avp->data, 0, 4);
+}
+
 }  // namespace
 
 const Avp* Message::find(AvpCode code) const {
@@ -164,22 +169,17 @@
 }
 
 std::optional<std::uint32_t> Message::number(AvpCode code) const {
-  const auto* avp = find(code);
-  if (avp == nullptr || avp->data.size() != 4) return std::nullopt;
-  return read_integer(avp->data, 0, 4);
+  return number_of(find(code));
 }
 
 std::optional<std::string_view> Message::parameter(ServiceParameter type) const {
   for (const auto& avp : avps) {
-    if (avp.code != static_cast<std::uint32_t>(AvpCode::kServiceParameterInfo)) continue;
+    if (!avp.has_code(AvpCode::kServiceParameterInfo)) continue;
     const auto group = read_group(avp.data);
     if (!group) continue;
-    const auto* type_avp = find_in(*group, AvpCode::kServiceParameterType);
-    const auto* value_avp = find_in(*group, AvpCode::kServiceParameterValue);
-    if (type_avp != nullptr && value_avp != nullptr &&
-        read_integer(type_avp->data, 0, 4) == static_cast<std::uint32_t>(type)) {
-      return value_avp->data;
-    }
+    const auto type_found = number_of(find_in(*group, AvpCode::kServiceParameterType));
+    const auto* value = find_in(*group, AvpCode::kServiceParameterValue);
+    if (type_found == static_cast<std::uint32_t>(type) && value != nullptr) return value->data;
   }
   return std::nullopt;
 }
@@ -256,7 +256,7 @@
     writer.add(AvpCode::kSessionId, session);
   writer.add(AvpCode::kResultCode, code);
   for (const auto& avp : to.avps) {
-    if (avp.code == static_cast<std::uint32_t>(AvpCode::kProxyInfo)) writer.add_raw(avp.encoded);
+    if (avp.has_code(AvpCode::kProxyInfo)) writer.add_raw(avp.encoded);
   }
   return writer;
 }
--- a/src/diameter/codec.hpp
+++ b/src/diameter/codec.hpp
@@ -89,6 +89,13 @@
   std::uint32_t vendor = 0;
   std::string_view data;
   std::string_view encoded;  ///< the AVP with its header, without padding
+
+  /// Whether this is the AVP of that code that the RFCs define. A set V bit gives the code another meaning,
+  /// whatever the vendor id.
+  [[nodiscard]] bool has_code(AvpCode expected) const {
+    constexpr std::uint8_t kVendorSpecificBit = 0x80;
+    return code == static_cast<std::uint32_t>(expected) && (flags & kVendorSpecificBit) == 0;
+  }
 };
 
 /// A parsed message: the header fields and the top-level AVPs.
@@ -106,13 +113,14 @@
   [[nodiscard]] bool has_command(Command expected) const {
     return command == static_cast<std::uint32_t>(expected);
   }
-  /// Returns the first AVP with this code and no vendor id, or null.
+  /// Returns the first AVP with this code that is not vendor-specific, or null.
   [[nodiscard]] const Avp* find(AvpCode code) const;
   /// Returns the data of that AVP, empty if it is absent.
   [[nodiscard]] std::string_view text(AvpCode code) const;
   /// Returns the value of that Unsigned32 or Enumerated AVP, or nullopt if it is absent or not 4 bytes long.
   [[nodiscard]] std::optional<std::uint32_t> number(AvpCode code) const;
-  /// Returns the Service-Parameter-Value of that type, or nullopt if there is none.
+  /// Returns the Service-Parameter-Value of that type, or nullopt if there is none. A group without a type of
+  /// four bytes has none.
   [[nodiscard]] std::optional<std::string_view> parameter(ServiceParameter type) const;
 };
 
--- a/src/diameter/connection_pool.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/session_description.hpp"
 #include "diameter/results.hpp"
 #include "net/log.hpp"
 
@@ -41,6 +42,9 @@
       peer->send(writer);
     }
   }
+  void on_malformed_answer(Peer& /*peer*/, const Message& message) override {
+    if (message.has_command(Command::kCreditControl)) pool.on_malformed_answer(*this, message);
+  }
   void on_health_changed(Peer& /*peer*/, bool /*is_healthy*/) override { on_availability_changed(); }
   void on_disconnect_request(Peer& /*peer*/) override { on_availability_changed(); }
   void on_availability_changed() {
@@ -400,15 +404,23 @@
   }
   auto& attempt = server.attempts.at(found->second);
   const auto ref = attempt.ref;
+  const auto session_id = message.text(AvpCode::kSessionId);
+  if (!session_id.empty() && session_id != attempt.session_id) {
+    fail_malformed_attempt(server, attempt, "another session");
+    return;
+  }
   if (meaning.outcome == Outcome::kOk) {
+    const auto description = message.parameter(ServiceParameter::kDescription);
+    if (!description || !core::is_session_description(*description)) {
+      fail_malformed_attempt(server, attempt, description ? "invalid description" : "no description");
+      return;
+    }
     attempt.is_established = true;
-    const std::string session_id = attempt.session_id;
+    const std::string established_session = attempt.session_id;
     server.calls_by_hop_by_hop.erase(found);
-    if (table_.on_established(ref,
-                              message.parameter(ServiceParameter::kDescription).value_or(std::string_view())))
-      return;
+    if (table_.on_established(ref, *description)) return;
     erase_attempt(server, ref.call);
-    terminate_session(server, session_id);
+    terminate_session(server, established_session);
     return;
   }
   erase_attempt(server, ref.call);
@@ -416,6 +428,23 @@
   table_.on_attempt_ended(ref, {meaning.outcome, core::Cause::kTemporaryFailure, meaning.is_user_error, {}});
 }
 
+void ConnectionPool::on_malformed_answer(Server& server, const Message& message) {
+  const auto found = server.calls_by_hop_by_hop.find(message.hop_by_hop);
+  if (found == server.calls_by_hop_by_hop.end()) return;
+  fail_malformed_attempt(server, server.attempts.at(found->second), "invalid AVPs");
+}
+
+void ConnectionPool::fail_malformed_attempt(Server& server, const Attempt& attempt, const char* fault) {
+  ++counters_.malformed_answers;
+  net::log::warn(malformed_log_limit_, "diameter: malformed answer from ", servers_.find(server.id)->name,
+                 " to session ", attempt.session_id, ": ", fault, "; session terminated");
+  const auto ref = attempt.ref;
+  const std::string session_id = attempt.session_id;
+  erase_attempt(server, ref.call);
+  terminate_session(server, session_id);
+  table_.on_attempt_ended(ref, {Outcome::kError, core::Cause::kInvalidContents, false, {}});
+}
+
 void ConnectionPool::on_abort(Server& server, const Message& message) {
   const std::string session_id(message.text(AvpCode::kSessionId));
   const auto found = server.calls_by_session.find(session_id);
--- a/src/diameter/connection_pool.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -14,6 +14,7 @@
 #include "core/counters.hpp"
 #include "core/server_liveness.hpp"
 #include "diameter/peer.hpp"
+#include "net/log.hpp"
 
 namespace amberknot::diameter {
 
@@ -64,6 +65,9 @@
   /// Ends all attempts that the server has not answered.
   void end_unanswered(Server& server, Outcome outcome);
   void on_answer(Server& server, const Message& message);
+  /// Ends the attempt that a malformed answer belongs to. Its session may be established and is terminated.
+  void on_malformed_answer(Server& server, const Message& message);
+  void fail_malformed_attempt(Server& server, const Attempt& attempt, const char* fault);
   void on_abort(Server& server, const Message& message);
   /// Probes servers that are silent while sessions are established there, and gives up those sessions when
   /// the silence lasts.
@@ -84,6 +88,7 @@
   OnChange on_change_;
   std::map<ServerId, std::unique_ptr<Server>> servers_by_id_;
   core::TimerWheel::Handle silence_timer_ = 0;
+  net::log::RateLimiter malformed_log_limit_;
 };
 
 }  // namespace amberknot::diameter
--- a/src/diameter/frontend.cpp
+++ b/src/diameter/frontend.cpp
@@ -212,8 +212,8 @@
       Writer::request(Command::kCreditControl, message.application, message.hop_by_hop, message.end_to_end);
   request_parts.add(AvpCode::kSessionId, id);
   for (const auto& avp : message.avps) {
-    const auto code = static_cast<AvpCode>(avp.code);
-    if (code == AvpCode::kProxyInfo || code == AvpCode::kCcRequestType || code == AvpCode::kCcRequestNumber) {
+    if (avp.has_code(AvpCode::kProxyInfo) || avp.has_code(AvpCode::kCcRequestType) ||
+        avp.has_code(AvpCode::kCcRequestNumber)) {
       request_parts.add_raw(avp.encoded);
     }
   }
@@ -266,8 +266,8 @@
   auto writer = session.peer->answer(read.message, {result, {}});
   writer.add(AvpCode::kAuthApplicationId, kCreditControlApplication);
   for (const auto& avp : read.message.avps) {
-    const auto code = static_cast<AvpCode>(avp.code);
-    if (code == AvpCode::kCcRequestType || code == AvpCode::kCcRequestNumber) writer.add_raw(avp.encoded);
+    if (avp.has_code(AvpCode::kCcRequestType) || avp.has_code(AvpCode::kCcRequestNumber))
+      writer.add_raw(avp.encoded);
   }
   if (fill) fill(writer);
   auto bytes = writer.finish();
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -90,16 +90,7 @@
     return;
   }
   if (read.fault.is_set()) {
-    ++counters_.malformed_set_ups;
-    net::log::warn("diameter: invalid message with command ", message.command, " from ", host_,
-                   ", Result-Code ", static_cast<std::uint32_t>(read.fault.result));
-    if (message.is_request) {
-      auto writer = answer(message, read.fault);
-      send(writer);
-    } else {
-      handler_.on_message(*this, message);  // an invalid answer still ends the request that it answers
-    }
-    if (read.fault.result == ResultCode::kInvalidMessageLength) fail(CloseReason::kReset);
+    on_faulty_message(read);
     return;
   }
   on_origin_state_id(message);
@@ -116,6 +107,24 @@
   }
 }
 
+// A request is answered with the Result-Code of its fault. After an invalid message length the start of the
+// next message is unknown; an answer of another version shows that it was unknown before.
+void Peer::on_faulty_message(const ReadResult& read) {
+  const auto& message = read.message;
+  ++counters_.malformed_set_ups;
+  net::log::warn("diameter: invalid message with command ", message.command, " from ", host_,
+                 ", Result-Code ", static_cast<std::uint32_t>(read.fault.result));
+  if (message.is_request) {
+    auto writer = answer(message, read.fault);
+    send(writer);
+  } else {
+    handler_.on_malformed_answer(*this, message);
+  }
+  const bool is_out_of_sync = read.fault.result == ResultCode::kInvalidMessageLength ||
+                              (!message.is_request && read.fault.result == ResultCode::kUnsupportedVersion);
+  if (is_out_of_sync && !stream_->is_closed()) fail(CloseReason::kReset);
+}
+
 void Peer::on_capabilities(const ReadResult& read) {
   const auto& message = read.message;
   if (!message.has_command(Command::kCapabilitiesExchange) || message.is_request == is_initiator_) {
@@ -143,7 +152,7 @@
   bool has_common_application = false;
   for (const auto& avp : message.avps) {
     constexpr std::uint32_t kRelay = 0xffffffff;
-    if (avp.code != static_cast<std::uint32_t>(AvpCode::kAuthApplicationId) || avp.data.size() != 4) continue;
+    if (!avp.has_code(AvpCode::kAuthApplicationId)) continue;
     Message single;
     single.avps.push_back(avp);
     const auto id = single.number(AvpCode::kAuthApplicationId);
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -36,8 +36,11 @@
     virtual ResultCode admit(Peer& /*peer*/) { return ResultCode::kSuccess; }
     /// The capabilities exchange has succeeded.
     virtual void on_up(Peer& peer) = 0;
-    /// A Credit-Control or Abort-Session message, or an answer in which a fault was found.
+    /// A valid Credit-Control or Abort-Session message.
     virtual void on_message(Peer& peer, const Message& message) = 0;
+    /// An answer in which a fault was found. `message` holds its header and the AVPs before the fault, so
+    /// that it says which request it ends, but nothing else in it can be relied on.
+    virtual void on_malformed_answer(Peer& /*peer*/, const Message& /*message*/) {}
     /// `is_healthy` is false when a watchdog request was not answered in time, true when one is answered
     /// again.
     virtual void on_health_changed(Peer& /*peer*/, bool /*is_healthy*/) {}
@@ -95,6 +98,7 @@
   std::size_t on_bytes(net::TcpConnection& stream, std::span<char> bytes) override;
   void on_closed(net::TcpConnection& stream, net::CloseReason reason) override;
   void on_message_read(const ReadResult& read);
+  void on_faulty_message(const ReadResult& read);
   void on_capabilities(const ReadResult& read);
   void on_base_message(const Message& message);
   void on_origin_state_id(const Message& message);
--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -113,32 +113,6 @@
   return read;
 }
 
-bool is_description(std::string_view body) {
-  if (body.empty()) return false;
-  for (std::size_t i = 0; i < body.size(); ++i) {
-    const auto c = static_cast<unsigned char>(body[i]);
-    if (c < 0x80) {
-      if (c < 0x20 ? c != '\r' && c != '\n' && c != '\t' : c == 0x7f) return false;
-      continue;
-    }
-    // Outside ASCII, only complete UTF-8 sequences in their shortest form are accepted.
-    const std::size_t continuation_bytes = c >= 0xc2 && c <= 0xdf   ? 1
-                                           : (c & 0xf0U) == 0xe0    ? 2
-                                           : c >= 0xf0 && c <= 0xf4 ? 3
-                                                                    : 0;
-    if (continuation_bytes == 0 || i + continuation_bytes >= body.size()) return false;
-    const auto second = static_cast<unsigned char>(body[i + 1]);
-    const unsigned min_second = c == 0xe0 ? 0xa0 : c == 0xf0 ? 0x90 : 0x80;
-    const unsigned max_second = c == 0xed ? 0x9f : c == 0xf4 ? 0x8f : 0xbf;
-    if (second < min_second || second > max_second) return false;
-    for (std::size_t k = 2; k <= continuation_bytes; ++k) {
-      if ((static_cast<unsigned char>(body[i + k]) & 0xc0U) != 0x80) return false;
-    }
-    i += continuation_bytes;
-  }
-  return true;
-}
-
 std::optional<int> parse_q850_cause(std::string_view reason) {
   const auto at = reason.find("cause=");
   if (reason.substr(0, 5) != "Q.850" || at == std::string_view::npos) return std::nullopt;
--- a/src/sip/codec.hpp
+++ b/src/sip/codec.hpp
@@ -39,10 +39,6 @@
 /// result refer to the buffer.
 SipParseResult parse_sip_message(std::string_view bytes, std::size_t max_size);
 
-/// Whether a body can be a session description: non-empty UTF-8 text without control characters other than
-/// CR, LF and TAB, and without a truncated sequence at its end.
-bool is_description(std::string_view body);
-
 /// Parses a Reason header value such as `Q.850;cause=16`. Returns nullopt if it names no Q.850 cause.
 std::optional<int> parse_q850_cause(std::string_view reason);
 /// Parses X-Lag, the number of milliseconds after which a server with a full processor (X-Diagnosis `acc`)
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "core/session_description.hpp"
 #include "net/log.hpp"
 
 namespace amberknot::sip {
@@ -955,7 +956,7 @@
       ++counters_.second_answers;
       return;
     }
-    const bool is_valid = is_description(read.body);
+    const bool is_valid = core::is_session_description(read.body);
     if (is_current && is_valid) {
       const auto ref = found->second.ref;
       found->second.established = true;
