SIP: do not pass on a description that its Content-Length cuts off

A SIP answer whose Content-Length is too small was passed on with the first bytes of its description; the connection was closed only at the next message.

Change: a message is malformed if the bytes after it cannot start another one. The attempt then ends by the close of its connection, as for every other invalid length.

--- a/src/sip/codec.cpp
+++ b/src/sip/codec.cpp
@@ -50,13 +50,29 @@
   return true;
 }
 
+std::string_view skip_blank_lines(std::string_view bytes) {
+  return bytes.substr(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+}
+
+/// Whether the bytes after a message can be the start of another one. If not, the length of the message does
+/// not fit.
+bool may_start_message(std::string_view bytes) {
+  bytes = skip_blank_lines(bytes);
+  const auto line_end = bytes.find("\r\n");
+  if (line_end != std::string_view::npos) {
+    SipHead head;
+    return parse_start_line(bytes.substr(0, line_end), head);
+  }
+  // The start line is still incomplete. Methods are written in capital letters, as is the version.
+  return bytes.empty() || (bytes.front() >= 'A' && bytes.front() <= 'Z');
+}
+
 }  // namespace
 
 SipParseResult parse_sip_message(std::string_view bytes, std::size_t max_size) {
   SipParseResult read;
   // Peers may send blank lines between messages as keep-alives (RFC 5626, section 3.5.1).
-  std::size_t at = 0;
-  while (at < bytes.size() && (bytes[at] == '\r' || bytes[at] == '\n')) ++at;
+  std::size_t at = bytes.size() - skip_blank_lines(bytes).size();
   const std::size_t end = bytes.find("\r\n\r\n", at);
   if (end == std::string_view::npos) {
     if (bytes.size() - at > max_size) read.state = SipParseResult::State::kMalformed;
@@ -108,6 +124,7 @@
     read.state = SipParseResult::State::kIncomplete;
     return read;
   }
+  if (!may_start_message(bytes.substr(read.size()))) return read;
   read.body = bytes.substr(head.head_size, head.body_size);
   read.state = SipParseResult::State::kComplete;
   return read;
--- a/src/sip/codec.hpp
+++ b/src/sip/codec.hpp
@@ -35,8 +35,9 @@
   [[nodiscard]] std::size_t size() const { return head.head_size + head.body_size; }
 };
 
-/// Parses the first message in the buffer. A message of more than `max_size` bytes is bad. The views in the
-/// result refer to the buffer.
+/// Parses the first message in the buffer. A message of more than `max_size` bytes is malformed, and so is
+/// one that is followed by bytes that cannot start another message. The views in the result refer to the
+/// buffer.
 SipParseResult parse_sip_message(std::string_view bytes, std::size_t max_size);
 
 /// Parses a Reason header value such as `Q.850;cause=16`. Returns nullopt if it names no Q.850 cause.
--- a/tests/bad_peers_test.cpp
+++ b/tests/bad_peers_test.cpp
@@ -89,6 +89,22 @@
   }
 }
 
+// Guards against a description that is passed on cut off, because the length of the answer is too small.
+TEST_CASE("an answer with a length that is too small is not passed on, and its connection is closed") {
+  for (const char* length : {"2", "1"}) {
+    CAPTURE(length);
+    RouterFixture fixture;
+    fixture.announce_server();
+    fixture.send_set_up(kCallA, 300);
+    auto& end = fixture.wait_for_invite(kCallA);
+    end.stream->send("SIP/2.0 200 OK\r\nCall-ID: " + kCallA +
+                     "\r\nCSeq: 1 INVITE\r\nContent-Length: " + length + "\r\n\r\nsdp");
+    fixture.run_until([&] { return end.closed; });
+    fixture.run_until([&] { return fixture.caller->has_received("\"close\",\"sid\":\"" + kCallA); });
+    CHECK_FALSE(fixture.caller->has_received("\"ready\""));
+  }
+}
+
 // Guards against a truncated message whose missing part is taken from the messages that follow it.
 TEST_CASE("after a truncated body the connection gets no further calls and is closed") {
   RouterFixture fixture;
