Diameter: a second copy of an answer does not end the established session

Callers saw: nothing at all.

Cause: ConnectionPool::on_answer() erases the Hop-by-Hop Identifier with the first copy and took a success answer without one for late: it terminated the session without a look at calls_by_session. Evidence: `late_answers` counts each copy, and the stand-in's record has the router's termination request after it.

Change: an answer to a session that is still known is counted as a second answer and dropped; both kinds have a log line. Same cause: a DWA answered whatever DWR was outstanding, a DPA without a DPR closed the connection, and a second 200 to a SIP BYE confirmed every pending release of that call.

--- a/src/diameter/connection_pool.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -391,15 +391,7 @@
   const auto meaning = find_meaning(result);
   const auto found = server.calls_by_hop_by_hop.find(message.hop_by_hop);
   if (found == server.calls_by_hop_by_hop.end()) {
-    // A success answer to an attempt that is already over: the session is terminated, and no caller is
-    // notified.
-    const bool is_initial =
-        message.number(AvpCode::kCcRequestType) == static_cast<std::uint32_t>(RequestType::kInitial);
-    const std::string session_id(message.text(AvpCode::kSessionId));
-    if (is_initial && meaning.outcome == Outcome::kOk && !session_id.empty()) {
-      ++counters_.late_answers;
-      terminate_session(server, session_id);
-    }
+    on_unexpected_answer(server, message, meaning.outcome);
     return;
   }
   auto& attempt = server.attempts.at(found->second);
@@ -428,6 +420,26 @@
   table_.on_attempt_ended(ref, {meaning.outcome, core::Cause::kTemporaryFailure, meaning.is_user_error, {}});
 }
 
+// Each attempt has a session of its own, so that a session that is still known has been established by the
+// first copy of this answer. A session that is not known belongs to an attempt that is over: it is
+// terminated, and no caller is notified.
+void ConnectionPool::on_unexpected_answer(Server& server, const Message& message, Outcome outcome) {
+  const auto type = message.number(AvpCode::kCcRequestType);
+  if (type != static_cast<std::uint32_t>(RequestType::kInitial)) return;
+  const std::string session_id(message.text(AvpCode::kSessionId));
+  if (server.calls_by_session.contains(session_id)) {
+    ++counters_.second_answers;
+    net::log::info(second_answer_log_limit_, "diameter: second answer from ", servers_.find(server.id)->name,
+                   " to session ", session_id, "; dropped");
+    return;
+  }
+  if (outcome != Outcome::kOk || session_id.empty()) return;
+  ++counters_.late_answers;
+  net::log::info(second_answer_log_limit_, "diameter: late answer from ", servers_.find(server.id)->name,
+                 " to session ", session_id, "; session terminated");
+  terminate_session(server, session_id);
+}
+
 void ConnectionPool::on_malformed_answer(Server& server, const Message& message) {
   const auto found = server.calls_by_hop_by_hop.find(message.hop_by_hop);
   if (found == server.calls_by_hop_by_hop.end()) return;
--- a/src/diameter/connection_pool.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -65,6 +65,8 @@
   /// Ends all attempts that the server has not answered.
   void end_unanswered(Server& server, Outcome outcome);
   void on_answer(Server& server, const Message& message);
+  /// Handles an answer to a request that is not outstanding: a second copy, or an answer that comes late.
+  void on_unexpected_answer(Server& server, const Message& message, Outcome outcome);
   /// Ends the attempt that a malformed answer belongs to. Its session may be established and is terminated.
   void on_malformed_answer(Server& server, const Message& message);
   void fail_malformed_attempt(Server& server, const Attempt& attempt, const char* fault);
@@ -88,7 +90,7 @@
   OnChange on_change_;
   std::map<ServerId, std::unique_ptr<Server>> servers_by_id_;
   core::TimerWheel::Handle silence_timer_ = 0;
-  net::log::RateLimiter malformed_log_limit_;
+  net::log::RateLimiter malformed_log_limit_, second_answer_log_limit_;
 };
 
 }  // namespace amberknot::diameter
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -97,8 +97,15 @@
   if (stream_->is_closed()) return;
   const bool is_application_message =
       message.has_command(Command::kCreditControl) || message.has_command(Command::kAbortSession);
-  if (message.has_command(Command::kWatchdog) || message.has_command(Command::kDisconnect)) {
-    on_base_message(message);
+  const bool is_watchdog = message.has_command(Command::kWatchdog);
+  if (is_watchdog || message.has_command(Command::kDisconnect)) {
+    if (message.is_request) {
+      on_base_request(message);
+    } else if (is_watchdog) {
+      on_watchdog_answer(message);
+    } else {
+      on_disconnect_answer(message);
+    }
   } else if (is_application_message) {
     handler_.on_message(*this, message);
   } else if (message.is_request) {
@@ -189,24 +196,26 @@
   handler_.on_up(*this);
 }
 
-void Peer::on_base_message(const Message& message) {
-  if (message.is_request) {
-    auto writer = answer(message, {ResultCode::kSuccess, {}});
-    if (message.has_command(Command::kWatchdog))
-      writer.add(AvpCode::kOriginStateId, identity_.origin_state_id);
-    send(writer);
-    if (message.has_command(Command::kDisconnect) && !std::exchange(is_disconnecting_, true)) {
-      net::log::info("diameter: ", host_, " sent a disconnect request, cause ",
-                     message.number(AvpCode::kDisconnectCause).value_or(kDisconnectCauseRebooting));
-      handler_.on_disconnect_request(*this);
-    }
-    return;
+void Peer::on_base_request(const Message& message) {
+  auto writer = answer(message, {ResultCode::kSuccess, {}});
+  if (message.has_command(Command::kWatchdog)) writer.add(AvpCode::kOriginStateId, identity_.origin_state_id);
+  send(writer);
+  if (message.has_command(Command::kDisconnect) && !std::exchange(is_disconnecting_, true)) {
+    net::log::info("diameter: ", host_, " sent a disconnect request, cause ",
+                   message.number(AvpCode::kDisconnectCause).value_or(kDisconnectCauseRebooting));
+    handler_.on_disconnect_request(*this);
   }
-  if (message.has_command(Command::kDisconnect)) {
-    fail(CloseReason::kClosedByPeer);
-    return;
-  }
-  if (!std::exchange(is_watchdog_pending_, false)) return;
+}
+
+// An answer to no request, or the second copy of one, closes nothing.
+void Peer::on_disconnect_answer(const Message& message) {
+  if (pending_disconnect_ == message.hop_by_hop) fail(CloseReason::kClosedByPeer);
+}
+
+// A second copy of the answer to an earlier DWR does not answer the current one.
+void Peer::on_watchdog_answer(const Message& message) {
+  if (pending_watchdog_ != message.hop_by_hop) return;
+  pending_watchdog_.reset();
   handler_.on_watchdog_answer(*this, Loop::now() - watchdog_sent_at_);
   if (!std::exchange(is_healthy_, true)) {
     net::log::info("diameter: ", host_, " answers watchdog requests again; new calls may go to it");
@@ -240,7 +249,7 @@
 // count as alive as long as other answers are received. Here it gets no new calls, and unanswered set-ups may
 // finish.
 void Peer::on_watchdog_timer() {
-  if (!is_watchdog_pending_) {
+  if (!pending_watchdog_) {
     send_watchdog();
   } else if (Loop::now() - watchdog_sent_at_ < identity_.watchdog_interval - identity_.watchdog_jitter) {
     // A health check sent the DWR between two timer events: its time to answer is not over yet.
@@ -253,24 +262,23 @@
     return;
   } else {
     // Other messages are still received: a new DWR shows whether the peer answers watchdogs again.
-    is_watchdog_pending_ = false;
+    pending_watchdog_.reset();
     send_watchdog();
   }
   start_watchdog_timer();
 }
 
 void Peer::send_watchdog() {
-  if (!is_up_ || is_watchdog_pending_) return;
-  is_watchdog_pending_ = true;
+  if (!is_up_ || pending_watchdog_) return;
   watchdog_sent_at_ = Loop::now();
-  auto dwr = request(Command::kWatchdog, kBaseApplication);
+  auto dwr = request(Command::kWatchdog, kBaseApplication, &pending_watchdog_.emplace());
   add_origin(dwr).add(AvpCode::kOriginStateId, identity_.origin_state_id);
   send(dwr);
 }
 
 void Peer::disconnect() {
   if (!is_up_ || std::exchange(is_disconnecting_, true)) return;
-  auto dpr = request(Command::kDisconnect, kBaseApplication);
+  auto dpr = request(Command::kDisconnect, kBaseApplication, &pending_disconnect_.emplace());
   add_origin(dpr).add(AvpCode::kDisconnectCause, kDisconnectCauseRebooting);
   send(dpr);
 }
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -100,7 +101,9 @@
   void on_message_read(const ReadResult& read);
   void on_faulty_message(const ReadResult& read);
   void on_capabilities(const ReadResult& read);
-  void on_base_message(const Message& message);
+  void on_base_request(const Message& message);
+  void on_watchdog_answer(const Message& message);
+  void on_disconnect_answer(const Message& message);
   void on_origin_state_id(const Message& message);
   void mark_up();
   void start_watchdog_timer();
@@ -116,7 +119,8 @@
   bool is_up_ = false;
   bool is_healthy_ = true;
   bool is_disconnecting_ = false;
-  bool is_watchdog_pending_ = false;  ///< a DWR is unanswered
+  std::optional<std::uint32_t> pending_disconnect_;  ///< Hop-by-Hop Identifier of the DPR, if one was sent
+  std::optional<std::uint32_t> pending_watchdog_;    ///< the same of the unanswered DWR, if there is one
   Instant watchdog_sent_at_{};
   Instant last_received_at_{};
   Instant up_since_{};
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -912,8 +912,11 @@
       end_health_check(std::string(head.call_id), head.status < 300 ? Outcome::kOk : Outcome::kFull,
                        parse_load_report(head.occupancy));
     } else if (head.method == "BYE") {
-      std::erase_if(connection.pending_releases,
-                    [&](const auto& release) { return release.id == head.call_id; });
+      // A second copy of the answer must not confirm a later release of the same call.
+      auto& pending = connection.pending_releases;
+      const auto confirmed = std::find_if(pending.begin(), pending.end(),
+                                          [&](const auto& release) { return release.id == head.call_id; });
+      if (confirmed != pending.end()) pending.erase(confirmed);
     }
     return;
   }
--- a/tests/diameter_fixture.hpp
+++ b/tests/diameter_fixture.hpp
@@ -48,6 +48,7 @@
         send_message(add_capabilities(cea));
       } else if (read.message.is_request && read.message.has_command(Command::kWatchdog)) {
         ++watchdog_requests;
+        last_watchdog_request.assign(bytes.data() + consumed, read.size);
         if (answers_watchdogs) answer_watchdog(read.message);
       } else {
         received_messages.emplace_back(bytes.data() + consumed, read.size);
@@ -113,6 +114,7 @@
   bool is_client;
   bool answers_watchdogs = true;
   int watchdog_requests = 0;
+  std::string last_watchdog_request;
   std::uint32_t next_id = 1;
   std::vector<std::string> received_messages;
 };
