Do not reopen an event stream that starts at the first event already

Trace: the endpoint list announces the new process, the stream is opened after event 0, and the name that the new process reports 15 ms later made the pool open it again. Events of the 100 ms between are repeated by a server that keeps them; the test's server does not, so that its release was lost.

Change: EventCursor::on_process_replaced() has nothing to do where the stream starts at event 0 and nothing has been received.

The new check of the cursor fails without the change.

--- a/src/http2/server_process.hpp
+++ b/src/http2/server_process.hpp
@@ -64,9 +64,10 @@
   }
 
   /// The process was replaced by one that the router has connected to since `since`. The events of the new
-  /// one are read from the first on. Returns false if some of them were received already.
+  /// one are read from the first on. Returns false if they are read so already, or if some of them were
+  /// received.
   bool on_process_replaced(Instant since) {
-    if (!last_number_ || updated_at_ >= since) return false;
+    if (!last_number_ || *last_number_ == 0 || updated_at_ >= since) return false;
     last_number_ = 0;
     updated_at_ = since;
     return true;
--- a/tests/session_api_test.cpp
+++ b/tests/session_api_test.cpp
@@ -580,6 +580,8 @@
   CHECK(cursor.last_number() == 3U);
   CHECK(cursor.on_process_replaced(start + milliseconds{7}));
   CHECK(cursor.last_number() == 0U);
+  // The stream from the first event on is not opened a second time.
+  CHECK_FALSE(cursor.on_process_replaced(start + milliseconds{8}));
 }
 
 TEST_CASE("a server that denies its old version after an upgrade is asked for its versions again") {
