Make the ids of Diameter clients' calls from a random start

Cause: the id was the second in which the router started and a counter from zero, so that routers that start together number their calls alike. One of them gave up its call and deleted the other's.

Change: core/call_id_generator counts from 64 random bits of the process. Same cause: a client that uses the Session-Id of another client's session got no answer; it gets DIAMETER_INVALID_AVP_VALUE.

--- a/src/app/kinds.cpp
+++ b/src/app/kinds.cpp
@@ -23,9 +23,9 @@
   const auto& diameter_config = context.operator_file.diameter;
   if (!diameter_config || !diameter_config->listen) return nullptr;
   auto frontend = std::make_unique<diameter::Frontend>(
-      context.loop, context.table, context.counters, context.identity, context.names, context.settings,
-      *diameter_config->listen, context.resource_limits.max_diameter_connections, diameter_config->clients,
-      context.tenant_of,
+      context.loop, context.table, context.counters, context.identity, context.call_ids, context.names,
+      context.settings, *diameter_config->listen, context.resource_limits.max_diameter_connections,
+      diameter_config->clients, context.tenant_of,
       [&servers = context.servers](std::string_view host) -> std::optional<PoolId> {
         const auto* server = servers.find(host);
         return server != nullptr ? std::optional(server->pool) : std::nullopt;
--- a/src/app/kinds.hpp
+++ b/src/app/kinds.hpp
@@ -11,6 +11,7 @@
 
 #include "app/config.hpp"
 #include "app/operator_file.hpp"
+#include "core/call_id_generator.hpp"
 #include "core/call_table.hpp"
 #include "core/counters.hpp"
 #include "core/endpoint_registry.hpp"
@@ -40,6 +41,8 @@
   std::function<void(ServerId server, bool is_restarted)> on_availability_changed;
   /// Shared by the Diameter frontend and upstream pool: one identity and one range of identifiers.
   diameter::Identity identity = {};
+  /// For the calls of frontends whose protocol has no call ids that session servers accept.
+  core::CallIdGenerator call_ids;
   /// Null if no server uses the session API; nothing is translated then.
   std::unique_ptr<translate::Translator> translator = {};
 };
--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -1,6 +1,7 @@
 #include "app/router.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "admin/metrics.hpp"
@@ -21,6 +22,16 @@
 
 }  // namespace
 
+namespace {
+
+/// Returns 64 random bits, which differ between processes whenever they are started.
+std::uint64_t random_seed() {
+  std::random_device random;
+  return static_cast<std::uint64_t>(random()) << 32U | random();
+}
+
+}  // namespace
+
 Router::Router(net::Loop& loop, const Config& config, const OperatorFile& operator_file)
     : loop_(loop),
       config_(config),
@@ -41,7 +52,9 @@
                [this](std::string_view user) { return tenant_of(user); },
                [this](ServerId id, bool is_restarted) {
                  endpoint_updates_.on_availability_changed(id, is_restarted);
-               }},
+               },
+               {},
+               core::CallIdGenerator(random_seed())},
       endpoint_updates_(context_, upstream_pools_) {
   loop.output_totals.max_bytes = resource_limits_.max_queued_bytes;
   loop.output_totals.max_bytes_per_connection = resource_limits_.max_queued_bytes_per_connection;
--- a/src/diameter/frontend.cpp
+++ b/src/diameter/frontend.cpp
@@ -1,7 +1,6 @@
 #include "diameter/frontend.hpp"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 #include <vector>
 
@@ -36,14 +35,15 @@
 }  // namespace
 
 Frontend::Frontend(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-                   const core::ConfiguredNames& names, const Settings& settings,
-                   const asio::ip::tcp::endpoint& listen, std::size_t max_connections,
-                   std::set<std::string> allowed_hosts, TenantLookup find_tenant, PoolLookup find_pool,
-                   const translate::Translator* translator)
+                   core::CallIdGenerator& call_ids, const core::ConfiguredNames& names,
+                   const Settings& settings, const asio::ip::tcp::endpoint& listen,
+                   std::size_t max_connections, std::set<std::string> allowed_hosts, TenantLookup find_tenant,
+                   PoolLookup find_pool, const translate::Translator* translator)
     : loop_(loop),
       table_(table),
       counters_(counters),
       identity_(identity),
+      call_ids_(call_ids),
       names_(names),
       settings_(settings),
       acceptor_(net::shared_acceptor(loop.io, listen)),
@@ -140,9 +140,8 @@
 
 void Frontend::on_initial_request(Peer& peer, const Message& message) {
   const std::string id(message.text(AvpCode::kSessionId));
-  if (sessions_.contains(id)) {
-    // A repeated request for a known session is not answered: the first request has been or will be answered.
-    ++counters_.unknown_ids;
+  if (const auto existing = sessions_.find(id); existing != sessions_.end()) {
+    on_repeated_request(peer, message, existing->second);
     return;
   }
   const auto context = message.text(AvpCode::kServiceContextId);
@@ -179,10 +178,7 @@
     return;
   }
   core::SetUpRequest set_up;
-  // Session servers identify calls by 16 hex digits.
-  char call_id[17];
-  std::snprintf(call_id, sizeof call_id, "%08x%08x", identity_.origin_state_id, next_call_number_++);
-  set_up.id = call_id;
+  set_up.id = call_ids_.next();
   set_up.call_class = names_.classes[*class_index];
   set_up.number = number;
   set_up.description = message.parameter(ServiceParameter::kDescription).value_or(std::string_view());
@@ -227,6 +223,17 @@
   table_.reject_unrouted(call);
 }
 
+// A repeated request of the same client is not answered: the first request has been or will be answered. The
+// Session-Id of another client's session is an error of the client that sends it.
+void Frontend::on_repeated_request(Peer& peer, const Message& message, const Session& existing) {
+  if (existing.host == peer.host()) {
+    ++counters_.unknown_ids;
+    return;
+  }
+  ++counters_.malformed_set_ups;
+  reply(peer, message, {ResultCode::kInvalidAvpValue, avp_or_example(message, AvpCode::kSessionId)});
+}
+
 void Frontend::on_update_or_termination(Peer& peer, const Message& message, RequestType type) {
   const std::string id(message.text(AvpCode::kSessionId));
   const auto found = sessions_.find(id);
--- a/src/diameter/frontend.hpp
+++ b/src/diameter/frontend.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/call_id_generator.hpp"
 #include "core/call_table.hpp"
 #include "core/connection_drain.hpp"
 #include "core/counters.hpp"
@@ -29,7 +30,7 @@
   /// Listens at `listen`. `allowed_hosts` holds the Origin-Hosts that may connect; if it is empty, any may.
   /// `translator` may be null.
   Frontend(net::Loop& loop, core::CallTable& table, core::Counters& counters, Identity& identity,
-           const core::ConfiguredNames& names, const Settings& settings,
+           core::CallIdGenerator& call_ids, const core::ConfiguredNames& names, const Settings& settings,
            const asio::ip::tcp::endpoint& listen, std::size_t max_connections,
            std::set<std::string> allowed_hosts, TenantLookup find_tenant, PoolLookup find_pool,
            const translate::Translator* translator = nullptr);
@@ -69,6 +70,8 @@
   void on_down(Peer& peer, net::CloseReason reason) override;
 
   void accept();
+  /// Handles an initial request for the Session-Id of a session that has not ended.
+  void on_repeated_request(Peer& peer, const Message& message, const Session& existing);
   /// Handles a request that opens a session.
   void on_initial_request(Peer& peer, const Message& message);
   /// Handles an update or termination request.
@@ -90,6 +93,7 @@
   core::CallTable& table_;
   core::Counters& counters_;
   Identity& identity_;
+  core::CallIdGenerator& call_ids_;
   const core::ConfiguredNames& names_;
   const Settings& settings_;
   asio::ip::tcp::acceptor acceptor_;
@@ -105,7 +109,6 @@
   std::map<std::string, Session> sessions_;
   std::unordered_map<CallId, std::string> session_ids_by_call_;
   std::map<std::string, std::uint32_t> state_ids_by_host_;  ///< the last Origin-State-Id by host
-  std::uint32_t next_call_number_ = 0;
   core::ConnectionDrain drain_;
 };
 
--- a/tests/core_state_test.cpp
+++ b/tests/core_state_test.cpp
@@ -7,6 +7,7 @@
 
 #include "core/call.hpp"
 #include "core/call_event.hpp"
+#include "core/call_id_generator.hpp"
 #include "core/decision_queue.hpp"
 #include "core/final_answer.hpp"
 #include "core/server_liveness.hpp"
@@ -24,6 +25,15 @@
 
 }  // namespace
 
+// Guards against calls of different processes that session servers cannot tell apart.
+TEST_CASE("generated call ids are 16 hex digits and do not repeat") {
+  CallIdGenerator ids(0xfffffffffffffffe), others(0x0123456789abcdef);
+  CHECK(ids.next() == "fffffffffffffffe");
+  CHECK(ids.next() == "ffffffffffffffff");
+  CHECK(ids.next() == "0000000000000000");
+  CHECK(others.next() == "0123456789abcdef");
+}
+
 TEST_CASE("a call changes state only along the documented transitions") {
   using enum CallState;
   constexpr CallState kStates[] = {kQueued, kInFlight, kEstablished, kReleasing};
