Never let the release of an attempt end a later attempt of the same call

Cause: releases are kept by server and id, and all attempts of a call share the id. The DELETE of the cancelled attempt went out on the silent connection and was repeated, when that was closed, after the next attempt had been accepted. Evidence: the stand-in's record has the 201 and then the DELETE. Also found: after a malformed answer the next attempt was sent before the release of the first (test: 0 releases before the second set-up).

Change: a set-up waits while a release of its id is unconfirmed at its server, and releases avoid a connection that has been silent since the set-up. Same cause: events and checks about an earlier attempt, a SIP BYE that is sent again, and releases kept for a JSON lines caller.

--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -315,7 +315,10 @@
 void ConnectionPool::request_versions(PooledConnection& pooled) {
   if (!pooled.connection->has_capacity()) return;
   const RequestKey key = next_key_++;
-  outstanding_[key] = {RequestKind::kVersions, {}, {}, net::Loop::now(), pooled.number};
+  outstanding_[key] = {.kind = RequestKind::kVersions,
+                       .id = {},
+                       .sent_at = net::Loop::now(),
+                       .connection_number = pooled.number};
   pooled.is_versions_requested =
       pooled.connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   if (!pooled.is_versions_requested) outstanding_.erase(key);
@@ -462,62 +465,97 @@
   if (!was_up) server.reconnect_backoff = std::min(server.reconnect_backoff * 2, kMaxReconnectBackoff);
 }
 
-ConnectionPool::PooledConnection* ConnectionPool::pick_connection(Server& server) {
-  PooledConnection* least_loaded = nullptr;
+ConnectionPool::PooledConnection* ConnectionPool::pick_connection(Server& server, std::uint64_t avoided) {
+  const auto rank = [avoided](const PooledConnection& pooled) {
+    return std::pair(pooled.number == avoided, pooled.connection->outstanding_requests());
+  };
+  PooledConnection* best = nullptr;
   for (const auto& pooled : server.connections) {
     if (!pooled->connection->has_capacity()) continue;
-    if (least_loaded == nullptr ||
-        pooled->connection->outstanding_requests() < least_loaded->connection->outstanding_requests())
-      least_loaded = pooled.get();
+    if (best == nullptr || rank(*pooled) < rank(*best)) best = pooled.get();
+  }
+  return best;
+}
+
+// On the connection of the set-up the release follows the end of its stream, so that the server cannot set
+// the session up later. If nothing has been received there since, that connection may be silent, and the
+// release would be as late as the answer.
+ConnectionPool::PooledConnection* ConnectionPool::pick_release_connection(Server& server,
+                                                                          const PendingRelease& release) {
+  for (const auto& pooled : server.connections) {
+    const auto& connection = *pooled->connection;
+    const bool is_of_set_up = pooled->number == release.set_up.number;
+    if (is_of_set_up && connection.has_capacity() && connection.last_received_at() >= release.set_up.sent_at)
+      return pooled.get();
   }
-  return least_loaded;
+  return pick_connection(server, release.set_up.number);
 }
 
 // Sends waiting requests while connections have capacity. Releases go first, because they free sessions that
 // other calls wait for.
 void ConnectionPool::send_waiting(Server& server) {
   if (net::Loop::now() < server.sending_resumes_at) return;
+  send_releases(server);
+  const bool needs_connection = send_set_ups(server);
+  if (needs_connection && server.listed && server.reconnect_timer == 0 &&
+      server.connections.size() < kMaxConnectionsPerServer) {
+    connect(server);
+  }
+}
+
+void ConnectionPool::send_releases(Server& server) {
   for (auto& [id, release] : server.pending_releases) {
     if (release.outstanding) continue;
-    auto* pooled = pick_connection(server);
+    auto* pooled = pick_release_connection(server, release);
     if (pooled == nullptr) break;
     const RequestKey key = next_key_++;
-    outstanding_[key] = {RequestKind::kRelease, {}, id, net::Loop::now(), pooled->number};
+    outstanding_[key] = {.kind = RequestKind::kRelease,
+                         .id = id,
+                         .sent_at = net::Loop::now(),
+                         .connection_number = pooled->number};
     release.outstanding = true;
     ++release.attempts;
     const auto cause = std::to_string(static_cast<int>(release.cause));
     pooled->connection->request(key, {"DELETE", "/sessions/" + id + "?cause=" + cause});
   }
-  while (!server.waiting_set_ups.empty()) {
-    const auto found = attempts_.find(server.waiting_set_ups.front());
+}
+
+bool ConnectionPool::send_set_ups(Server& server) {
+  auto& waiting = server.waiting_set_ups;
+  for (auto at = waiting.begin(); at != waiting.end();) {
+    const auto found = attempts_.find(*at);
     if (found == attempts_.end()) {
-      server.waiting_set_ups.pop_front();
+      at = waiting.erase(at);
+      continue;
+    }
+    if (server.pending_releases.contains(found->second.id)) {
+      ++at;
       continue;
     }
-    auto& attempt = found->second;
     auto* pooled =
         outstanding_.size() < resource_limits_.max_http2_requests ? pick_connection(server) : nullptr;
-    if (pooled == nullptr) break;
-    server.waiting_set_ups.pop_front();
-    attempt.request_key = next_key_++;
-    attempt.pooled = pooled;
-    attempt.sent_at = net::Loop::now();
-    outstanding_[attempt.request_key] = {RequestKind::kSetUp, attempt.ref.call, attempt.id, attempt.sent_at,
-                                         pooled->number};
-    const auto version = std::to_string(translator_.server_dialect(attempt.version).version);
-    pooled->connection->request(attempt.request_key,
-                                {"POST",
-                                 "/sessions",
-                                 {{"content-type", "application/json"}, {"api-version", version}},
-                                 attempt.body});
-    attempt.body.clear();
-    attempt.body.shrink_to_fit();
-  }
-  // Set-ups that still wait need another connection.
-  if (!server.waiting_set_ups.empty() && server.listed && server.reconnect_timer == 0 &&
-      server.connections.size() < kMaxConnectionsPerServer) {
-    connect(server);
+    if (pooled == nullptr) return true;
+    at = waiting.erase(at);
+    send_set_up(found->second, *pooled);
   }
+  return false;
+}
+
+void ConnectionPool::send_set_up(Attempt& attempt, PooledConnection& pooled) {
+  attempt.request_key = next_key_++;
+  attempt.pooled = &pooled;
+  attempt.sent_at = net::Loop::now();
+  outstanding_[attempt.request_key] = {.kind = RequestKind::kSetUp,
+                                       .call = attempt.ref.call,
+                                       .id = attempt.id,
+                                       .sent_at = attempt.sent_at,
+                                       .connection_number = pooled.number};
+  const auto version = std::to_string(translator_.server_dialect(attempt.version).version);
+  pooled.connection->request(
+      attempt.request_key,
+      {"POST", "/sessions", {{"content-type", "application/json"}, {"api-version", version}}, attempt.body});
+  attempt.body.clear();
+  attempt.body.shrink_to_fit();
 }
 
 // ---- requests of the core -------------------------------------------------------------------------------
@@ -570,12 +608,13 @@
     return true;
   }
   const auto connection = attempt->pooled->connection;
+  const SetUpConnection set_up{attempt->pooled->number, attempt->sent_at};
   const RequestKey key = attempt->request_key;
   remove_attempt(ref.call);
   outstanding_.erase(key);
   connection->cancel(key);
   // The answer may cross the cancel; the session is then established at the server and has to be released.
-  delete_session(server, id, core::Cause::kNormal);
+  delete_session(server, id, core::Cause::kNormal, set_up);
   return false;
 }
 
@@ -593,25 +632,32 @@
 
 // A lost release would leave the session established for good, so it is kept until the server confirms it.
 void ConnectionPool::delete_session(Server& server, const std::string& id, core::Cause cause) {
+  delete_session(server, id, cause, SetUpConnection());
+}
+
+void ConnectionPool::delete_session(Server& server, const std::string& id, core::Cause cause,
+                                    SetUpConnection set_up) {
   if (!server.listed || server.pending_releases.size() >= resource_limits_.max_undelivered_releases_per_peer)
     return;
-  server.pending_releases[id] = {cause, false, 0, net::Loop::now()};
+  server.pending_releases.try_emplace(
+      id, PendingRelease{.cause = cause, .set_up = set_up, .requested_at = net::Loop::now()});
   send_waiting(server);
 }
 
-void ConnectionPool::on_release_ended(Server& server, const std::string& id, bool confirmed) {
+bool ConnectionPool::on_release_ended(Server& server, const std::string& id, bool confirmed) {
   const auto found = server.pending_releases.find(id);
-  if (found == server.pending_releases.end()) return;
+  if (found == server.pending_releases.end()) return true;
   if (confirmed || found->second.attempts >= kMaxReleaseAttempts) {
     server.pending_releases.erase(found);
-    return;
+    return true;
   }
   found->second.outstanding = false;
-  if (server.release_retry_timer != 0) return;
+  if (server.release_retry_timer != 0) return false;
   server.release_retry_timer = loop_.run_after(kReleaseRetryInterval, [this, &server] {
     server.release_retry_timer = 0;
     send_waiting(server);
   });
+  return false;
 }
 
 void ConnectionPool::check_health(ServerId id) {
@@ -626,7 +672,10 @@
     return;
   }
   const RequestKey key = next_key_++;
-  outstanding_[key] = {RequestKind::kHealthCheck, {}, {}, net::Loop::now(), pooled->number};
+  outstanding_[key] = {.kind = RequestKind::kHealthCheck,
+                       .id = {},
+                       .sent_at = net::Loop::now(),
+                       .connection_number = pooled->number};
   pooled->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   loop_.run_after(milliseconds{250}, [this, id, key] {
     if (outstanding_.erase(key) == 0) return;
@@ -662,6 +711,15 @@
   call_table_.on_attempt_ended(ref, attempt_end);
 }
 
+// The release comes first: the decision module may send the next attempt, which has the same id, at once.
+void ConnectionPool::release_and_end(Server& server, const Attempt& attempt, core::Cause cause,
+                                     const core::ErrorClassification& meaning) {
+  const auto ref = attempt.ref;
+  const SetUpConnection set_up{attempt.pooled != nullptr ? attempt.pooled->number : 0, attempt.sent_at};
+  delete_session(server, attempt.id, cause, set_up);
+  end_attempt(ref, make_error(meaning));
+}
+
 void ConnectionPool::end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end) {
   asio::post(loop_.io, [this, ref, attempt_end] { call_table_.on_attempt_ended(ref, attempt_end); });
 }
@@ -679,7 +737,8 @@
       on_set_up_answer(pooled, request.call, response);
       break;
     case RequestKind::kRelease:
-      on_release_ended(server, request.id, response.status == 204 || response.status == 404);
+      if (on_release_ended(server, request.id, response.status == 204 || response.status == 404))
+        send_waiting(server);
       break;
     case RequestKind::kHealthCheck:
       call_table_.on_health_check_result(
@@ -693,8 +752,7 @@
       reopen_event_stream(server);
       break;
     case RequestKind::kCheckSession:
-      if (response.status == 404)
-        on_session_ended(server, request.id, Outcome::kReset, core::Cause::kTemporaryFailure);
+      on_session_checked(server, request, response.status);
       break;
   }
 }
@@ -772,10 +830,9 @@
     ++counters_.malformed_answers;
     net::log::warn(invalid_message_log_, "session api: set-up answer of ", server.name, " to ", attempt.id,
                    " is invalid; the session is released: ", fault);
-    const std::string id = attempt.id;
-    end_attempt(ref, make_error({core::Reason::kServerFault, core::ExecutionState::kMayHaveExecuted,
-                                 core::ErrorScope::kServer}));
-    delete_session(server, id, core::Cause::kInvalidContents);
+    release_and_end(
+        server, attempt, core::Cause::kInvalidContents,
+        {core::Reason::kServerFault, core::ExecutionState::kMayHaveExecuted, core::ErrorScope::kServer});
     return;
   }
   const auto* mapping = translator_.mapping(attempt.client_dialect, attempt.version);
@@ -786,11 +843,10 @@
     // The session is established, but its answer cannot be translated for the client or names another
     // session. The session is released and the attempt fails.
     ++counters_.malformed_answers;
-    const std::string id = attempt.id;
-    end_attempt(ref, make_error({is_same_session ? core::Reason::kFieldRejected : core::Reason::kServerFault,
-                                 core::ExecutionState::kMayHaveExecuted,
-                                 is_same_session ? core::ErrorScope::kCall : core::ErrorScope::kServer}));
-    delete_session(server, id, core::Cause::kInvalidContents);
+    release_and_end(server, attempt, core::Cause::kInvalidContents,
+                    {is_same_session ? core::Reason::kFieldRejected : core::Reason::kServerFault,
+                     core::ExecutionState::kMayHaveExecuted,
+                     is_same_session ? core::ErrorScope::kCall : core::ErrorScope::kServer});
     return;
   }
   const auto& client_fields = translator_.client_dialect(attempt.client_dialect).of(MessageKind::kAnswer);
@@ -799,15 +855,15 @@
   ++server.established;
   attempt.pooled = nullptr;
   attempt.request_key = 0;
-  const auto early_end = attempt.early_end;
+  const auto reported_end = attempt.reported_end;
   const std::string id = attempt.id;
   if (!call_table_.on_established(ref, description)) {
     remove_attempt(call);
     delete_session(server, id, core::Cause::kInvalidContents);
     return;
   }
-  // The event stream reported the session's end before the answer to its set-up arrived.
-  if (early_end) end_attempt(ref, make_end(early_end->first, early_end->second));
+  // An event reported the session's end before the answer to its set-up arrived.
+  if (reported_end) on_end_reported(server, id, *reported_end);
 }
 
 void ConnectionPool::on_failure(PooledConnection& pooled, RequestKey key, Failure failure) {
@@ -830,7 +886,6 @@
       const auto attempt_entry = attempts_.find(request.call);
       if (attempt_entry == attempts_.end()) return;
       auto& attempt = attempt_entry->second;
-      const std::string id = attempt.id;
       switch (failure) {
         case Failure::kNotProcessed:
           end_attempt(attempt.ref, make_error({core::Reason::kServerFault, core::ExecutionState::kNotExecuted,
@@ -842,29 +897,27 @@
                                   core::ErrorScope::kServer}));
           break;
         case Failure::kTooLarge:
-          end_attempt(attempt.ref,
-                      make_error({core::Reason::kServerFault, core::ExecutionState::kMayHaveExecuted,
-                                  core::ErrorScope::kServer}));
-          delete_session(server, id, core::Cause::kInvalidContents);
+          release_and_end(server, attempt, core::Cause::kInvalidContents,
+                          {core::Reason::kServerFault, core::ExecutionState::kMayHaveExecuted,
+                           core::ErrorScope::kServer});
           break;
         case Failure::kReset:
-          end_attempt(attempt.ref, make_error({core::Reason::kAborted, core::ExecutionState::kMayHaveExecuted,
-                                               core::ErrorScope::kServer}));
           // After a reset the session may or may not be established.
-          delete_session(server, id, core::Cause::kTemporaryFailure);
+          release_and_end(
+              server, attempt, core::Cause::kTemporaryFailure,
+              {core::Reason::kAborted, core::ExecutionState::kMayHaveExecuted, core::ErrorScope::kServer});
           break;
       }
       break;
     }
     case RequestKind::kRelease:
-      on_release_ended(server, request.id, false);
+      if (on_release_ended(server, request.id, false)) send_waiting(server);
       break;
     case RequestKind::kEvents:
       reopen_event_stream(server);
       break;
     case RequestKind::kCheckSession:
-      server.sessions_to_check.push_back(request.id);
-      check_sessions(server);
+      check_session(server, request.id);
       break;
     case RequestKind::kHealthCheck:
       call_table_.on_health_check_result(server.id, Outcome::kReset, net::Loop::now() - request.sent_at, {});
@@ -886,7 +939,10 @@
     request.headers.emplace_back("last-event-id", std::to_string(*last_number));
   server.sse_reader = settings::SseParser(net::kMaxMessageBytes);
   server.event_stream_key = key;
-  outstanding_[key] = {RequestKind::kEvents, {}, {}, net::Loop::now(), pooled->number};
+  outstanding_[key] = {.kind = RequestKind::kEvents,
+                       .id = {},
+                       .sent_at = net::Loop::now(),
+                       .connection_number = pooled->number};
   pooled->connection->request(key, request);
 }
 
@@ -955,11 +1011,11 @@
   }
   switch (session_event->kind) {
     case SessionEvent::Kind::kReleased:
-      on_session_ended(server, session_event->id, Outcome::kOk,
-                       static_cast<core::Cause>(session_event->cause));
+      on_end_reported(server, session_event->id,
+                      {Outcome::kOk, static_cast<core::Cause>(session_event->cause)});
       break;
     case SessionEvent::Kind::kAborted:
-      on_session_ended(server, session_event->id, Outcome::kReset, core::Cause::kTemporaryFailure);
+      on_end_reported(server, session_event->id, {Outcome::kReset, core::Cause::kTemporaryFailure});
       break;
     case SessionEvent::Kind::kLoad: {
       LoadReport report;
@@ -987,19 +1043,38 @@
   if (std::exchange(server.draining, false)) on_change_(server.id, false);
 }
 
-void ConnectionPool::on_session_ended(Server& server, const std::string& id, Outcome outcome,
-                                      core::Cause cause) {
+// An event names only the id, which all attempts of a call share: if this is not the first attempt, the event
+// may be a late one about the session of an earlier attempt, and the server is asked.
+void ConnectionPool::on_end_reported(Server& server, const std::string& id, SessionEnd end) {
   const auto found = calls_by_session_.find({server.id, id});
   if (found == calls_by_session_.end()) {
     ++counters_.unknown_ids;
     return;
   }
   auto& attempt = attempts_.at(found->second);
-  if (!attempt.established) {
-    attempt.early_end = std::pair(outcome, cause);
+  if (attempt.established && attempt.ref.attempt == 0) {
+    end_attempt(attempt.ref, make_end(end.outcome, end.cause));
     return;
   }
-  end_attempt(attempt.ref, make_end(outcome, cause));
+  attempt.reported_end = end;
+  if (attempt.established) check_session(server, id);
+}
+
+void ConnectionPool::on_session_checked(Server& server, const OutstandingRequest& request, int status) {
+  const auto found = calls_by_session_.find({server.id, request.id});
+  if (found == calls_by_session_.end()) return;
+  auto& attempt = attempts_.at(found->second);
+  if (!attempt.established || attempt.ref.attempt != request.attempt) return;
+  const auto reported_end = std::exchange(attempt.reported_end, std::nullopt);
+  const bool is_held = status == 200 || (status != 404 && !reported_end);
+  if (is_held) return;
+  const auto end = reported_end.value_or(SessionEnd{Outcome::kReset, core::Cause::kTemporaryFailure});
+  end_attempt(attempt.ref, make_end(end.outcome, end.cause));
+}
+
+void ConnectionPool::check_session(Server& server, const std::string& id) {
+  server.sessions_to_check.push_back(id);
+  check_sessions(server);
 }
 
 void ConnectionPool::check_all_sessions(Server& server) {
@@ -1021,7 +1096,11 @@
       const auto found = calls_by_session_.find({server.id, id});
       if (found != calls_by_session_.end() && attempts_.at(found->second).established) {
         const RequestKey key = next_key_++;
-        outstanding_[key] = {RequestKind::kCheckSession, {}, id, net::Loop::now(), pooled->number};
+        outstanding_[key] = {.kind = RequestKind::kCheckSession,
+                             .attempt = attempts_.at(found->second).ref.attempt,
+                             .id = id,
+                             .sent_at = net::Loop::now(),
+                             .connection_number = pooled->number};
         pooled->connection->request(key, {"GET", "/sessions/" + id});
       }
     }
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -59,6 +59,11 @@
   using RequestKey = Connection::RequestKey;
   struct PooledConnection;
   struct Server;
+  /// How a session ended at its server.
+  struct SessionEnd {
+    Outcome outcome{};
+    core::Cause cause{};
+  };
   /// An attempt whose set-up waits or is outstanding, or whose session is established.
   struct Attempt {
     core::AttemptId ref;
@@ -70,21 +75,29 @@
     RequestKey request_key = 0;
     Instant sent_at{};
     bool established = false;
-    /// Set if the session's end was reported before the answer to its set-up arrived.
-    std::optional<std::pair<Outcome, core::Cause>> early_end;
+    /// Set if an event has reported the session's end and this has yet to be acted upon.
+    std::optional<SessionEnd> reported_end;
   };
   enum class RequestKind : std::uint8_t { kSetUp, kRelease, kVersions, kEvents, kCheckSession, kHealthCheck };
   /// A request that has been handed to a connection and has not ended.
   struct OutstandingRequest {
     RequestKind kind{};
-    CallId call{};   ///< kSetUp
-    std::string id;  ///< session; kSetUp, kRelease and kCheckSession
+    CallId call{};              ///< kSetUp
+    std::uint32_t attempt = 0;  ///< kCheckSession; the id is shared by all attempts of a call
+    std::string id;             ///< session; kSetUp, kRelease and kCheckSession
     Instant sent_at{};
     std::uint64_t connection_number = 0;
   };
-  /// A release that the server has not confirmed.
+  /// The connection on which a set-up was sent.
+  struct SetUpConnection {
+    std::uint64_t number = 0;  ///< of the connection; 0 if unknown
+    Instant sent_at{};
+  };
+  /// A release that the server has not confirmed. As long as there is one, no set-up with the same id is sent
+  /// to the server: the release, or a repetition of it, would end the new session.
   struct PendingRelease {
     core::Cause cause{};
+    SetUpConnection set_up;    ///< of the attempt that is released
     bool outstanding = false;  ///< a DELETE request has been sent and has not ended
     int attempts = 0;
     Instant requested_at{};
@@ -101,8 +114,17 @@
   void maintain_connections(Server& server);
   void connect(Server& server);
   void send_waiting(Server& server);
-  /// Returns the connection with the fewest outstanding requests, or null if none has capacity.
-  PooledConnection* pick_connection(Server& server);
+  /// Sends the releases that wait, while connections have capacity.
+  void send_releases(Server& server);
+  /// Sends the set-ups that wait, except those whose id has a pending release. Returns whether some need
+  /// another connection.
+  bool send_set_ups(Server& server);
+  void send_set_up(Attempt& attempt, PooledConnection& pooled);
+  /// Returns the connection with the fewest outstanding requests, or null if none has capacity. The
+  /// connection `avoided` is used only if there is no other.
+  PooledConnection* pick_connection(Server& server, std::uint64_t avoided = 0);
+  /// Returns the connection for a release, or null if none has capacity.
+  PooledConnection* pick_release_connection(Server& server, const PendingRelease& release);
   void on_up(PooledConnection& pooled);
   void on_response(PooledConnection& pooled, RequestKey key, Response& response);
   void on_failure(PooledConnection& pooled, RequestKey key, Failure failure);
@@ -116,14 +138,21 @@
   /// was first connected to.
   void on_process_replaced(PooledConnection& first, Instant previous_since);
   void on_events_numbered_anew(Server& server);
-  void on_session_ended(Server& server, const std::string& id, Outcome outcome, core::Cause cause);
+  /// An event reports the end of a session.
+  void on_end_reported(Server& server, const std::string& id, SessionEnd end);
+  /// The server has answered whether it holds a session.
+  void on_session_checked(Server& server, const OutstandingRequest& request, int status);
+  void check_session(Server& server, const std::string& id);
   void open_event_stream(Server& server);
   void reopen_event_stream(Server& server);
   /// Asks the server for each session that it is to hold, whether it still does.
   void check_all_sessions(Server& server);
   void check_sessions(Server& server);
   void delete_session(Server& server, const std::string& id, core::Cause cause);
-  void on_release_ended(Server& server, const std::string& id, bool confirmed);
+  /// The same for an attempt whose set-up was sent on that connection.
+  void delete_session(Server& server, const std::string& id, core::Cause cause, SetUpConnection set_up);
+  /// Returns whether the release is over: confirmed, or given up after too many attempts.
+  bool on_release_ended(Server& server, const std::string& id, bool confirmed);
   void withdraw_set_ups(Server& server);
   /// Ends all attempts whose set-up still waits, with the outcome kNotSent.
   void end_waiting(Server& server);
@@ -133,6 +162,9 @@
   void forget_outstanding(Server& server, const PooledConnection& pooled);
   /// Takes the reference by value because it may belong to the attempt that is removed.
   void end_attempt(core::AttemptId ref, core::AttemptEnd attempt_end);
+  /// Releases a session that may be established, and ends its attempt with an error.
+  void release_and_end(Server& server, const Attempt& attempt, core::Cause cause,
+                       const core::ErrorClassification& meaning);
   void end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end);
   void request_versions(PooledConnection& pooled);
   void on_versions_answer(PooledConnection& pooled, Response& response);
--- a/src/jsonl/frontend.cpp
+++ b/src/jsonl/frontend.cpp
@@ -126,7 +126,9 @@
   undelivered_count_ -= waiting->second.releases.size();
   const auto releases = std::move(waiting->second.releases);
   undelivered_.erase(waiting);
-  for (const auto& release : releases) send_release(*stream, release);
+  for (const auto& release : releases) {
+    if (!is_id_in_use(release)) send_release(*stream, release);
+  }
 }
 
 // At the connection limit, closes the least valuable connection to make room for the new one: first one that
@@ -651,7 +653,14 @@
   sent_releases.push_back({tag, std::move(release), now});
 }
 
+// A caller that comes again with an id has forgotten the call that had it before; the release would end the
+// new one.
+bool Frontend::is_id_in_use(const core::UndeliveredRelease& release) const {
+  return calls_by_sid_.contains(release.call_id);
+}
+
 void Frontend::send_release_to_caller(core::UndeliveredRelease release) {
+  if (is_id_in_use(release)) return;
   const auto caller = asio::ip::make_address(release.caller);
   if (const auto to = best_connection_of(caller)) {
     send_release(*to, std::move(release));
--- a/src/jsonl/frontend.hpp
+++ b/src/jsonl/frontend.hpp
@@ -104,6 +104,8 @@
   void end_call(CallId call, core::Cause cause, std::optional<Duration> wait = std::nullopt);
   /// Sends the release of an established call on any connection of the caller, or keeps it for the next one.
   void send_release_to_caller(core::UndeliveredRelease release);
+  /// Whether the id of an undelivered release belongs to a call again that has not ended.
+  [[nodiscard]] bool is_id_in_use(const core::UndeliveredRelease& release) const;
   void send_release(net::TcpConnection& stream, core::UndeliveredRelease release);
   Call remove_call(CallId call);
   void mark_answered(Call& call);
--- a/src/sip/connection_pool.cpp
+++ b/src/sip/connection_pool.cpp
@@ -341,7 +341,7 @@
   if (!server.reports_on_connect) server.releases_maybe_lost_since.reset();
   net::log::debug("sip: connection opened: ", servers_.find(server.id)->name);
   for (auto& [id, release] : std::exchange(server.unsent_releases, {}))
-    send_release(server, std::move(id), std::move(release));
+    resend_release(server, std::move(id), std::move(release));
 }
 
 // A set-up that was never written moves to another connection, and its attempt goes on. The attempt ends only
@@ -391,7 +391,7 @@
   move_unsent_set_ups(connection, true);
   end_attempts_on(connection, Outcome::kConnectFailed);
   for (auto& release : std::exchange(connection.pending_releases, {}))
-    send_release(server, std::move(release.id), std::move(release.text));
+    resend_release(server, std::move(release.id), std::move(release.text));
   if (server.connections.size() - server.counted_connections() > kMaxLateConnections) {
     connection.stream->fail(net::CloseReason::kConnectFailed);
     return;
@@ -448,7 +448,7 @@
   end_attempts_on(connection, was_open ? Outcome::kReset : Outcome::kConnectFailed);
   for (auto& release : std::exchange(connection.pending_releases, {})) {
     if (now - release.sent_at < kReleaseConfirmationTimeout)
-      send_release(server, std::move(release.id), std::move(release.text));
+      resend_release(server, std::move(release.id), std::move(release.text));
   }
   // The established calls are lost with the server process, which cannot report that any more.
   if (server.consecutive_refusals >= kRefusalsUntilDown && server.open_connections() == 0) {
@@ -808,6 +808,17 @@
   open_warm_connections(server);
 }
 
+// All attempts of a call share its Call-ID. A release of an earlier attempt would end the session of the
+// current one, which takes the place of the earlier one at the server.
+void ConnectionPool::resend_release(Server& server, std::string id, std::string release) {
+  if (attempts_.contains({server.id, id})) {
+    net::log::info(late_answer_log_limit_, "sip: release of an earlier attempt not sent again to ",
+                   servers_.find(server.id)->name, ": a later attempt is there: ", id);
+    return;
+  }
+  send_release(server, std::move(id), std::move(release));
+}
+
 void ConnectionPool::check_health(ServerId id) {
   auto& server = find_or_create_server(id);
   const auto connection = pick_connection(server);
--- a/src/sip/connection_pool.hpp
+++ b/src/sip/connection_pool.hpp
@@ -125,6 +125,9 @@
   void on_invite_answer(Connection& connection, const SipParseResult& read);
   void on_bye(Connection& connection, const SipHead& head);
   void send_release(Server& server, std::string id, std::string release);
+  /// The same for a release that was sent or kept before, unless a later attempt of the call is at the
+  /// server.
+  void resend_release(Server& server, std::string id, std::string release);
   void end_attempts_on(Connection& connection, Outcome outcome);
   void end_health_check(const std::string& id, Outcome outcome, const LoadReport& load);
   void schedule_check();
