Fail a request that may not run again when its caller comes again with it

Cause: CallTable::abandon() forgets the call, and with it that an attempt may have been executed; the same id was a new call.

Change: core/executed_calls remembers such requests for 30 s, bounded by memory_mb. The key is the id, or a Diameter client's Session-Id. A set-up with a remembered key fails with the reason 'duplicate'.

Open: the other process of an upgrade, which does not know what this one remembers.

--- a/src/core/call.hpp
+++ b/src/core/call.hpp
@@ -18,6 +18,8 @@
 /// A set-up request from a caller, parsed and validated by its frontend.
 struct SetUpRequest {
   std::string id;  ///< 16 hex digits
+  /// Identifies the request for its caller, who repeats it with the same key; empty if that is `id`.
+  std::string repeat_key = {};
   std::string call_class;
   std::string number;
   std::string description;
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -10,9 +10,11 @@
 constexpr Duration kAnswerMargin = 2 * TimerWheel::kTick;
 // How many ids of aborted calls a log line names.
 constexpr std::size_t kMaxLoggedIds = 8;
+// Callers wait a few seconds for an answer, and come again soon or not at all.
+constexpr Duration kExecutedCallRetention = std::chrono::seconds{30};
 
 CallTable::CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
-                     Clock clock)
+                     Clock clock, std::size_t max_executed_calls)
     : dispatcher_(dispatcher),
       servers_(servers),
       wheel_(wheel),
@@ -20,7 +22,8 @@
       clock_(std::move(clock)),
       broadcast_([](const auto&) {}),
       log_([](const auto&) {}),
-      decisions_([this](const Decision& decision) { execute_decision(decision); }) {}
+      decisions_([this](const Decision& decision) { execute_decision(decision); }),
+      executed_calls_(max_executed_calls, kExecutedCallRetention) {}
 
 void CallTable::set_sinks(BroadcastSink broadcast, LogSink log) {
   broadcast_ = std::move(broadcast);
@@ -49,7 +52,7 @@
 
 void CallTable::route(CallId id) {
   const auto* call = find(id);
-  if (call == nullptr) return;
+  if (call == nullptr || fail_repeated(id, *call)) return;
   if (shutdown_ && !shutdown_->serves_set_ups(clock_())) {
     send_final_answer(id, Reason::kTimeout, shutdown_retry_after());
     return;
@@ -57,6 +60,19 @@
   execute(dispatcher_.report_new_call(clock_(), id, call->set_up.request));
 }
 
+void CallTable::reject_unrouted(CallId id) {
+  const auto* call = find(id);
+  if (call == nullptr || fail_repeated(id, *call)) return;
+  send_final_answer(id, Reason::kCongestion, Duration::zero());
+}
+
+bool CallTable::fail_repeated(CallId id, const Call& call) {
+  if (call.history.is_idempotent() || !executed_calls_.contains(repeat_key(call), clock_())) return false;
+  ++counters_.repeated_requests;
+  send_final_answer(id, Reason::kDuplicate, Duration::zero());
+  return true;
+}
+
 void CallTable::abandon(CallId id) {
   const auto* call = find(id);
   if (call == nullptr || call->state == CallState::kEstablished) return;
@@ -66,6 +82,8 @@
   const auto attempt = latest_attempt(id, *call);
   const Duration elapsed = clock_() - call->sent_at;
   const std::size_t call_class = call->set_up.request.call_class;
+  const bool is_idempotent = call->history.is_idempotent();
+  const std::string key = repeat_key(*call);
   forget(id);
   if (!is_in_flight) {
     ++counters_.abandoned_while_queued;
@@ -73,6 +91,7 @@
     return;
   }
   const Outcome outcome = cancel_attempt(attempt, Outcome::kCancelled);
+  if (!is_idempotent && outcome != Outcome::kNotSent) executed_calls_.add(key, clock_());
   counters_.count_attempt_end(outcome, call_class);
   execute(dispatcher_.report_abandoned(clock_(), id));
   execute(dispatcher_.report_attempt_ended(clock_(), id, attempt.server, attempt.attempt,
@@ -402,8 +421,12 @@
 void CallTable::forget(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
-  wheel_.cancel(found->second.timer);
-  if (found->second.state == CallState::kEstablished) --established_;
+  const auto& call = found->second;
+  const bool was_established = call.state == CallState::kEstablished || call.state == CallState::kReleasing;
+  if (call.history.must_not_run_again() || (was_established && !call.history.is_idempotent()))
+    executed_calls_.add(repeat_key(call), clock_());
+  wheel_.cancel(call.timer);
+  if (call.state == CallState::kEstablished) --established_;
   calls_.erase(found);
 }
 
--- a/src/core/call_table.hpp
+++ b/src/core/call_table.hpp
@@ -17,6 +17,7 @@
 #include "core/decision_queue.hpp"
 #include "core/dispatcher.hpp"
 #include "core/endpoint_registry.hpp"
+#include "core/executed_calls.hpp"
 #include "core/final_answer.hpp"
 #include "core/graceful_shutdown.hpp"
 #include "core/ports.hpp"
@@ -32,8 +33,9 @@
   using LogSink = std::function<void(const std::string&)>;
   using EventSink = std::function<void(const CallEvent&)>;
 
+  /// Remembers up to `max_executed_calls` requests that may not be executed again.
   CallTable(Dispatcher& dispatcher, EndpointRegistry& servers, TimerWheel& wheel, Counters& counters,
-            Clock clock);
+            Clock clock, std::size_t max_executed_calls);
 
   /// Sets where the module's messages to its peers and its log lines go.
   void set_sinks(BroadcastSink broadcast, LogSink log);
@@ -46,7 +48,7 @@
   /// Passes a new call to the decision module, which forwards, queues or rejects it.
   void route(CallId call);
   /// Rejects a new call that was not passed to route(): its caller may retry at another router at once.
-  void reject_unrouted(CallId call) { send_final_answer(call, Reason::kCongestion, Duration::zero()); }
+  void reject_unrouted(CallId call);
   /// Ends a call whose caller no longer waits for it. Has no effect once the call is established.
   void abandon(CallId call);
   /// Ends a call on its caller's request: abandons the set-up before the answer, releases the call after it.
@@ -139,6 +141,12 @@
   /// exits, up to `max_retry_after`; zero without a shutdown or if the settings allow no retry advice.
   [[nodiscard]] Duration shutdown_retry_after() const;
   void forget(CallId id);
+  /// Fails a new call that repeats a request which may have been executed and may not be again. Returns
+  /// whether it does.
+  bool fail_repeated(CallId id, const Call& call);
+  static const std::string& repeat_key(const Call& call) {
+    return call.set_up.repeat_key.empty() ? call.set_up.id : call.set_up.repeat_key;
+  }
 
   // Timers.
   void set_timer(CallId id, Call& call, Instant due);
@@ -169,6 +177,7 @@
   EventSink events_;
   DecisionQueue decisions_;
   std::unordered_map<CallId, Call> calls_;
+  ExecutedCalls executed_calls_;
   std::size_t established_ = 0;
   std::uint32_t next_id_ = 0;
   std::optional<GracefulShutdown> shutdown_;  ///< empty unless the process is shutting down
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -41,6 +41,8 @@
   std::uint64_t repeated_ids = 0;
   /// Connections and set-ups rejected because a resource limit was reached.
   std::uint64_t rejected_for_capacity = 0;
+  /// Set-ups that repeat a request which may have been executed and may not be again.
+  std::uint64_t repeated_requests = 0;
   /// Set-ups rejected because they arrived in standby, after the period in which they are still served.
   std::uint64_t rejected_in_standby = 0;
   /// Connections closed to make room for new ones.
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -40,6 +40,9 @@
   /// Records that an attempt ended with that outcome, without an error that explains it.
   void on_attempt_ended(Outcome outcome);
 
+  /// Whether the call may not be executed again, because an attempt that has ended may have been.
+  [[nodiscard]] bool must_not_run_again() const { return !may_be_rejected(); }
+  [[nodiscard]] bool is_idempotent() const { return is_idempotent_; }
   [[nodiscard]] ProtocolVersionSet excluded_versions() const { return excluded_; }
   /// Returns whether all supported versions are excluded, so that the call must be answered at once. While no
   /// server has reported its version (`supported` is empty), the call may wait.
--- a/src/diameter/frontend.cpp
+++ b/src/diameter/frontend.cpp
@@ -179,6 +179,7 @@
   }
   core::SetUpRequest set_up;
   set_up.id = call_ids_.next();
+  set_up.repeat_key = peer.host() + ";" + id;
   set_up.call_class = names_.classes[*class_index];
   set_up.number = number;
   set_up.description = message.parameter(ServiceParameter::kDescription).value_or(std::string_view());
--- a/src/net/bounds.hpp
+++ b/src/net/bounds.hpp
@@ -23,6 +23,7 @@
   std::size_t
       max_undelivered_releases;  ///< releases kept for callers without a connection, all callers together
   std::size_t max_undelivered_releases_per_peer;  ///< the same for one caller or server
+  std::size_t max_executed_call_bytes;            ///< bytes held for requests that may not be executed again
 
   /// Derives the limits from the memory in megabytes (at least 8) and the number of descriptors. Read buffers
   /// take up to a third of the memory if all are full, so the number of connections depends on both figures.
@@ -44,6 +45,7 @@
     limits.max_http2_requests_per_connection = std::max<std::size_t>(limits.max_http2_requests / 4, 4);
     limits.max_undelivered_releases = memory_bytes / 64 / 128;  // a release takes about 100 bytes
     limits.max_undelivered_releases_per_peer = limits.max_undelivered_releases / 4;
+    limits.max_executed_call_bytes = memory_bytes / 32;
     return limits;
   }
 };
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -197,7 +197,7 @@
   core::EndpointRegistry servers;
   core::TimerWheel wheel;
   core::Counters counters;
-  core::CallTable table{dispatcher, servers, wheel, counters, [this] { return now; }};
+  core::CallTable table{dispatcher, servers, wheel, counters, [this] { return now; }, 100};
   SilentServer server;
   RecordingClient client;
 };
