Give the simulated routers of the lab the limit on executed calls

Cause: the constructor of core::CallTable has a new parameter since, and the lab's simulation was not changed with it: a whole build failed there. Only the router and the net tests had been built. Found by the sanitized build of everything.

--- a/lab/fleet/simulation.cpp
+++ b/lab/fleet/simulation.cpp
@@ -66,13 +66,16 @@
 
 class Simulation;
 
+/// Requests that a simulated router remembers as executed.
+constexpr std::size_t kMaxExecutedCalls = 10'000;
+
 /// The state of one process of a router, from its start to its end.
 struct RouterInstance {
   RouterInstance(Node& node, const Settings& settings, Instant now, core::CallTable::Clock clock)
       : ports(node),
         dispatcher(settings, now),
         wheel(now),
-        table(dispatcher, servers, wheel, counters, std::move(clock)) {}
+        table(dispatcher, servers, wheel, counters, std::move(clock), kMaxExecutedCalls) {}
   RouterPorts ports;
   core::Dispatcher dispatcher;
   core::EndpointRegistry servers;
