Say once what the mended cases had written several times

An attempt that may have run was recorded in two places with its key copied first; five places removed a Diameter attempt and terminated its session; the V bit stood in two files; six places filled the same four fields of an outstanding HTTP/2 request.

Change: the attempt history alone says what may have run, and CallTable::forget() reads it; ConnectionPool::end_session() and make_outstanding(); Avp::is_vendor_specific(). One anonymous namespace in app/router.cpp. Behaviour and tests are as before.

--- a/src/app/router.cpp
+++ b/src/app/router.cpp
@@ -20,10 +20,6 @@
 constexpr Duration kExitCheckInterval = milliseconds{20};
 constexpr Duration kForgetRemovedInterval = std::chrono::seconds{5};
 
-}  // namespace
-
-namespace {
-
 /// Returns 64 random bits, which differ between processes whenever they are started.
 std::uint64_t random_seed() {
   std::random_device random;
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -74,7 +74,7 @@
 }
 
 void CallTable::abandon(CallId id) {
-  const auto* call = find(id);
+  auto* call = find(id);
   if (call == nullptr || call->state == CallState::kEstablished) return;
   ++counters_.abandoned;
   trace(*call, {.kind = CallEventKind::kAbandoned});
@@ -82,16 +82,15 @@
   const auto attempt = latest_attempt(id, *call);
   const Duration elapsed = clock_() - call->sent_at;
   const std::size_t call_class = call->set_up.request.call_class;
-  const bool is_idempotent = call->history.is_idempotent();
-  const std::string key = repeat_key(*call);
-  forget(id);
   if (!is_in_flight) {
+    forget(id);
     ++counters_.abandoned_while_queued;
     execute(dispatcher_.report_abandoned(clock_(), id));
     return;
   }
   const Outcome outcome = cancel_attempt(attempt, Outcome::kCancelled);
-  if (!is_idempotent && outcome != Outcome::kNotSent) executed_calls_.add(key, clock_());
+  call->history.on_attempt_ended(outcome);
+  forget(id);
   counters_.count_attempt_end(outcome, call_class);
   execute(dispatcher_.report_abandoned(clock_(), id));
   execute(dispatcher_.report_attempt_ended(clock_(), id, attempt.server, attempt.attempt,
@@ -138,6 +137,7 @@
   if (call == nullptr || call->state != CallState::kInFlight) return false;
   wheel_.cancel(std::exchange(call->timer, 0));
   change_state(*call, CallState::kEstablished);
+  call->history.on_attempt_ended(Outcome::kOk);
   const Duration elapsed = clock_() - call->sent_at;
   if (!call->client->answer(attempt.call, description)) {
     fail_established(attempt, *call, elapsed);
@@ -422,9 +422,7 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   const auto& call = found->second;
-  const bool was_established = call.state == CallState::kEstablished || call.state == CallState::kReleasing;
-  if (call.history.must_not_run_again() || (was_established && !call.history.is_idempotent()))
-    executed_calls_.add(repeat_key(call), clock_());
+  if (call.history.must_not_run_again()) executed_calls_.add(repeat_key(call), clock_());
   wheel_.cancel(call.timer);
   if (call.state == CallState::kEstablished) --established_;
   calls_.erase(found);
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -37,7 +37,8 @@
   AttemptVerdict on_attempt_ended(ProtocolVersion version, const ErrorClassification& meaning,
                                   std::optional<Duration> retry_after = std::nullopt);
 
-  /// Records that an attempt ended with that outcome, without an error that explains it.
+  /// Records that an attempt ended with that outcome, without an error that explains it. `kOk`: the server
+  /// has accepted the call.
   void on_attempt_ended(Outcome outcome);
 
   /// Whether the call may not be executed again, because an attempt that has ended may have been.
--- a/src/diameter/codec.cpp
+++ b/src/diameter/codec.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint8_t kErrorBit = 0x20;
 constexpr std::uint8_t kRetransmittedBit = 0x10;
 
-constexpr std::uint8_t kVendorSpecificBit = 0x80;
 constexpr std::uint8_t kMandatoryBit = 0x40;
 constexpr std::uint8_t kReservedBits = 0x1f;
 
@@ -109,11 +108,10 @@
     avp.code = read_integer(bytes, offset, 4);
     avp.flags = static_cast<std::uint8_t>(bytes[offset + 4]);
     const std::size_t length = read_integer(bytes, offset + 5, 3);
-    const bool is_vendor_specific = (avp.flags & kVendorSpecificBit) != 0;
-    const std::size_t header_size = kAvpHeaderSize + (is_vendor_specific ? kVendorIdSize : 0);
+    const std::size_t header_size = kAvpHeaderSize + (avp.is_vendor_specific() ? kVendorIdSize : 0);
     if (length < header_size || length > bytes.size() - offset)
       return {ResultCode::kInvalidAvpLength, zero_filled_avp(avp.code, avp.flags)};
-    if (is_vendor_specific) avp.vendor = read_integer(bytes, offset + kAvpHeaderSize, 4);
+    if (avp.is_vendor_specific()) avp.vendor = read_integer(bytes, offset + kAvpHeaderSize, 4);
     avp.encoded = bytes.substr(offset, length);
     avp.data = avp.encoded.substr(header_size);
     if (check_contents) {
@@ -127,7 +125,7 @@
 
 /// Checks the flags and the value of an AVP whose length field is valid.
 Fault check_avp(const Avp& avp, int depth) {
-  const auto* definition = (avp.flags & kVendorSpecificBit) != 0 ? nullptr : find_known_avp(avp.code);
+  const auto* definition = avp.is_vendor_specific() ? nullptr : find_known_avp(avp.code);
   const auto fault = [&](ResultCode result) { return Fault{result, std::string(avp.encoded)}; };
   if ((avp.flags & kReservedBits) != 0) return fault(ResultCode::kInvalidAvpBits);
   if (definition == nullptr)
--- a/src/diameter/codec.hpp
+++ b/src/diameter/codec.hpp
@@ -90,11 +90,14 @@
   std::string_view data;
   std::string_view encoded;  ///< the AVP with its header, without padding
 
-  /// Whether this is the AVP of that code that the RFCs define. A set V bit gives the code another meaning,
-  /// whatever the vendor id.
-  [[nodiscard]] bool has_code(AvpCode expected) const {
+  /// Whether the V bit is set, which gives the code another meaning, whatever the vendor id.
+  [[nodiscard]] bool is_vendor_specific() const {
     constexpr std::uint8_t kVendorSpecificBit = 0x80;
-    return code == static_cast<std::uint32_t>(expected) && (flags & kVendorSpecificBit) == 0;
+    return (flags & kVendorSpecificBit) != 0;
+  }
+  /// Whether this is the AVP of that code that the RFCs define.
+  [[nodiscard]] bool has_code(AvpCode expected) const {
+    return code == static_cast<std::uint32_t>(expected) && !is_vendor_specific();
   }
 };
 
--- a/src/diameter/connection_pool.cpp
+++ b/src/diameter/connection_pool.cpp
@@ -301,11 +301,7 @@
 
 void ConnectionPool::release(const core::AttemptId& ref, core::Cause /*cause*/) {
   auto& server = find_or_add(ref.server);
-  const auto* attempt = find_attempt(server, ref);
-  if (attempt == nullptr) return;
-  const std::string session_id = attempt->session_id;
-  erase_attempt(server, ref.call);
-  terminate_session(server, session_id);
+  if (const auto* attempt = find_attempt(server, ref)) end_session(server, *attempt);
 }
 
 void ConnectionPool::forget_attempt(const core::AttemptId& ref) {
@@ -340,6 +336,12 @@
   server.attempts.erase(found);
 }
 
+void ConnectionPool::end_session(Server& server, const Attempt& attempt) {
+  const std::string session_id = attempt.session_id;
+  erase_attempt(server, attempt.ref.call);
+  terminate_session(server, session_id);
+}
+
 void ConnectionPool::terminate_session(Server& server, const std::string& session_id) {
   if (!server.peer || !server.peer->is_up()) {
     if (server.pending_terminations.size() < kMaxPendingTerminations)
@@ -408,11 +410,8 @@
       return;
     }
     attempt.is_established = true;
-    const std::string established_session = attempt.session_id;
     server.calls_by_hop_by_hop.erase(found);
-    if (table_.on_established(ref, *description)) return;
-    erase_attempt(server, ref.call);
-    terminate_session(server, established_session);
+    if (!table_.on_established(ref, *description)) release(ref, core::Cause::kInvalidContents);
     return;
   }
   erase_attempt(server, ref.call);
@@ -451,9 +450,7 @@
   net::log::warn(malformed_log_limit_, "diameter: malformed answer from ", servers_.find(server.id)->name,
                  " to session ", attempt.session_id, ": ", fault, "; session terminated");
   const auto ref = attempt.ref;
-  const std::string session_id = attempt.session_id;
-  erase_attempt(server, ref.call);
-  terminate_session(server, session_id);
+  end_session(server, attempt);
   table_.on_attempt_ended(ref, {Outcome::kError, core::Cause::kInvalidContents, false, {}});
 }
 
@@ -468,9 +465,9 @@
     ++counters_.unknown_ids;
     return;
   }
-  const auto ref = server.attempts.at(found->second).ref;
-  erase_attempt(server, ref.call);
-  terminate_session(server, session_id);
+  const auto& attempt = server.attempts.at(found->second);
+  const auto ref = attempt.ref;
+  end_session(server, attempt);
   table_.on_attempt_ended(ref, {Outcome::kReset, core::Cause::kTemporaryFailure, false, {}});
 }
 
--- a/src/diameter/connection_pool.hpp
+++ b/src/diameter/connection_pool.hpp
@@ -58,6 +58,8 @@
   Attempt* find_attempt(Server& server, const core::AttemptId& attempt);
   /// Removes the attempt of a call without a message to anyone.
   void erase_attempt(Server& server, CallId call);
+  /// Removes an attempt and ends its session at the server.
+  void end_session(Server& server, const Attempt& attempt);
   /// Ends a session at its server: now, or when the connection is up again.
   void terminate_session(Server& server, const std::string& session_id);
   /// Withdraws all set-up requests that are queued but not written yet.
--- a/src/http2/connection_pool.cpp
+++ b/src/http2/connection_pool.cpp
@@ -312,13 +312,21 @@
   schedule_version_tick();
 }
 
+ConnectionPool::OutstandingRequest ConnectionPool::make_outstanding(RequestKind kind,
+                                                                    const PooledConnection& pooled,
+                                                                    std::string id) {
+  OutstandingRequest request;
+  request.kind = kind;
+  request.id = std::move(id);
+  request.sent_at = net::Loop::now();
+  request.connection_number = pooled.number;
+  return request;
+}
+
 void ConnectionPool::request_versions(PooledConnection& pooled) {
   if (!pooled.connection->has_capacity()) return;
   const RequestKey key = next_key_++;
-  outstanding_[key] = {.kind = RequestKind::kVersions,
-                       .id = {},
-                       .sent_at = net::Loop::now(),
-                       .connection_number = pooled.number};
+  outstanding_[key] = make_outstanding(RequestKind::kVersions, pooled);
   pooled.is_versions_requested =
       pooled.connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   if (!pooled.is_versions_requested) outstanding_.erase(key);
@@ -509,10 +517,7 @@
     auto* pooled = pick_release_connection(server, release);
     if (pooled == nullptr) break;
     const RequestKey key = next_key_++;
-    outstanding_[key] = {.kind = RequestKind::kRelease,
-                         .id = id,
-                         .sent_at = net::Loop::now(),
-                         .connection_number = pooled->number};
+    outstanding_[key] = make_outstanding(RequestKind::kRelease, *pooled, id);
     release.outstanding = true;
     ++release.attempts;
     const auto cause = std::to_string(static_cast<int>(release.cause));
@@ -545,11 +550,9 @@
   attempt.request_key = next_key_++;
   attempt.pooled = &pooled;
   attempt.sent_at = net::Loop::now();
-  outstanding_[attempt.request_key] = {.kind = RequestKind::kSetUp,
-                                       .call = attempt.ref.call,
-                                       .id = attempt.id,
-                                       .sent_at = attempt.sent_at,
-                                       .connection_number = pooled.number};
+  auto outstanding = make_outstanding(RequestKind::kSetUp, pooled, attempt.id);
+  outstanding.call = attempt.ref.call;
+  outstanding_[attempt.request_key] = std::move(outstanding);
   const auto version = std::to_string(translator_.server_dialect(attempt.version).version);
   pooled.connection->request(
       attempt.request_key,
@@ -672,10 +675,7 @@
     return;
   }
   const RequestKey key = next_key_++;
-  outstanding_[key] = {.kind = RequestKind::kHealthCheck,
-                       .id = {},
-                       .sent_at = net::Loop::now(),
-                       .connection_number = pooled->number};
+  outstanding_[key] = make_outstanding(RequestKind::kHealthCheck, *pooled);
   pooled->connection->request(key, {"GET", "/versions", {{"accept", "application/json"}}});
   loop_.run_after(milliseconds{250}, [this, id, key] {
     if (outstanding_.erase(key) == 0) return;
@@ -939,10 +939,7 @@
     request.headers.emplace_back("last-event-id", std::to_string(*last_number));
   server.sse_reader = settings::SseParser(net::kMaxMessageBytes);
   server.event_stream_key = key;
-  outstanding_[key] = {.kind = RequestKind::kEvents,
-                       .id = {},
-                       .sent_at = net::Loop::now(),
-                       .connection_number = pooled->number};
+  outstanding_[key] = make_outstanding(RequestKind::kEvents, *pooled);
   pooled->connection->request(key, request);
 }
 
@@ -1096,11 +1093,8 @@
       const auto found = calls_by_session_.find({server.id, id});
       if (found != calls_by_session_.end() && attempts_.at(found->second).established) {
         const RequestKey key = next_key_++;
-        outstanding_[key] = {.kind = RequestKind::kCheckSession,
-                             .attempt = attempts_.at(found->second).ref.attempt,
-                             .id = id,
-                             .sent_at = net::Loop::now(),
-                             .connection_number = pooled->number};
+        outstanding_[key] = make_outstanding(RequestKind::kCheckSession, *pooled, id);
+        outstanding_[key].attempt = attempts_.at(found->second).ref.attempt;
         pooled->connection->request(key, {"GET", "/sessions/" + id});
       }
     }
--- a/src/http2/connection_pool.hpp
+++ b/src/http2/connection_pool.hpp
@@ -166,6 +166,9 @@
   void release_and_end(Server& server, const Attempt& attempt, core::Cause cause,
                        const core::ErrorClassification& meaning);
   void end_attempt_later(core::AttemptId ref, core::AttemptEnd attempt_end);
+  /// Describes a request that is handed to a connection now; `id` is that of its session, if it has one.
+  static OutstandingRequest make_outstanding(RequestKind kind, const PooledConnection& pooled,
+                                             std::string id = {});
   void request_versions(PooledConnection& pooled);
   void on_versions_answer(PooledConnection& pooled, Response& response);
   /// Returns nothing if the answer says nothing about versions.
